Move tokens between hosts by what they hold; refuse at once what none has

Cause: in a cut from the store a host without tokens asked every other host for a seventh of what it lacked; requests waited 250 ms for nothing. Change: datagrams carry free tokens by tenant; asks go to those that hold some; an empty ledger is believed for a second; one home a shared part.

--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -89,6 +89,9 @@
     target = cap;
   if (allotment->demand > 0 && target < (double)policy->minimum)
     target = (double)policy->minimum;
+  /* The first requests of a tenant find tokens without asking the ledger.  */
+  if (target < policy->start * (double)allotment->limit / hosts)
+    target = policy->start * (double)allotment->limit / hosts;
   return (uint64_t)target;
 }
 
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -56,6 +56,7 @@
   uint64_t ledger_rest;   /* limit less all grants and what is settled */
   uint64_t ledger_settled;
   uint64_t last_request_ms;
+  uint64_t asked_ms; /* when other hosts were last asked for tokens */
   bool known; /* the ledger has been read */
   bool revoked; /* the limit was lowered: nothing is free until the ledger
                    says so */
@@ -67,6 +68,7 @@
 {
   double hold_s;
   double part;
+  double start;     /* part of the limit, for all hosts, before any request */
   uint64_t minimum; /* tokens, one large request */
   size_t hosts;
 };
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -16,8 +16,9 @@
 #define OTHER_ZONE_MS 4.0
 /* A part that was not used for so long may have yielded to others.  */
 #define RESIDENT_MS 60000
-/* Replicas that a shared part is placed at while they are not overloaded.  */
-#define HOMES 2
+/* Replicas that a shared part is placed at while they are not overloaded; a
+   second one reads every part again.  */
+#define HOMES 1
 /* Time to the first event that does not depend on load: transport and the step
    of an idle engine.  */
 #define BASE_MS 60.0
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -27,6 +27,14 @@
 /* Time that a request waits for tokens while the store cannot be reached; two
    or three questions to the other hosts.  */
 #define AWAY_WAIT_MS 250
+/* A call without an answer for so long means that the store may be away; the
+   other hosts are asked meanwhile.  */
+#define SLOW_CALL_MS 60
+/* Time for which the ledger's word that nothing is left is believed; a new
+   question before that would cost a call a request.  */
+#define EMPTY_BELIEF_MS 1000
+/* Seconds of its demand that a host asks for beyond what it lacks.  */
+#define ASK_AHEAD_S 2.0
 
 struct ds_budget_wait
 {
@@ -64,7 +72,8 @@
   uint64_t not_before_ms;
   uint64_t updated_ms;
   uint64_t ticked_ms;
-  uint64_t asked_ms;
+  uint64_t called_ms; /* start of the call under way */
+  uint64_t seen_ms;   /* when the page was last seen */
   bool store_answers;
   bool closing;
   bool closed;
@@ -129,16 +138,52 @@
   return false;
 }
 
+/* True if the ledger said a moment ago that it has nothing left of the
+   budget.  */
 static bool
-is_urgent (const struct ds_budget_keeper *keeper)
+is_empty (const struct ds_budget_keeper *keeper,
+          const struct ds_allotment *allotment, uint64_t now_ms)
+{
+  return allotment->known && allotment->ledger_rest == 0
+         && now_ms - keeper->seen_ms < EMPTY_BELIEF_MS;
+}
+
+static bool
+is_urgent (const struct ds_budget_keeper *keeper, uint64_t now_ms)
 {
   for (size_t i = 0; i < keeper->count; i++)
     if (ds_allotment_needs_update (keeper->allotments[i],
-                                   &keeper->options.policy))
+                                   &keeper->options.policy)
+        && (keeper->allotments[i]->revoked
+            || !is_empty (keeper, keeper->allotments[i], now_ms)))
       return true;
   return keeper->closing;
 }
 
+/* True if the store answers and the call under way is not late.  */
+static bool
+store_is_near (const struct ds_budget_keeper *keeper, uint64_t now_ms)
+{
+  return keeper->store_answers
+         && (keeper->state == CALL_NONE
+             || now_ms - keeper->called_ms < SLOW_CALL_MS);
+}
+
+/* Asks the other hosts for what ALLOTMENT lacks and some demand ahead.  */
+static void
+ask_hosts (struct ds_budget_keeper *keeper, struct ds_allotment *allotment,
+           uint64_t now_ms)
+{
+  uint64_t ahead = (uint64_t)(allotment->demand * ASK_AHEAD_S);
+  uint64_t needed = allotment->wanted + ahead;
+
+  if (now_ms - allotment->asked_ms < ASK_MS || allotment->free >= needed)
+    return;
+  allotment->asked_ms = now_ms;
+  keeper->options.ask (allotment->tenant, needed - allotment->free,
+                       keeper->options.user_data);
+}
+
 static void
 observe_page (struct ds_budget_keeper *keeper)
 {
@@ -168,6 +213,7 @@
   keeper->revision = object.revision;
   keeper->page_known = true;
   json_decref (document);
+  keeper->seen_ms = ds_clock_ms ();
   return true;
 }
 
@@ -335,7 +381,7 @@
   else
     on_read (keeper, result, now_ms);
   serve_waits (keeper);
-  if (is_urgent (keeper) && keeper->state == CALL_NONE
+  if (is_urgent (keeper, now_ms) && keeper->state == CALL_NONE
       && keeper->not_before_ms <= now_ms)
     start_call (keeper, now_ms);
 }
@@ -405,6 +451,7 @@
       call.conditional = keeper->page != NULL;
       call.revision = keeper->revision;
     }
+  keeper->called_ms = now_ms;
   if (ds_store_link_call (&keeper->pending, keeper->options.link, &call,
                           CALL_TIMEOUT_MS, on_done, keeper)
       != 0)
@@ -458,7 +505,7 @@
       if (allotment != NULL)
         ds_allotment_set_limit (allotment, tenant->prepaid, config->version);
     }
-  if (is_urgent (keeper))
+  if (is_urgent (keeper, ds_clock_ms ()))
     start_call (keeper, ds_clock_ms ());
 }
 
@@ -489,10 +536,15 @@
   bool due;
 
   tick_demand (keeper, now_ms);
+  /* While the store is away the hosts even out what they hold before a request
+     has to wait for it.  */
+  if (!store_is_near (keeper, now_ms))
+    for (size_t i = 0; i < keeper->count; i++)
+      ask_hosts (keeper, keeper->allotments[i], now_ms);
   serve_waits (keeper);
   due = now_ms - keeper->updated_ms >= keeper->options.settle_ms
         && any_news (keeper);
-  if ((due || is_urgent (keeper) || keeper->unresolved)
+  if ((due || is_urgent (keeper, now_ms) || keeper->unresolved)
       && keeper->not_before_ms <= now_ms && !keeper->closed)
     start_call (keeper, now_ms);
 }
@@ -551,17 +603,29 @@
   wait->allotment->wanted -= wait->tokens;
 }
 
-/* The answer for a request that this host's share does not cover.  */
+/* The answer for a request that this host's share does not cover.  What cannot
+   be had is refused at once; waiting helps only while the ledger or another
+   host may have tokens.  */
 static enum ds_budget_answer
-judge (const struct ds_budget_keeper *keeper,
-       const struct ds_allotment *allotment, uint64_t tokens)
+judge (struct ds_budget_keeper *keeper, struct ds_allotment *allotment,
+       uint64_t tokens, uint64_t waited_ms, uint64_t now_ms)
 {
   uint64_t used = allotment->ledger_settled + allotment->reserved
                   + allotment->spent + allotment->update.settled;
+  bool near = store_is_near (keeper, now_ms);
 
   if (allotment->known && used + tokens > allotment->limit)
     return DS_BUDGET_EXHAUSTED;
-  return keeper->store_answers ? DS_BUDGET_WAITING : DS_BUDGET_AWAY;
+  if (near && !is_empty (keeper, allotment, now_ms))
+    return DS_BUDGET_WAITING;
+  if (waited_ms >= AWAY_WAIT_MS
+      || allotment->free
+                 + keeper->options.held (allotment->tenant,
+                                         keeper->options.user_data)
+             < tokens)
+    return DS_BUDGET_AWAY;
+  ask_hosts (keeper, allotment, now_ms);
+  return DS_BUDGET_WAITING;
 }
 
 static void
@@ -596,28 +660,16 @@
           wait = keeper->waits;
           continue;
         }
-      answer = judge (keeper, allotment, wait->tokens);
-      if (answer == DS_BUDGET_EXHAUSTED)
+      answer = now_ms >= wait->until_ms
+                   ? DS_BUDGET_AWAY
+                   : judge (keeper, allotment, wait->tokens,
+                            now_ms - wait->since_ms, now_ms);
+      if (answer != DS_BUDGET_WAITING)
         {
           decide (wait, answer);
           wait = keeper->waits;
           continue;
         }
-      if (now_ms >= wait->until_ms
-          || (!keeper->store_answers
-              && now_ms - wait->since_ms >= AWAY_WAIT_MS))
-        {
-          decide (wait, DS_BUDGET_AWAY);
-          wait = keeper->waits;
-          continue;
-        }
-      if (now_ms - keeper->asked_ms >= ASK_MS
-          && (!keeper->store_answers || allotment->ledger_rest < wait->tokens))
-        {
-          keeper->asked_ms = now_ms;
-          keeper->options.ask (allotment->tenant, wait->tokens,
-                               keeper->options.user_data);
-        }
       wait = next;
     }
 }
@@ -635,18 +687,24 @@
   uint64_t now_ms = ds_clock_ms ();
   struct ds_budget_wait **at = &keeper->waits;
   struct ds_budget_wait *added;
+  enum ds_budget_answer answer;
 
   if (allotment == NULL)
     return DS_BUDGET_AWAY;
   allotment->demanded += tokens;
   if (ds_allotment_reserve (allotment, tokens, now_ms))
     {
-      if (is_urgent (keeper))
+      if (is_urgent (keeper, now_ms))
         start_call (keeper, now_ms);
       return DS_BUDGET_GRANTED;
     }
-  if (judge (keeper, allotment, tokens) == DS_BUDGET_EXHAUSTED)
-    return DS_BUDGET_EXHAUSTED;
+  answer = judge (keeper, allotment, tokens, 0, now_ms);
+  if (answer != DS_BUDGET_WAITING)
+    {
+      /* Callers come back with what was refused: it counts as half.  */
+      allotment->demanded -= tokens / 2;
+      return answer;
+    }
   added = talloc_zero (keeper, struct ds_budget_wait);
   if (added == NULL)
     return DS_BUDGET_AWAY;
@@ -664,13 +722,8 @@
   *at = added;
   allotment->wanted += tokens;
   *wait = added;
-  start_call (keeper, now_ms);
-  if (now_ms - keeper->asked_ms >= ASK_MS
-      && (!keeper->store_answers || allotment->ledger_rest < tokens))
-    {
-      keeper->asked_ms = now_ms;
-      keeper->options.ask (tenant, tokens, keeper->options.user_data);
-    }
+  if (!is_empty (keeper, allotment, now_ms))
+    start_call (keeper, now_ms);
   return DS_BUDGET_WAITING;
 }
 
@@ -704,3 +757,15 @@
 {
   return find (keeper, tenant);
 }
+
+size_t
+ds_budget_keeper_count (const struct ds_budget_keeper *keeper)
+{
+  return keeper->count;
+}
+
+const struct ds_allotment *
+ds_budget_keeper_at (const struct ds_budget_keeper *keeper, size_t index)
+{
+  return keeper->allotments[index];
+}
--- a/src/entry/budget_keeper.h
+++ b/src/entry/budget_keeper.h
@@ -14,7 +14,7 @@
 
 /* WRITER names this life of the host in the ledger.  SETTLE_MS is the longest
    time that spent tokens stay out of the ledger while the store answers.  ASK
-   asks the other hosts for tokens.  */
+   asks the other hosts for tokens, HELD tells how many they have free.  */
 struct ds_budget_keeper_options
 {
   struct tevent_context *ev;
@@ -23,6 +23,7 @@
   struct ds_allotment_policy policy;
   uint32_t settle_ms;
   void (*ask) (struct ds_str tenant, uint64_t tokens, void *user_data);
+  uint64_t (*held) (struct ds_str tenant, void *user_data);
   void *user_data;
 };
 
@@ -49,6 +50,9 @@
 void ds_budget_cancel_wait (struct ds_budget_wait *wait);
 void ds_budget_settle (struct ds_budget_keeper *keeper, struct ds_str tenant,
                        uint64_t reserved, uint64_t used);
+size_t ds_budget_keeper_count (const struct ds_budget_keeper *keeper);
+const struct ds_allotment *
+ds_budget_keeper_at (const struct ds_budget_keeper *keeper, size_t index);
 const struct ds_allotment *
 ds_budget_keeper_find (const struct ds_budget_keeper *keeper,
                        struct ds_str tenant);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -429,6 +429,54 @@
     ds_fleet_view_ask (entry->fleet, tenant, tokens);
 }
 
+static uint64_t
+held_by_others (struct ds_str tenant, void *user_data)
+{
+  const struct ds_entry *entry = user_data;
+
+  return entry->fleet != NULL ? ds_fleet_view_held (entry->fleet, tenant) : 0;
+}
+
+static int
+compare_holdings (const void *a, const void *b)
+{
+  const struct ds_token_holding *left = a;
+  const struct ds_token_holding *right = b;
+
+  return left->tokens < right->tokens ? 1 : left->tokens > right->tokens ? -1
+                                                                         : 0;
+}
+
+/* The largest holdings of this host.  */
+static size_t
+list_holdings (struct ds_token_holding *out, void *user_data)
+{
+  const struct ds_entry *entry = user_data;
+  size_t count = ds_budget_keeper_count (entry->budgets);
+  struct ds_token_holding *all
+      = talloc_array (NULL, struct ds_token_holding, (unsigned)count + 1);
+  size_t used = 0;
+
+  for (size_t i = 0; i < count && all != NULL; i++)
+    {
+      const struct ds_allotment *a = ds_budget_keeper_at (entry->budgets, i);
+
+      if (a->free > 0 && !a->revoked)
+        all[used++] = (struct ds_token_holding){
+          .tenant = ds_fleet_tenant_hash (a->tenant), .tokens = a->free
+        };
+    }
+  if (used > DS_HOLDINGS_MAX)
+    {
+      qsort (all, used, sizeof all[0], compare_holdings);
+      used = DS_HOLDINGS_MAX;
+    }
+  if (used > 0)
+    memcpy (out, all, used * sizeof all[0]);
+  talloc_free (all);
+  return used;
+}
+
 static void register_host (struct ds_entry *entry);
 
 static void
@@ -686,6 +734,7 @@
     .gossip_address = settings->gossip_address,
   };
   struct ds_fleet_handlers handlers = {
+    .holdings = list_holdings,
     .give = give_tokens,
     .take = take_tokens,
     .user_data = entry,
@@ -713,9 +762,11 @@
       .hold_s = (double)settings->budget.hold_ms / 1000,
       .part = (double)settings->budget.part_percent / 100,
       .minimum = settings->budget.minimum_tokens,
+      .start = (double)settings->budget.start_percent / 100,
       .hosts = 1,
     },
     .ask = ask_tokens,
+    .held = held_by_others,
     .user_data = entry,
   };
 
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -40,6 +40,7 @@
   NUMBER (struct ds_budget_settings, settle_ms, 50, 60000, 2000),
   NUMBER (struct ds_budget_settings, hold_ms, 100, 600000, 12000),
   NUMBER (struct ds_budget_settings, part_percent, 1, 1000, 80),
+  NUMBER (struct ds_budget_settings, start_percent, 0, 100, 8),
   NUMBER (struct ds_budget_settings, minimum_tokens, 0, 10000000, 20000),
 };
 
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -17,6 +17,7 @@
   uint64_t settle_ms;
   uint64_t hold_ms;
   uint64_t part_percent;
+  uint64_t start_percent;
   uint64_t minimum_tokens;
 };
 
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -53,6 +53,8 @@
   struct ds_socket_address address;
   struct load loads[LOADS_MAX];
   size_t load_count;
+  struct ds_token_holding holdings[DS_HOLDINGS_MAX];
+  size_t holding_count;
   struct gift gifts[GIFTS_MAX]; /* to this member, not acknowledged */
   size_t gift_count;
   uint64_t acks[GIFTS_MAX]; /* for the next datagram to this member */
@@ -144,6 +146,35 @@
   datagram->sequence = ++view->sequence;
 }
 
+/* The name of a tenant between hosts.  */
+uint64_t
+ds_fleet_tenant_hash (struct ds_str tenant)
+{
+  return ds_str_hash (tenant, 5);
+}
+
+static void
+fill_holdings (struct ds_fleet_view *view, TALLOC_CTX *owner,
+               Daisystep__Gossip__Datagram *datagram)
+{
+  struct ds_token_holding holdings[DS_HOLDINGS_MAX];
+  size_t count
+      = view->handlers.holdings (holdings, view->handlers.user_data);
+
+  datagram->holdings = talloc_array (owner, Daisystep__Gossip__TokenHolding *,
+                                     DS_HOLDINGS_MAX);
+  for (size_t i = 0; i < count && datagram->holdings != NULL; i++)
+    {
+      Daisystep__Gossip__TokenHolding *holding
+          = talloc (owner, Daisystep__Gossip__TokenHolding);
+
+      daisystep__gossip__token_holding__init (holding);
+      holding->tenant = holdings[i].tenant;
+      holding->tokens = holdings[i].tokens;
+      datagram->holdings[datagram->n_holdings++] = holding;
+    }
+}
+
 static int
 compare_loads (const void *a, const void *b)
 {
@@ -353,6 +384,7 @@
 
       fill_self (view, scratch, &reply);
       fill_loads (view, scratch, &reply);
+      fill_holdings (view, scratch, &reply);
       send_member (view, member, &reply, scratch);
       talloc_free (scratch);
     }
@@ -370,6 +402,18 @@
     };
 }
 
+static void
+take_holdings (struct member *member,
+               const Daisystep__Gossip__Datagram *datagram)
+{
+  member->holding_count = 0;
+  for (size_t i = 0; i < datagram->n_holdings && i < DS_HOLDINGS_MAX; i++)
+    member->holdings[member->holding_count++] = (struct ds_token_holding){
+      .tenant = datagram->holdings[i]->tenant,
+      .tokens = datagram->holdings[i]->tokens,
+    };
+}
+
 static void
 take_datagram (struct ds_fleet_view *view,
                const Daisystep__Gossip__Datagram *datagram)
@@ -406,6 +450,7 @@
   replace_text (member, &member->open.caller_address,
                 datagram->caller_address);
   take_loads (member, datagram);
+  take_holdings (member, datagram);
   for (size_t i = 0; i < datagram->n_crashes; i++)
     (void)ds_crash_guard_note (view->crashes, datagram->crashes[i]->digest,
                                datagram->crashes[i]->replica, now_ms);
@@ -579,6 +624,7 @@
 
   fill_self (view, scratch, &datagram);
   fill_loads (view, scratch, &datagram);
+  fill_holdings (view, scratch, &datagram);
   fill_crashes (view, scratch, &datagram);
   for (size_t i = 0; i < targets; i++)
     {
@@ -607,30 +653,66 @@
     ds_fleet_view_tick (view, ds_clock_ms ());
 }
 
-/* Asks the other hosts for TOKENS of TENANT.  */
+/* What MEMBER has told of its free tokens of a tenant.  */
+static uint64_t
+held_by (const struct member *member, uint64_t hash)
+{
+  for (size_t i = 0; i < member->holding_count; i++)
+    if (member->holdings[i].tenant == hash)
+      return member->holdings[i].tokens;
+  return 0;
+}
+
+/* Tokens of TENANT that the hosts that are alive have told to be free, as of
+   their last datagrams.  */
+uint64_t
+ds_fleet_view_held (const struct ds_fleet_view *view, struct ds_str tenant)
+{
+  uint64_t now_ms = ds_clock_ms ();
+  uint64_t hash = ds_fleet_tenant_hash (tenant);
+  uint64_t sum = 0;
+
+  for (size_t i = 0; i < view->count; i++)
+    if (ds_fleet_member_is_alive (&view->members[i]->open, now_ms))
+      sum += held_by (view->members[i], hash);
+  return sum;
+}
+
+/* Asks the hosts that hold tokens of TENANT for TOKENS, each for a part as
+   large as its part of all that they hold.  */
 void
 ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str tenant,
                    uint64_t tokens)
 {
-  TALLOC_CTX *scratch = talloc_new (NULL);
+  uint64_t held = ds_fleet_view_held (view, tenant);
+  uint64_t hash = ds_fleet_tenant_hash (tenant);
+  uint64_t now_ms = ds_clock_ms ();
+  TALLOC_CTX *scratch;
   Daisystep__Gossip__Datagram datagram;
   Daisystep__Gossip__TokenAsk ask;
   Daisystep__Gossip__TokenAsk *asks[1] = { &ask };
-  uint64_t now_ms = ds_clock_ms ();
-  size_t alive = ds_fleet_view_alive (view, now_ms);
 
+  if (held == 0)
+    return;
+  scratch = talloc_new (NULL);
   fill_self (view, scratch, &datagram);
   fill_loads (view, scratch, &datagram);
+  fill_holdings (view, scratch, &datagram);
   daisystep__gossip__token_ask__init (&ask);
   ask.tenant = c_string (scratch, tenant);
-  /* Each of the others is asked for its part; those that can give more are
-     asked again.  */
-  ask.tokens = alive > 0 ? tokens / alive + 1 : tokens;
   datagram.asks = asks;
   datagram.n_asks = 1;
   for (size_t i = 0; i < view->count; i++)
-    if (ds_fleet_member_is_alive (&view->members[i]->open, now_ms))
-      send_member (view, view->members[i], &datagram, scratch);
+    {
+      struct member *member = view->members[i];
+      uint64_t own = held_by (member, hash);
+
+      if (own == 0 || !ds_fleet_member_is_alive (&member->open, now_ms))
+        continue;
+      ask.tokens
+          = (uint64_t)((double)tokens * (double)own / (double)held) + 1;
+      send_member (view, member, &datagram, scratch);
+    }
   talloc_free (scratch);
 }
 
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -31,10 +31,22 @@
   bool ready;
 };
 
+/* Tokens of one tenant that a host has free.  */
+struct ds_token_holding
+{
+  uint64_t tenant; /* a hash of its name */
+  uint64_t tokens;
+};
+
+/* Holdings that hosts tell each other; the largest come first.  */
+#define DS_HOLDINGS_MAX 32
+
 /* GIVE is asked for tokens of a tenant and returns how many it gives; TAKE
-   receives tokens from another host.  */
+   receives tokens from another host.  HOLDINGS writes up to DS_HOLDINGS_MAX of
+   this host's holdings and returns how many.  */
 struct ds_fleet_handlers
 {
+  size_t (*holdings) (struct ds_token_holding *out, void *user_data);
   uint64_t (*give) (struct ds_str tenant, uint64_t tokens, void *user_data);
   void (*take) (struct ds_str tenant, uint64_t tokens, struct ds_str giver,
                 void *user_data);
@@ -58,6 +70,9 @@
                               bool draining);
 void ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str tenant,
                         uint64_t tokens);
+uint64_t ds_fleet_tenant_hash (struct ds_str tenant);
+uint64_t ds_fleet_view_held (const struct ds_fleet_view *view,
+                             struct ds_str tenant);
 size_t ds_fleet_view_count (const struct ds_fleet_view *view);
 const struct ds_fleet_member *
 ds_fleet_view_at (const struct ds_fleet_view *view, size_t index);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &daisystep__gossip__token_gift__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisystep__gossip__token_holding__init
+                     (Daisystep__Gossip__TokenHolding         *message)
+{
+  static const Daisystep__Gossip__TokenHolding init_value = DAISYSTEP__GOSSIP__TOKEN_HOLDING__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__token_holding__get_packed_size
+                     (const Daisystep__Gossip__TokenHolding *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__token_holding__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__token_holding__pack
+                     (const Daisystep__Gossip__TokenHolding *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__token_holding__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__token_holding__pack_to_buffer
+                     (const Daisystep__Gossip__TokenHolding *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__token_holding__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__TokenHolding *
+       daisystep__gossip__token_holding__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__TokenHolding *)
+     protobuf_c_message_unpack (&daisystep__gossip__token_holding__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__token_holding__free_unpacked
+                     (Daisystep__Gossip__TokenHolding *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__token_holding__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisystep__gossip__datagram__init
                      (Daisystep__Gossip__Datagram         *message)
 {
@@ -462,7 +507,58 @@
   (ProtobufCMessageInit) daisystep__gossip__token_gift__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[14] =
+static const ProtobufCFieldDescriptor daisystep__gossip__token_holding__field_descriptors[2] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__TokenHolding, tenant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__TokenHolding, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__token_holding__field_indices_by_name[] = {
+  0,   /* field[0] = tenant */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange daisystep__gossip__token_holding__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__token_holding__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.TokenHolding",
+  "TokenHolding",
+  "Daisystep__Gossip__TokenHolding",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__TokenHolding),
+  2,
+  daisystep__gossip__token_holding__field_descriptors,
+  daisystep__gossip__token_holding__field_indices_by_name,
+  1,  daisystep__gossip__token_holding__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__token_holding__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[15] =
 {
   {
     "host",
@@ -632,6 +728,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holdings",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Datagram, n_holdings),
+    offsetof(Daisystep__Gossip__Datagram, holdings),
+    &daisystep__gossip__token_holding__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -641,6 +749,7 @@
   12,   /* field[12] = gift_acks */
   11,   /* field[11] = gifts */
   5,   /* field[5] = gossip_address */
+  14,   /* field[14] = holdings */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   8,   /* field[8] = loads */
@@ -652,7 +761,7 @@
 static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -662,7 +771,7 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  14,
+  15,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
   1,  daisystep__gossip__datagram__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Daisystep__Gossip__Crash Daisystep__Gossip__Crash;
 typedef struct Daisystep__Gossip__TokenAsk Daisystep__Gossip__TokenAsk;
 typedef struct Daisystep__Gossip__TokenGift Daisystep__Gossip__TokenGift;
+typedef struct Daisystep__Gossip__TokenHolding Daisystep__Gossip__TokenHolding;
 typedef struct Daisystep__Gossip__Datagram Daisystep__Gossip__Datagram;
 
 
@@ -85,6 +86,20 @@
     , 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Tokens of a tenant that the sender has free. The tenant is named by a hash.
+ */
+struct  Daisystep__Gossip__TokenHolding
+{
+  ProtobufCMessage base;
+  uint64_t tenant;
+  uint64_t tokens;
+};
+#define DAISYSTEP__GOSSIP__TOKEN_HOLDING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__token_holding__descriptor) \
+    , 0, 0 }
+
+
 struct  Daisystep__Gossip__Datagram
 {
   ProtobufCMessage base;
@@ -116,10 +131,12 @@
    * The sender takes work: it has a configuration and its listeners are open.
    */
   protobuf_c_boolean ready;
+  size_t n_holdings;
+  Daisystep__Gossip__TokenHolding **holdings;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
@@ -198,6 +215,25 @@
 void   daisystep__gossip__token_gift__free_unpacked
                      (Daisystep__Gossip__TokenGift *message,
                       ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__TokenHolding methods */
+void   daisystep__gossip__token_holding__init
+                     (Daisystep__Gossip__TokenHolding         *message);
+size_t daisystep__gossip__token_holding__get_packed_size
+                     (const Daisystep__Gossip__TokenHolding   *message);
+size_t daisystep__gossip__token_holding__pack
+                     (const Daisystep__Gossip__TokenHolding   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__token_holding__pack_to_buffer
+                     (const Daisystep__Gossip__TokenHolding   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__TokenHolding *
+       daisystep__gossip__token_holding__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__token_holding__free_unpacked
+                     (Daisystep__Gossip__TokenHolding *message,
+                      ProtobufCAllocator *allocator);
 /* Daisystep__Gossip__Datagram methods */
 void   daisystep__gossip__datagram__init
                      (Daisystep__Gossip__Datagram         *message);
@@ -231,6 +267,9 @@
 typedef void (*Daisystep__Gossip__TokenGift_Closure)
                  (const Daisystep__Gossip__TokenGift *message,
                   void *closure_data);
+typedef void (*Daisystep__Gossip__TokenHolding_Closure)
+                 (const Daisystep__Gossip__TokenHolding *message,
+                  void *closure_data);
 typedef void (*Daisystep__Gossip__Datagram_Closure)
                  (const Daisystep__Gossip__Datagram *message,
                   void *closure_data);
@@ -244,6 +283,7 @@
 extern const ProtobufCMessageDescriptor daisystep__gossip__crash__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_ask__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_gift__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__token_holding__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
