--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -1,16 +1,14 @@
 #include "core/allotment.h"
 #include "core/ledger_page.h"
 
-/* Weight of the newest second in the demand, so that a burst is met within
-   two or three seconds and an idle spell is not forgotten at once.  */
-#define DEMAND_WEIGHT 0.35
-/* Demand falls slower than it rises: tokens that are returned too early have
-   to be drawn again.  */
-#define DEMAND_DECAY 0.12
+/* Weight of the newest second in the demand.  The same up and down: a mean
+   that follows peaks faster than lulls holds a quarter too much at all hosts
+   together.  */
+#define DEMAND_WEIGHT 0.25
 /* A share is refilled below this part of its target, and what lies over this
    many times the target is returned.  */
-#define REFILL_BELOW 0.7
-#define RETURN_ABOVE 2.0
+#define REFILL_BELOW 0.75
+#define RETURN_ABOVE 1.3
 
 static uint64_t
 least (uint64_t a, uint64_t b)
@@ -63,9 +61,8 @@
 ds_allotment_tick (struct ds_allotment *allotment, double seconds)
 {
   double rate = (double)allotment->demanded / seconds;
-  double weight = rate > allotment->demand ? DEMAND_WEIGHT : DEMAND_DECAY;
 
-  allotment->demand += weight * seconds * (rate - allotment->demand);
+  allotment->demand += DEMAND_WEIGHT * seconds * (rate - allotment->demand);
   allotment->demanded = 0;
 }
 
@@ -87,8 +84,8 @@
 
   if (target > cap)
     target = cap;
-  if (allotment->demand > 0 && target < (double)policy->minimum)
-    target = (double)policy->minimum;
+  if (allotment->demand > 0 && target < (double)policy->minimum / hosts)
+    target = (double)policy->minimum / hosts;
   /* The first requests of a tenant find tokens without asking the ledger.  */
   if (target < policy->start * (double)allotment->limit / hosts)
     target = policy->start * (double)allotment->limit / hosts;
@@ -223,7 +220,8 @@
     update->drawn = least (target - allotment->free, rest);
   else if (closing
            || (double)allotment->free
-                  > RETURN_ABOVE * (double)target + (double)policy->minimum)
+                  > RETURN_ABOVE * (double)target
+                        + (double)policy->minimum / (double)policy->hosts)
     update->returned = allotment->free - target;
   /* A lowered limit calls back what is free.  */
   if (taken > account->limit && update->returned < allotment->free)
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -69,7 +69,7 @@
   double hold_s;
   double part;
   double start;     /* part of the limit, for all hosts, before any request */
-  uint64_t minimum; /* tokens, one large request */
+  uint64_t minimum; /* tokens that all hosts keep of an active tenant */
   size_t hosts;
 };
 
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -123,8 +123,8 @@
   if (keeper->closing)
     return allotment->free > 0;
   return allotment->free
-             > 3 * ds_allotment_target (allotment, &keeper->options.policy)
-                   + 3 * keeper->options.policy.minimum
+             > 2 * ds_allotment_target (allotment, &keeper->options.policy)
+                   + keeper->options.policy.minimum
          || ds_allotment_needs_update (allotment, &keeper->options.policy)
          || (!allotment->known && allotment->demand > 0);
 }
