--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -62,32 +62,43 @@
 {
   double rate = (double)allotment->demanded / seconds;
 
-  allotment->demand += DEMAND_WEIGHT * seconds * (rate - allotment->demand);
+  double weight = DEMAND_WEIGHT * seconds;
+
+  if (weight > 1)
+    weight = 1;
   allotment->demanded = 0;
+  /* Before the first request there is nothing to average.  */
+  if (rate <= 0 && allotment->demand_weight <= 0)
+    return;
+  allotment->demand_sum += weight * (rate - allotment->demand_sum);
+  allotment->demand_weight += weight * (1 - allotment->demand_weight);
+  allotment->demand = allotment->demand_sum / allotment->demand_weight;
 }
 
 /* Tokens that this host wants to have free.
 
    Load: all hosts lose the store for eight or nine seconds while a tenant
    sends several times its usual; a share has to last that long.  What lies in
-   the shares when all hosts die is lost to the tenant, so it must not be most
-   of its rest.  */
+   the shares when all hosts die is lost to the tenant: with little left, less
+   is held.  */
 uint64_t
 ds_allotment_target (const struct ds_allotment *allotment,
                      const struct ds_allotment_policy *policy)
 {
   double hosts = policy->hosts > 0 ? (double)policy->hosts : 1;
-  double target = allotment->demand * policy->hold_s;
-  double cap
-      = policy->part * (double)(allotment->ledger_rest + allotment->free)
-        / hosts;
+  double fleet_demand = allotment->demand + allotment->others_demand;
+  double left = (double)(allotment->ledger_rest + allotment->free
+                         + allotment->others_free);
+  double seconds = policy->hold_s;
+  double target;
 
-  if (target > cap)
-    target = cap;
+  if (fleet_demand > 0 && seconds > policy->part * left / fleet_demand)
+    seconds = policy->part * left / fleet_demand;
+  target = allotment->demand * seconds;
   if (allotment->demand > 0 && target < (double)policy->minimum / hosts)
     target = (double)policy->minimum / hosts;
   /* The first requests of a tenant find tokens without asking the ledger.  */
-  if (target < policy->start * (double)allotment->limit / hosts)
+  if (fleet_demand <= 0)
     target = policy->start * (double)allotment->limit / hosts;
   return (uint64_t)target;
 }
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -51,6 +51,10 @@
   size_t borrowed_count;
   struct ds_allotment_update update;
   double demand; /* tokens a second, of recent requests at their most */
+  double demand_sum;    /* of weighted rates; DEMAND before its correction */
+  double demand_weight; /* of the rates in DEMAND_SUM, up to 1 */
+  uint64_t others_free; /* at other hosts, as they have told */
+  double others_demand;
   uint64_t demanded;      /* since DEMAND was worked out last */
   uint64_t wanted;        /* by requests that wait */
   uint64_t ledger_rest;   /* limit less all grants and what is settled */
@@ -62,8 +66,8 @@
                    says so */
 };
 
-/* How much a host keeps.  HOLD_S seconds of demand outlast a cut from the
-   store; no host takes more than PART of what is left, divided by HOSTS.  */
+/* How much a host keeps: HOLD_S seconds of its demand, which outlast a cut from
+   the store, while that is no more than PART of what the tenant has left.  */
 struct ds_allotment_policy
 {
   double hold_s;
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -169,6 +169,18 @@
              || now_ms - keeper->called_ms < SLOW_CALL_MS);
 }
 
+/* Takes what the other hosts have told of a budget.  */
+static void
+look_at_others (const struct ds_budget_keeper *keeper,
+                struct ds_allotment *allotment)
+{
+  uint64_t demand;
+
+  keeper->options.held (allotment->tenant, &allotment->others_free, &demand,
+                        keeper->options.user_data);
+  allotment->others_demand = (double)demand;
+}
+
 /* Asks the other hosts for what ALLOTMENT lacks and some demand ahead.  */
 static void
 ask_hosts (struct ds_budget_keeper *keeper, struct ds_allotment *allotment,
@@ -525,7 +537,10 @@
     return;
   keeper->ticked_ms = now_ms;
   for (size_t i = 0; i < keeper->count; i++)
-    ds_allotment_tick (keeper->allotments[i], seconds < 2 ? seconds : 2);
+    {
+      ds_allotment_tick (keeper->allotments[i], seconds < 2 ? seconds : 2);
+      look_at_others (keeper, keeper->allotments[i]);
+    }
 }
 
 /* Works out demand, ends waits that took too long, and writes the ledger when
@@ -618,11 +633,9 @@
     return DS_BUDGET_EXHAUSTED;
   if (near && !is_empty (keeper, allotment, now_ms))
     return DS_BUDGET_WAITING;
+  look_at_others (keeper, allotment);
   if (waited_ms >= AWAY_WAIT_MS
-      || allotment->free
-                 + keeper->options.held (allotment->tenant,
-                                         keeper->options.user_data)
-             < tokens)
+      || allotment->free + allotment->others_free < tokens)
     return DS_BUDGET_AWAY;
   ask_hosts (keeper, allotment, now_ms);
   return DS_BUDGET_WAITING;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -429,12 +429,17 @@
     ds_fleet_view_ask (entry->fleet, tenant, tokens);
 }
 
-static uint64_t
-held_by_others (struct ds_str tenant, void *user_data)
+static void
+held_by_others (struct ds_str tenant, uint64_t *tokens, uint64_t *demand,
+                void *user_data)
 {
   const struct ds_entry *entry = user_data;
+  struct ds_token_holding sum = { .tokens = 0 };
 
-  return entry->fleet != NULL ? ds_fleet_view_held (entry->fleet, tenant) : 0;
+  if (entry->fleet != NULL)
+    sum = ds_fleet_view_held (entry->fleet, tenant);
+  *tokens = sum.tokens;
+  *demand = sum.demand;
 }
 
 static int
@@ -461,9 +466,11 @@
     {
       const struct ds_allotment *a = ds_budget_keeper_at (entry->budgets, i);
 
-      if (a->free > 0 && !a->revoked)
+      if (a->free > 0 || a->demand >= 1)
         all[used++] = (struct ds_token_holding){
-          .tenant = ds_fleet_tenant_hash (a->tenant), .tokens = a->free
+          .tenant = ds_fleet_tenant_hash (a->tenant),
+          .tokens = a->revoked ? 0 : a->free,
+          .demand = (uint64_t)a->demand,
         };
     }
   if (used > DS_HOLDINGS_MAX)
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -171,6 +171,7 @@
       daisystep__gossip__token_holding__init (holding);
       holding->tenant = holdings[i].tenant;
       holding->tokens = holdings[i].tokens;
+      holding->demand = holdings[i].demand;
       datagram->holdings[datagram->n_holdings++] = holding;
     }
 }
@@ -411,6 +412,7 @@
     member->holdings[member->holding_count++] = (struct ds_token_holding){
       .tenant = datagram->holdings[i]->tenant,
       .tokens = datagram->holdings[i]->tokens,
+      .demand = datagram->holdings[i]->demand,
     };
 }
 
@@ -653,28 +655,34 @@
     ds_fleet_view_tick (view, ds_clock_ms ());
 }
 
-/* What MEMBER has told of its free tokens of a tenant.  */
-static uint64_t
+/* What MEMBER has told of its tokens of a tenant.  */
+static struct ds_token_holding
 held_by (const struct member *member, uint64_t hash)
 {
   for (size_t i = 0; i < member->holding_count; i++)
     if (member->holdings[i].tenant == hash)
-      return member->holdings[i].tokens;
-  return 0;
+      return member->holdings[i];
+  return (struct ds_token_holding){ .tenant = hash };
 }
 
-/* Tokens of TENANT that the hosts that are alive have told to be free, as of
-   their last datagrams.  */
-uint64_t
+/* What the hosts that are alive have told of TENANT, summed up, as of their
+   last datagrams.  */
+struct ds_token_holding
 ds_fleet_view_held (const struct ds_fleet_view *view, struct ds_str tenant)
 {
   uint64_t now_ms = ds_clock_ms ();
-  uint64_t hash = ds_fleet_tenant_hash (tenant);
-  uint64_t sum = 0;
+  struct ds_token_holding sum
+      = { .tenant = ds_fleet_tenant_hash (tenant) };
 
   for (size_t i = 0; i < view->count; i++)
     if (ds_fleet_member_is_alive (&view->members[i]->open, now_ms))
-      sum += held_by (view->members[i], hash);
+      {
+        struct ds_token_holding one
+            = held_by (view->members[i], sum.tenant);
+
+        sum.tokens += one.tokens;
+        sum.demand += one.demand;
+      }
   return sum;
 }
 
@@ -684,7 +692,7 @@
 ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str tenant,
                    uint64_t tokens)
 {
-  uint64_t held = ds_fleet_view_held (view, tenant);
+  uint64_t held = ds_fleet_view_held (view, tenant).tokens;
   uint64_t hash = ds_fleet_tenant_hash (tenant);
   uint64_t now_ms = ds_clock_ms ();
   TALLOC_CTX *scratch;
@@ -705,7 +713,7 @@
   for (size_t i = 0; i < view->count; i++)
     {
       struct member *member = view->members[i];
-      uint64_t own = held_by (member, hash);
+      uint64_t own = held_by (member, hash).tokens;
 
       if (own == 0 || !ds_fleet_member_is_alive (&member->open, now_ms))
         continue;
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -31,11 +31,13 @@
   bool ready;
 };
 
-/* Tokens of one tenant that a host has free.  */
+/* Tokens of one tenant that a host has free, and its demand in tokens a
+   second.  */
 struct ds_token_holding
 {
   uint64_t tenant; /* a hash of its name */
   uint64_t tokens;
+  uint64_t demand;
 };
 
 /* Holdings that hosts tell each other; the largest come first.  */
@@ -71,8 +73,8 @@
 void ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str tenant,
                         uint64_t tokens);
 uint64_t ds_fleet_tenant_hash (struct ds_str tenant);
-uint64_t ds_fleet_view_held (const struct ds_fleet_view *view,
-                             struct ds_str tenant);
+struct ds_token_holding
+ds_fleet_view_held (const struct ds_fleet_view *view, struct ds_str tenant);
 size_t ds_fleet_view_count (const struct ds_fleet_view *view);
 const struct ds_fleet_member *
 ds_fleet_view_at (const struct ds_fleet_view *view, size_t index);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -507,7 +507,7 @@
   (ProtobufCMessageInit) daisystep__gossip__token_gift__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__token_holding__field_descriptors[2] =
+static const ProtobufCFieldDescriptor daisystep__gossip__token_holding__field_descriptors[3] =
 {
   {
     "tenant",
@@ -533,15 +533,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__TokenHolding, demand),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__token_holding__field_indices_by_name[] = {
+  2,   /* field[2] = demand */
   0,   /* field[0] = tenant */
   1,   /* field[1] = tokens */
 };
 static const ProtobufCIntRange daisystep__gossip__token_holding__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__token_holding__descriptor =
 {
@@ -551,7 +564,7 @@
   "Daisystep__Gossip__TokenHolding",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__TokenHolding),
-  2,
+  3,
   daisystep__gossip__token_holding__field_descriptors,
   daisystep__gossip__token_holding__field_indices_by_name,
   1,  daisystep__gossip__token_holding__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -87,17 +87,19 @@
 
 
 /*
- * Tokens of a tenant that the sender has free. The tenant is named by a hash.
+ * Tokens of a tenant that the sender has free, and how many its requests take
+ * in a second. The tenant is named by a hash.
  */
 struct  Daisystep__Gossip__TokenHolding
 {
   ProtobufCMessage base;
   uint64_t tenant;
   uint64_t tokens;
+  uint64_t demand;
 };
 #define DAISYSTEP__GOSSIP__TOKEN_HOLDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__token_holding__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Daisystep__Gossip__Datagram
