Tell other hosts which prompt parts a replica has read

Cause: a host took a part as kept at its first choice whether or not anyone had sent it there, so backlogs were underestimated and other copies unknown. Change: datagrams carry the parts read anew; unread text weighs 1.5 times.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -16,9 +16,12 @@
 #define OTHER_ZONE_MS 4.0
 /* A part that was not used for so long may have yielded to others.  */
 #define RESIDENT_MS 60000
-/* Replicas that a shared part is placed at while they are not overloaded; a
-   second one reads every part again.  */
-#define HOMES 1
+/* Weight of the time that reading the prompt takes against that of waiting for
+   others: what is read also delays the tokens of all requests there.  */
+#define READ_WEIGHT 1.5
+/* Part of the reading time that counts at the first choice for a part that
+   nobody has read yet.  */
+#define HOME_DISCOUNT 0.7
 /* Time to the first event that does not depend on load: transport and the step
    of an idle engine.  */
 #define BASE_MS 60.0
@@ -107,6 +110,15 @@
   return rank;
 }
 
+/* Tokens of the part that no other request shares.  */
+static uint64_t
+last_part (const struct ds_placement_request *request)
+{
+  return request->part_count > 0
+             ? request->parts[request->part_count - 1].tokens
+             : 0;
+}
+
 static double
 expected_ms (const struct ds_replica_set *set,
              const struct ds_replica *replica,
@@ -117,6 +129,7 @@
   double cost = ds_str_equal (replica->record.zone, request->zone)
                     ? 0
                     : OTHER_ZONE_MS;
+  double read_ms;
 
   if (request->prompt_tokens == 0)
     {
@@ -126,15 +139,15 @@
       return cost + CALL_MS * running / slots * replica->slowness;
     }
   *unread = ds_placement_unread (replica, request, now_ms);
-  /* Another host has probably read it at the replicas that keep it.  */
-  if (affinity_key (request) != 0
+  read_ms = (double)*unread / PREFILL_TOKENS_PER_MS * READ_WEIGHT;
+  /* Hosts that meet a part at the same time send it to the same replica.  */
+  if (*unread > last_part (request) && affinity_key (request) != 0
       && rank_of (set, replica, request->service, affinity_key (request))
-             < HOMES
-      && *unread == request->prompt_tokens)
-    *unread = request->parts[request->part_count - 1].tokens;
-  return cost
+             == 0)
+    read_ms *= HOME_DISCOUNT;
+  return cost + read_ms
          + ((double)(replica->own.prefill_tokens
-                     + replica->others.prefill_tokens + *unread)
+                     + replica->others.prefill_tokens)
                 / PREFILL_TOKENS_PER_MS
             + RUNNING_MS * running)
                * replica->slowness;
@@ -183,23 +196,33 @@
   return best;
 }
 
-/* The replica has read the prompt and keeps its parts for a while.  */
-void
-ds_placement_note_read (struct ds_replica *replica,
-                        const struct ds_placement_request *request,
+/* PART lies in the replica's memory for a while; true if that is news.  */
+bool
+ds_placement_note_part (struct ds_replica *replica, uint64_t part,
                         uint64_t now_ms)
 {
-  if (request->part_count == 0)
-    return;
+  struct ds_resident_part *place;
+  bool news;
+
   if (replica->parts == NULL)
     replica->parts = talloc_zero_array (replica, struct ds_resident_part,
                                         DS_RESIDENT_PARTS);
   if (replica->parts == NULL)
-    return;
+    return false;
+  place = &replica->parts[mix (part) % DS_RESIDENT_PARTS];
+  news = place->id != part || now_ms - place->used_ms > RESIDENT_MS / 2;
+  *place = (struct ds_resident_part){ .id = part, .used_ms = now_ms };
+  return news;
+}
+
+/* The replica reads the prompt and keeps its parts for a while.  */
+void
+ds_placement_note_read (struct ds_replica *replica,
+                        const struct ds_placement_request *request,
+                        uint64_t now_ms)
+{
   for (size_t i = 0; i < request->part_count; i++)
-    replica->parts[mix (request->parts[i].id) % DS_RESIDENT_PARTS]
-        = (struct ds_resident_part){ .id = request->parts[i].id,
-                                     .used_ms = now_ms };
+    (void)ds_placement_note_part (replica, request->parts[i].id, now_ms);
 }
 
 /* A first event came after TOOK_MS where EXPECTED_MS were predicted.  */
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -53,6 +53,8 @@
 uint64_t ds_placement_unread (const struct ds_replica *replica,
                               const struct ds_placement_request *request,
                               uint64_t now_ms);
+bool ds_placement_note_part (struct ds_replica *replica, uint64_t part,
+                             uint64_t now_ms);
 void ds_placement_note_read (struct ds_replica *replica,
                              const struct ds_placement_request *request,
                              uint64_t now_ms);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -747,8 +747,12 @@
     .user_data = entry,
   };
 
-  return ds_fleet_view_new (&entry->fleet, entry, entry->ev, &self,
-                            entry->replicas, entry->crashes, &handlers, error);
+  if (ds_fleet_view_new (&entry->fleet, entry, entry->ev, &self,
+                         entry->replicas, entry->crashes, &handlers, error)
+      != 0)
+    return error->code;
+  entry->exchanges.fleet = entry->fleet;
+  return 0;
 }
 
 static int
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -6,6 +6,7 @@
 #include "daisystep/routing_config.h"
 #include "entry/budget_keeper.h"
 #include "entry/caller.h"
+#include "entry/fleet_view.h"
 #include "core/crash_guard.h"
 #include "entry/replica_pool.h"
 
@@ -20,6 +21,7 @@
   struct ds_retry_allowance *retries;
   struct ds_budget_keeper *budgets;
   struct ds_crash_guard *crashes;
+  struct ds_fleet_view *fleet;
   struct ds_str zone;
   size_t hosts;
 };
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -1,5 +1,6 @@
 #include "entry/fleet_view.h"
 #include "base/decision_log.h"
+#include "core/placement.h"
 #include "io/clock.h"
 #include "io/socket_address.h"
 #include "proto/gossip.pb-c.h"
@@ -26,6 +27,9 @@
 /* Crashes that are told in one tick, and how often each is repeated.  */
 #define CRASHES_MAX 8
 #define CRASH_REPEATS 3
+/* Prompt parts in one datagram; the oldest of what waits are told first.  */
+#define READS_MAX 24
+#define READS_WAITING 128
 /* Gifts that wait for their acknowledgement; beyond, nothing is given.  */
 #define GIFTS_MAX 64
 /* Numbers of a giver's gifts that are remembered against repetition.  */
@@ -47,6 +51,12 @@
   uint64_t tokens;
 };
 
+struct part_read
+{
+  uint64_t replica;
+  uint64_t part;
+};
+
 struct member
 {
   struct ds_fleet_member open;
@@ -82,6 +92,8 @@
   size_t count;
   struct told_crash told[CRASHES_MAX];
   size_t told_count;
+  struct part_read reads[READS_WAITING]; /* not told yet */
+  size_t read_count;
   uint64_t sequence;
   uint64_t gift_number;
   size_t next_target;
@@ -243,6 +255,31 @@
   datagram->crashes = crashes;
 }
 
+/* Fills in what was read since the last tick.  A fleet of more than
+   TARGETS_MAX hosts hears of it in parts; the rest find out by reading.  */
+static void
+fill_reads (struct ds_fleet_view *view, TALLOC_CTX *owner,
+            Daisystep__Gossip__Datagram *datagram)
+{
+  size_t count = view->read_count < READS_MAX ? view->read_count : READS_MAX;
+
+  datagram->reads
+      = talloc_array (owner, Daisystep__Gossip__PartRead *, READS_MAX);
+  for (size_t i = 0; i < count && datagram->reads != NULL; i++)
+    {
+      Daisystep__Gossip__PartRead *read
+          = talloc (owner, Daisystep__Gossip__PartRead);
+
+      daisystep__gossip__part_read__init (read);
+      read->replica = view->reads[i].replica;
+      read->part = view->reads[i].part;
+      datagram->reads[datagram->n_reads++] = read;
+    }
+  view->read_count -= count;
+  memmove (view->reads, view->reads + count,
+           view->read_count * sizeof view->reads[0]);
+}
+
 static void
 age_crashes (struct ds_fleet_view *view)
 {
@@ -416,6 +453,21 @@
     };
 }
 
+static void
+take_reads (struct ds_fleet_view *view,
+            const Daisystep__Gossip__Datagram *datagram, uint64_t now_ms)
+{
+  for (size_t i = 0; i < datagram->n_reads; i++)
+    {
+      struct ds_replica *replica = ds_replica_set_by_hash (
+          view->replicas, datagram->reads[i]->replica);
+
+      if (replica != NULL)
+        (void)ds_placement_note_part (replica, datagram->reads[i]->part,
+                                      now_ms);
+    }
+}
+
 static void
 take_datagram (struct ds_fleet_view *view,
                const Daisystep__Gossip__Datagram *datagram)
@@ -453,6 +505,7 @@
                 datagram->caller_address);
   take_loads (member, datagram);
   take_holdings (member, datagram);
+  take_reads (view, datagram, now_ms);
   for (size_t i = 0; i < datagram->n_crashes; i++)
     (void)ds_crash_guard_note (view->crashes, datagram->crashes[i]->digest,
                                datagram->crashes[i]->replica, now_ms);
@@ -628,6 +681,7 @@
   fill_loads (view, scratch, &datagram);
   fill_holdings (view, scratch, &datagram);
   fill_crashes (view, scratch, &datagram);
+  fill_reads (view, scratch, &datagram);
   for (size_t i = 0; i < targets; i++)
     {
       struct member *member
@@ -655,6 +709,16 @@
     ds_fleet_view_tick (view, ds_clock_ms ());
 }
 
+/* REPLICA has read PART for this host; the others are told.  */
+void
+ds_fleet_view_note_read (struct ds_fleet_view *view,
+                         const struct ds_replica *replica, uint64_t part)
+{
+  if (view->read_count < READS_WAITING)
+    view->reads[view->read_count++]
+        = (struct part_read){ .replica = replica->hash, .part = part };
+}
+
 /* What MEMBER has told of its tokens of a tenant.  */
 static struct ds_token_holding
 held_by (const struct member *member, uint64_t hash)
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -72,6 +72,9 @@
                               bool draining);
 void ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str tenant,
                         uint64_t tokens);
+void ds_fleet_view_note_read (struct ds_fleet_view *view,
+                              const struct ds_replica *replica,
+                              uint64_t part);
 uint64_t ds_fleet_tenant_hash (struct ds_str tenant);
 struct ds_token_holding
 ds_fleet_view_held (const struct ds_fleet_view *view, struct ds_str tenant);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &daisystep__gossip__token_holding__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisystep__gossip__part_read__init
+                     (Daisystep__Gossip__PartRead         *message)
+{
+  static const Daisystep__Gossip__PartRead init_value = DAISYSTEP__GOSSIP__PART_READ__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__part_read__get_packed_size
+                     (const Daisystep__Gossip__PartRead *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__part_read__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__part_read__pack
+                     (const Daisystep__Gossip__PartRead *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__part_read__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__part_read__pack_to_buffer
+                     (const Daisystep__Gossip__PartRead *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__part_read__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__PartRead *
+       daisystep__gossip__part_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__PartRead *)
+     protobuf_c_message_unpack (&daisystep__gossip__part_read__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__part_read__free_unpacked
+                     (Daisystep__Gossip__PartRead *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__part_read__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisystep__gossip__datagram__init
                      (Daisystep__Gossip__Datagram         *message)
 {
@@ -571,7 +616,58 @@
   (ProtobufCMessageInit) daisystep__gossip__token_holding__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[15] =
+static const ProtobufCFieldDescriptor daisystep__gossip__part_read__field_descriptors[2] =
+{
+  {
+    "replica",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__PartRead, replica),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__PartRead, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__part_read__field_indices_by_name[] = {
+  1,   /* field[1] = part */
+  0,   /* field[0] = replica */
+};
+static const ProtobufCIntRange daisystep__gossip__part_read__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__part_read__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.PartRead",
+  "PartRead",
+  "Daisystep__Gossip__PartRead",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__PartRead),
+  2,
+  daisystep__gossip__part_read__field_descriptors,
+  daisystep__gossip__part_read__field_indices_by_name,
+  1,  daisystep__gossip__part_read__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__part_read__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[16] =
 {
   {
     "host",
@@ -753,6 +849,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Datagram, n_reads),
+    offsetof(Daisystep__Gossip__Datagram, reads),
+    &daisystep__gossip__part_read__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -766,6 +874,7 @@
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   8,   /* field[8] = loads */
+  15,   /* field[15] = reads */
   13,   /* field[13] = ready */
   3,   /* field[3] = region */
   7,   /* field[7] = sequence */
@@ -774,7 +883,7 @@
 static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -784,7 +893,7 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  15,
+  16,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
   1,  daisystep__gossip__datagram__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Daisystep__Gossip__TokenAsk Daisystep__Gossip__TokenAsk;
 typedef struct Daisystep__Gossip__TokenGift Daisystep__Gossip__TokenGift;
 typedef struct Daisystep__Gossip__TokenHolding Daisystep__Gossip__TokenHolding;
+typedef struct Daisystep__Gossip__PartRead Daisystep__Gossip__PartRead;
 typedef struct Daisystep__Gossip__Datagram Daisystep__Gossip__Datagram;
 
 
@@ -102,6 +103,20 @@
     , 0, 0, 0 }
 
 
+/*
+ * A prompt part that a replica has read for the sender.
+ */
+struct  Daisystep__Gossip__PartRead
+{
+  ProtobufCMessage base;
+  uint64_t replica;
+  uint64_t part;
+};
+#define DAISYSTEP__GOSSIP__PART_READ__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__part_read__descriptor) \
+    , 0, 0 }
+
+
 struct  Daisystep__Gossip__Datagram
 {
   ProtobufCMessage base;
@@ -135,10 +150,12 @@
   protobuf_c_boolean ready;
   size_t n_holdings;
   Daisystep__Gossip__TokenHolding **holdings;
+  size_t n_reads;
+  Daisystep__Gossip__PartRead **reads;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
@@ -236,6 +253,25 @@
 void   daisystep__gossip__token_holding__free_unpacked
                      (Daisystep__Gossip__TokenHolding *message,
                       ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__PartRead methods */
+void   daisystep__gossip__part_read__init
+                     (Daisystep__Gossip__PartRead         *message);
+size_t daisystep__gossip__part_read__get_packed_size
+                     (const Daisystep__Gossip__PartRead   *message);
+size_t daisystep__gossip__part_read__pack
+                     (const Daisystep__Gossip__PartRead   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__part_read__pack_to_buffer
+                     (const Daisystep__Gossip__PartRead   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__PartRead *
+       daisystep__gossip__part_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__part_read__free_unpacked
+                     (Daisystep__Gossip__PartRead *message,
+                      ProtobufCAllocator *allocator);
 /* Daisystep__Gossip__Datagram methods */
 void   daisystep__gossip__datagram__init
                      (Daisystep__Gossip__Datagram         *message);
@@ -272,6 +308,9 @@
 typedef void (*Daisystep__Gossip__TokenHolding_Closure)
                  (const Daisystep__Gossip__TokenHolding *message,
                   void *closure_data);
+typedef void (*Daisystep__Gossip__PartRead_Closure)
+                 (const Daisystep__Gossip__PartRead *message,
+                  void *closure_data);
 typedef void (*Daisystep__Gossip__Datagram_Closure)
                  (const Daisystep__Gossip__Datagram *message,
                   void *closure_data);
@@ -286,6 +325,7 @@
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_ask__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_gift__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_holding__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__part_read__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
