Stay with the replica that keeps the shared parts of a prompt

Ruled out: evicted parts (a part is asked for every 6 s, memory outlasts 25 s). Change: reading shared parts anew counts three times its time, up to half of the objective.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -16,9 +16,13 @@
 #define OTHER_ZONE_MS 4.0
 /* A part that was not used for so long may have yielded to others.  */
 #define RESIDENT_MS 60000
-/* Weight of the time that reading the prompt takes against that of waiting for
-   others: what is read also delays the tokens of all requests there.  */
-#define READ_WEIGHT 1.5
+/* Weight of the time that reading shared parts anew takes beyond the reading
+   itself: it delays the tokens of all requests there, and the copy pushes out
+   others.  */
+#define READ_WEIGHT 3.0
+/* Part of the objective that a request may wait longer at a replica that keeps
+   its shared parts.  */
+#define STAY_PART 0.5
 /* Part of the reading time that counts at the first choice for a part that
    nobody has read yet.  */
 #define HOME_DISCOUNT 0.7
@@ -119,6 +123,21 @@
              : 0;
 }
 
+/* What reading UNREAD tokens counts for beyond its time.  */
+static double
+reading_penalty (const struct ds_placement_request *request, uint64_t unread)
+{
+  uint64_t own = last_part (request);
+  double penalty;
+
+  if (unread <= own)
+    return 0;
+  penalty = (double)(unread - own) / PREFILL_TOKENS_PER_MS * READ_WEIGHT;
+  return penalty > STAY_PART * request->objective_ms
+             ? STAY_PART * request->objective_ms
+             : penalty;
+}
+
 static double
 expected_ms (const struct ds_replica_set *set,
              const struct ds_replica *replica,
@@ -139,7 +158,8 @@
       return cost + CALL_MS * running / slots * replica->slowness;
     }
   *unread = ds_placement_unread (replica, request, now_ms);
-  read_ms = (double)*unread / PREFILL_TOKENS_PER_MS * READ_WEIGHT;
+  read_ms = (double)*unread / PREFILL_TOKENS_PER_MS;
+  read_ms += reading_penalty (request, *unread);
   /* Hosts that meet a part at the same time send it to the same replica.  */
   if (*unread > last_part (request) && affinity_key (request) != 0
       && rank_of (set, replica, request->service, affinity_key (request))
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -23,7 +23,7 @@
   struct ds_prompt_part parts[DS_PROMPT_PARTS_MAX];
   size_t part_count;
   uint64_t prompt_tokens;
-  uint32_t slots; /* of one replica */
+  uint32_t objective_ms; /* until the first event; 0 for none */
   uint64_t tried[4]; /* hashes of replicas that this request must not go to */
   size_t tried_count;
 };
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -652,6 +652,11 @@
   ds_decision_number (&line, "config", (int64_t)x->config->version);
   ds_decision_number (&line, "expected_ms", (int64_t)placement->expected_ms);
   ds_decision_number (&line, "unread", (int64_t)placement->unread_tokens);
+  if (x->placing.part_count > 1)
+    ds_decision_number (
+        &line, "part",
+        (int64_t)(x->placing.parts[x->placing.part_count - 2].id >> 1));
+  ds_decision_number (&line, "prompt", (int64_t)x->placing.prompt_tokens);
   ds_decision_number (&line, "running", placement->replica->own.running);
   ds_decision_number (&line, "running_others",
                       placement->replica->others.running);
@@ -779,6 +784,7 @@
         x->route, ds_str_hash (x->request.id, 7)),
     .part_count = x->request.part_count,
     .prompt_tokens = x->request.prompt_tokens,
+    .objective_ms = x->route->objective_ms,
   };
   memcpy (x->placing.parts, x->request.parts, sizeof x->placing.parts);
 }
