Bound attempts to connect; take the store as back when any call reached it

Change: connects end after 400 ms (store) and 250 ms (replicas, elsewhere then); idle connections to a store that broke one are closed; the first call that reaches the store again counts as its return.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -346,8 +346,14 @@
 lapse_time (const struct ds_entry *entry)
 {
   uint64_t regained_ms = ds_follower_regained_ms (entry->replica_follower);
+  uint64_t other_ms = ds_follower_regained_ms (entry->config_follower);
   uint64_t now_ms = ds_clock_ms ();
 
+  /* The store was back when any call reached it, not only this one's.  */
+  if (other_ms > ds_follower_lost_ms (entry->replica_follower)
+      && other_ms < regained_ms)
+    regained_ms = other_ms;
+
   if (regained_ms == 0 || now_ms - regained_ms > LAPSE_SEEN_MS)
     return 0;
   return regained_ms + LAPSE_MS > now_ms ? regained_ms + LAPSE_MS : 0;
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -13,7 +13,7 @@
 /* First pause after a failed call, and the longest: each call is paid for, and
    a change must be in force two seconds after the store took it.  */
 #define RETRY_MIN_MS 100
-#define RETRY_MAX_MS 700
+#define RETRY_MAX_MS 600
 
 struct ds_follower
 {
@@ -25,6 +25,7 @@
   struct ds_str after; /* where the list under way continues */
   uint64_t revision;   /* what is known is as of this one */
   uint64_t list_revision;
+  uint64_t lost_ms;
   uint64_t regained_ms;
   uint32_t retry_ms;
   bool listing;
@@ -52,8 +53,11 @@
   if (follower->in_touch == in_touch)
     return;
   follower->in_touch = in_touch;
-  if (in_touch)
+  /* The first contact regains nothing.  */
+  if (in_touch && follower->listed)
     follower->regained_ms = ds_clock_ms ();
+  else if (!in_touch)
+    follower->lost_ms = ds_clock_ms ();
   line = ds_decision_begin (in_touch ? "store_regained" : "store_lost",
                             DS_STR_EMPTY);
   ds_decision_text (&line, "kind", ds_str_from_c (follower->kind));
@@ -199,6 +203,13 @@
   return follower->in_touch;
 }
 
+/* When the store was last lost; 0 if it never was.  */
+uint64_t
+ds_follower_lost_ms (const struct ds_follower *follower)
+{
+  return follower->lost_ms;
+}
+
 /* When the store was last regained; 0 before the first contact.  */
 uint64_t
 ds_follower_regained_ms (const struct ds_follower *follower)
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -23,6 +23,7 @@
                      const char *kind,
                      const struct ds_follower_handlers *handlers);
 bool ds_follower_is_in_touch (const struct ds_follower *follower);
+uint64_t ds_follower_lost_ms (const struct ds_follower *follower);
 uint64_t ds_follower_regained_ms (const struct ds_follower *follower);
 uint64_t ds_follower_revision (const struct ds_follower *follower);
 
--- a/src/entry/replica_pool.c
+++ b/src/entry/replica_pool.c
@@ -1,8 +1,11 @@
 #include "entry/replica_pool.h"
 
+/* A replica answers an attempt to connect within some milliseconds; a dark one
+   never does, and the request can go elsewhere since nothing was sent.  */
+#define CONNECT_MS 250
 /* Bytes that a replica's machine leaves unacknowledged for so long have met a
    dead path; long enough for two retransmissions on a lossy link.  */
-#define UNACKED_MS 1500
+#define UNACKED_MS 700
 #define KEEPALIVE_S 2
 /* A connection is not reused within this time before the replica closes it,
    so that a request does not cross the close.  */
@@ -74,6 +77,7 @@
 {
   struct ds_tcp_options options = {
     .ev = pool->ev,
+    .connect_ms = CONNECT_MS,
     .unacked_ms = UNACKED_MS,
     .keepalive_s = KEEPALIVE_S,
   };
--- a/src/entry/store_link.c
+++ b/src/entry/store_link.c
@@ -2,6 +2,9 @@
 #include "daisystep/metrics.h"
 #include "io/http_connection.h"
 
+/* The store accepts a connection within milliseconds.  A lost opening packet is
+   sent again by a new attempt sooner than by the system, after one second.  */
+#define CONNECT_MS 400
 /* The store's machine leaves bytes unacknowledged for so long only when the
    path is cut.  */
 #define UNACKED_MS 1500
@@ -110,6 +113,20 @@
   link->idle_count++;
 }
 
+/* Closes the idle connections: what broke one has probably broken all.  */
+static void
+drop_idle (struct ds_store_link *link)
+{
+  while (link->idle != NULL)
+    {
+      struct channel *channel = link->idle;
+
+      link->idle = channel->next;
+      close_channel (channel);
+    }
+  link->idle_count = 0;
+}
+
 static enum ds_store_outcome
 outcome_of (unsigned status)
 {
@@ -146,6 +163,7 @@
     {
       ds_metric_add (DS_METRIC_PLATFORM_ERRORS, 1);
       close_channel (pending->channel);
+      drop_idle (pending->link);
     }
   else
     keep_channel (pending->channel);
@@ -222,6 +240,7 @@
 {
   struct ds_tcp_options options = {
     .ev = link->ev,
+    .connect_ms = CONNECT_MS,
     .unacked_ms = UNACKED_MS,
     .keepalive_s = KEEPALIVE_S,
   };
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -23,6 +23,7 @@
   struct tevent_context *ev;
   struct tevent_fd *watch;
   struct tevent_immediate *later;
+  struct tevent_timer *connect_timer;
   struct ds_tcp_handlers handlers;
   struct ds_byte_buffer out;
   uint64_t sent;
@@ -78,6 +79,7 @@
   if (tcp->ended)
     return;
   tcp->ended = true;
+  TALLOC_FREE (tcp->connect_timer);
   close_socket (tcp);
   if (tcp->handlers.on_end != NULL)
     tcp->handlers.on_end (how, tcp->handlers.user_data);
@@ -132,6 +134,7 @@
       return;
     }
   tcp->connected = true;
+  TALLOC_FREE (tcp->connect_timer);
   flush (tcp);
   update_watch (tcp);
   if (tcp->handlers.on_connected != NULL)
@@ -241,6 +244,19 @@
   return 0;
 }
 
+static void
+on_connect_timeout (struct tevent_context *ev, struct tevent_timer *timer,
+                    struct timeval now, void *user_data)
+{
+  struct ds_tcp *tcp = user_data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  tcp->connect_timer = NULL;
+  end (tcp, DS_TCP_END_REFUSED);
+}
+
 /* Opens a connection.  The outcome is reported by a handler; bytes written
    before that are sent once it is open.  DS_EIO when no socket can be had.  */
 int
@@ -265,8 +281,17 @@
     }
   status = wrap (out, owner, options, fd, false, handlers);
   if (status != 0)
-    (void)close (fd);
-  return status;
+    {
+      (void)close (fd);
+      return status;
+    }
+  if (options->connect_ms > 0)
+    (*out)->connect_timer = tevent_add_timer (
+        options->ev, *out,
+        tevent_timeval_current_ofs (options->connect_ms / 1000,
+                                    options->connect_ms % 1000 * 1000),
+        on_connect_timeout, *out);
+  return 0;
 }
 
 /* Takes over FD, an accepted connection.  On failure FD stays the caller's.
@@ -357,6 +382,7 @@
   if (tcp == NULL)
     return;
   tcp->ended = true;
+  TALLOC_FREE (tcp->connect_timer);
   tcp->handlers = (struct ds_tcp_handlers){ .user_data = NULL };
   close_socket (tcp);
   (void)talloc_steal (tcp->ev, tcp);
