Take no work late in the grace time

Change: 2.8 s after SIGTERM the listener closes and further requests get 503 with a Retry-After of 20 ms.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -39,9 +39,10 @@
 /* Pause before this host's own entry in the store is tried again.  */
 #define REGISTER_PAUSE_MS 500
 #define CALL_TIMEOUT_MS 1000
-/* Time after SIGTERM before idle connections are closed: callers ask for
-   addresses again within a few seconds.  */
-#define IDLE_CLOSE_MS 3000
+/* Time after SIGTERM for which new requests are taken: callers ask for
+   addresses again within a few seconds.  A request that is taken later may not
+   end within the grace period.  */
+#define TAKE_WORK_MS 2800
 /* Time before the end of the grace period that the last update of the ledger
    may take.  */
 #define LAST_UPDATE_MS 600
@@ -657,11 +658,17 @@
   uint64_t grace_ms = (uint64_t)(entry->settings->grace_s * 1000);
   uint64_t since_ms = now_ms - entry->stopping_ms;
 
-  if (since_ms > IDLE_CLOSE_MS && entry->callers.answering == 0)
+  if (since_ms > TAKE_WORK_MS && !entry->exchanges.stopping)
+    {
+      entry->exchanges.stopping = true;
+      ds_tcp_listener_free (entry->caller_listener);
+      entry->caller_listener = NULL;
+    }
+  if (since_ms > TAKE_WORK_MS && entry->callers.answering == 0)
     {
       ds_budget_keeper_close (entry->budgets);
       if (ds_budget_keeper_is_closed (entry->budgets)
-          || since_ms > IDLE_CLOSE_MS + 2 * LAST_UPDATE_MS)
+          || since_ms > TAKE_WORK_MS + 2 * LAST_UPDATE_MS)
         entry->stopped = true;
     }
   if (since_ms + LAST_UPDATE_MS > grace_ms)
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -17,6 +17,8 @@
 #define RETRY_BUSY_MS 400
 #define RETRY_AWAY_MS 1000
 #define RETRY_CRASHING_MS 60000
+/* Another host takes the request at once.  */
+#define RETRY_ELSEWHERE_MS 20
 /* Part of the caller's time that may pass while tokens are asked for.  */
 #define TOKEN_WAIT_PART 4
 #define TOKEN_WAIT_MAX_MS 1000
@@ -827,6 +829,11 @@
       refuse (x, 400, 0, "the request is malformed");
       return;
     }
+  if (context->stopping)
+    {
+      refuse (x, 503, RETRY_ELSEWHERE_MS, "the host is stopping");
+      return;
+    }
   if (context->config == NULL)
     {
       refuse (x, 503, RETRY_AWAY_MS, "no configuration is known yet");
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -24,6 +24,7 @@
   struct ds_fleet_view *fleet;
   struct ds_str zone;
   size_t hosts;
+  bool stopping; /* too late for new work: it would be cut off */
 };
 
 struct ds_exchange;
