Pace the ledger by the size of the fleet

Change: refills at once only below 0.3 of a share, pauses double after conflicts, intervals grow with the hosts beyond eight.

--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -5,9 +5,10 @@
    that follows peaks faster than lulls holds a quarter too much at all hosts
    together.  */
 #define DEMAND_WEIGHT 0.25
-/* A share is refilled below this part of its target, and what lies over this
-   many times the target is returned.  */
-#define REFILL_BELOW 0.75
+/* Below this part of its target a share is refilled at once; regular updates
+   of the ledger refill it in any case.  What lies over RETURN_ABOVE times the
+   target is returned.  */
+#define REFILL_BELOW 0.3
 #define RETURN_ABOVE 1.3
 
 static uint64_t
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -18,8 +18,13 @@
    refusal; every call is paid for, also a refused one.  */
 #define CONFLICT_PAUSE_MS 12
 #define REFUSED_PAUSE_MS 400
+/* Doublings of the pause after conflicts in a row.  */
+#define CONFLICT_DOUBLINGS 5
 /* The shortest time between two updates of a host.  */
 #define UPDATE_GAP_MS 60
+/* Hosts that may write a page at the shortest times; with more of them all
+   times grow in proportion, since an update takes the page for about 10 ms.  */
+#define WRITERS_AT_EASE 8
 /* Distance of repeated questions to other hosts while requests wait.  */
 #define ASK_MS 60
 /* Seconds of its own demand that a host keeps when another asks.  */
@@ -74,6 +79,7 @@
   uint64_t ticked_ms;
   uint64_t called_ms; /* start of the call under way */
   uint64_t seen_ms;   /* when the page was last seen */
+  uint32_t conflicts; /* in a row */
   bool store_answers;
   bool closing;
   bool closed;
@@ -166,7 +172,8 @@
 {
   return keeper->store_answers
          && (keeper->state == CALL_NONE
-             || now_ms - keeper->called_ms < SLOW_CALL_MS);
+             || now_ms - keeper->called_ms < SLOW_CALL_MS)
+         && keeper->conflicts < CONFLICT_DOUBLINGS;
 }
 
 /* Takes what the other hosts have told of a budget.  */
@@ -262,6 +269,15 @@
   return number;
 }
 
+/* MS, longer in a fleet whose hosts would get in each other's way.  */
+static uint64_t
+paced (const struct ds_budget_keeper *keeper, uint64_t ms)
+{
+  size_t hosts = keeper->options.policy.hosts;
+
+  return hosts > WRITERS_AT_EASE ? ms * hosts / WRITERS_AT_EASE : ms;
+}
+
 static void
 log_update (struct ds_budget_keeper *keeper, const char *outcome,
             unsigned status)
@@ -294,8 +310,14 @@
   else
     withdraw_all (keeper);
   observe_page (keeper);
+  keeper->conflicts++;
   keeper->not_before_ms
-      = now_ms + (uint64_t)(random () % CONFLICT_PAUSE_MS) + 1;
+      = now_ms + 1
+        + (uint64_t)random ()
+              % ((uint64_t)CONFLICT_PAUSE_MS
+                 << (keeper->conflicts < CONFLICT_DOUBLINGS
+                         ? keeper->conflicts
+                         : CONFLICT_DOUBLINGS));
 }
 
 static void
@@ -312,8 +334,9 @@
         }
       confirm_all (keeper);
       observe_page (keeper);
+      keeper->conflicts = 0;
       keeper->updated_ms = now_ms;
-      keeper->not_before_ms = now_ms + UPDATE_GAP_MS;
+      keeper->not_before_ms = now_ms + paced (keeper, UPDATE_GAP_MS);
       break;
     case DS_STORE_CONFLICT:
       resolve_conflict (keeper, result->body, now_ms);
@@ -557,7 +580,8 @@
     for (size_t i = 0; i < keeper->count; i++)
       ask_hosts (keeper, keeper->allotments[i], now_ms);
   serve_waits (keeper);
-  due = now_ms - keeper->updated_ms >= keeper->options.settle_ms
+  due = now_ms - keeper->updated_ms
+            >= paced (keeper, keeper->options.settle_ms)
         && any_news (keeper);
   if ((due || is_urgent (keeper, now_ms) || keeper->unresolved)
       && keeper->not_before_ms <= now_ms && !keeper->closed)
