--- a/scripts/run-checks.sh
+++ b/scripts/run-checks.sh
@@ -16,13 +16,33 @@
   [ -f KNOWN-RED.txt ] && grep -q "^$1:$2\b" KNOWN-RED.txt
 }
 
+# Runs one program; its log and exit status go to out/.
+run_program () {
+  local name
+  name=$(basename "$1")
+  CK_VERBOSITY=normal timeout 300 "$1" >"out/$2-$name.log" 2>&1
+  echo $? >"out/$2-$name.status"
+}
+export -f run_program
+
+programs=()
 for program in build/"$preset"/test_*; do
   [ -x "$program" ] && [ -f "$program" ] || continue
+  [[ $(basename "$program") =~ $pattern ]] && programs+=("$program")
+done
+# The longest programs are begun first, so that none is left over at the end.
+# Each uses loopback addresses and ports of its own.
+slow='test_(server_faults|core_faults|core_explore|server|core_budget|recovery|backup|threads|peer_link)$'
+ordered=()
+for program in "${programs[@]}"; do [[ $program =~ $slow ]] && ordered+=("$program"); done
+for program in "${programs[@]}"; do [[ $program =~ $slow ]] || ordered+=("$program"); done
+[ "${#ordered[@]}" -gt 0 ] && printf '%s\0' "${ordered[@]}" \
+  | xargs -0 -P "${DS_JOBS:-$(nproc)}" -I{} bash -c 'run_program "$1" "$2"' _ {} "$preset"
+
+for program in "${programs[@]}"; do
   name=$(basename "$program")
-  [[ $name =~ $pattern ]] || continue
   log="out/$preset-$name.log"
-  CK_VERBOSITY=normal timeout 300 "$program" >"$log" 2>&1
-  status=$?
+  status=$(cat "out/$preset-$name.status")
   summary=$(grep -E '^[0-9]+%: Checks: ' "$log" | tail -1)
   if [ -z "$summary" ]; then
     echo "$name: no result, exit status $status"
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -403,6 +403,8 @@
   keeper->state = CALL_NONE;
   keeper->store_answers = result->outcome != DS_STORE_UNKNOWN
                           && result->outcome != DS_STORE_REFUSED;
+  if (result->outcome == DS_STORE_UNKNOWN)
+    keeper->options.silent (keeper->options.user_data);
   if (state == CALL_WRITE)
     {
       on_written (keeper, result, now_ms);
--- a/src/entry/budget_keeper.h
+++ b/src/entry/budget_keeper.h
@@ -15,7 +15,7 @@
 /* WRITER names this life of the host in the ledger.  SETTLE_MS is the longest
    time that spent tokens stay out of the ledger while the store answers.  ASK
    asks the other hosts for tokens, HELD tells how many they have free and
-   their demand.  */
+   their demand.  SILENT tells that the store has not answered a call.  */
 struct ds_budget_keeper_options
 {
   struct tevent_context *ev;
@@ -26,6 +26,7 @@
   void (*ask) (struct ds_str tenant, uint64_t tokens, void *user_data);
   void (*held) (struct ds_str tenant, uint64_t *tokens, uint64_t *demand,
                 void *user_data);
+  void (*silent) (void *user_data);
   void *user_data;
 };
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -449,6 +449,15 @@
   *demand = sum.demand;
 }
 
+static void
+doubt_store (void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  ds_follower_doubt (entry->config_follower);
+  ds_follower_doubt (entry->replica_follower);
+}
+
 static int
 compare_holdings (const void *a, const void *b)
 {
@@ -791,6 +800,7 @@
     },
     .ask = ask_tokens,
     .held = held_by_others,
+    .silent = doubt_store,
     .user_data = entry,
   };
 
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -197,6 +197,19 @@
   return 0;
 }
 
+/* Another call to the store had no answer.  A watch that waits cannot tell a
+   quiet store from a silent one: it is made anew with a short wait.  */
+void
+ds_follower_doubt (struct ds_follower *follower)
+{
+  if (!follower->in_touch || follower->pending == NULL)
+    return;
+  ds_store_pending_cancel (follower->pending);
+  follower->pending = NULL;
+  set_contact (follower, false, 0);
+  call (follower);
+}
+
 bool
 ds_follower_is_in_touch (const struct ds_follower *follower)
 {
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -22,6 +22,7 @@
                      struct tevent_context *ev, struct ds_store_link *link,
                      const char *kind,
                      const struct ds_follower_handlers *handlers);
+void ds_follower_doubt (struct ds_follower *follower);
 bool ds_follower_is_in_touch (const struct ds_follower *follower);
 uint64_t ds_follower_lost_ms (const struct ds_follower *follower);
 uint64_t ds_follower_regained_ms (const struct ds_follower *follower);
