--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -238,6 +238,12 @@
   struct ds_http_reader *reader = reader_of (parser);
 
   reader->head_done = true;
+  /* What follows a change of protocol cannot be told from a body.  */
+  if (parser->upgrade)
+    {
+      (void)fail (reader, DS_HTTP_FAULT_MALFORMED);
+      return -1;
+    }
   if (build_head (reader) != 0)
     return -1;
   if (reader->head.has_length && reader->head.body_length > reader->body_limit)
@@ -344,10 +350,6 @@
   switch (HTTP_PARSER_ERRNO (&reader->parser))
     {
     case HPE_OK:
-      /* The reader speaks no other protocol.  */
-      if (reader->parser.upgrade)
-        (void)fail (reader, DS_HTTP_FAULT_MALFORMED);
-      break;
     case HPE_PAUSED:
       break;
     case HPE_HEADER_OVERFLOW:
--- /dev/null
+++ b/tests/test_http_message.c
@@ -0,0 +1,241 @@
+#include "io/http_message.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* What a reader reported.  */
+struct seen
+{
+  int heads;
+  int ends;
+  size_t body_bytes;
+  unsigned status;
+  bool keep_alive;
+  bool framed;
+  char target[64];
+};
+
+static TALLOC_CTX *owner;
+static struct seen seen;
+
+static void
+on_head (const struct ds_http_head *head, void *user_data)
+{
+  (void)user_data;
+  seen.heads++;
+  seen.status = head->status;
+  seen.keep_alive = head->keep_alive;
+  seen.framed = head->framed;
+  if (head->target.length < sizeof seen.target)
+    {
+      memcpy (seen.target, head->target.data, head->target.length);
+      seen.target[head->target.length] = '\0';
+    }
+}
+
+static void
+on_body (struct ds_str bytes, void *user_data)
+{
+  (void)user_data;
+  seen.body_bytes += bytes.length;
+}
+
+static void
+on_end (void *user_data)
+{
+  (void)user_data;
+  seen.ends++;
+}
+
+static struct ds_http_reader *
+new_reader (bool of_requests)
+{
+  struct ds_http_reader_handlers handlers
+      = { .on_head = on_head, .on_body = on_body, .on_end = on_end };
+  struct ds_http_reader *reader;
+
+  ck_assert_int_eq (ds_http_reader_new (&reader, owner, of_requests, 2000,
+                                        5000, &handlers),
+                    0);
+  return reader;
+}
+
+static void
+set_up (void)
+{
+  owner = talloc_new (NULL);
+  seen = (struct seen){ .heads = 0 };
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (owner);
+}
+
+static size_t
+feed (struct ds_http_reader *reader, const char *text)
+{
+  return ds_http_reader_feed (reader, ds_str_from_c (text));
+}
+
+/* Guards against reading the next request as part of this one, or dropping
+   it.  */
+START_TEST (a_message_ends_where_its_length_says)
+{
+  struct ds_http_reader *reader = new_reader (true);
+  const char *first = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                      "\r\nabc";
+  char both[256];
+
+  (void)snprintf (both, sizeof both, "%sGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+                  first);
+  ck_assert_uint_eq (feed (reader, both), strlen (first));
+  ck_assert_int_eq (seen.ends, 1);
+  ck_assert_uint_eq (seen.body_bytes, 3);
+  (void)feed (reader, both + strlen (first));
+  ck_assert_int_eq (seen.ends, 2);
+  ck_assert_str_eq (seen.target, "/b");
+}
+END_TEST
+
+START_TEST (a_message_may_come_byte_by_byte)
+{
+  struct ds_http_reader *reader = new_reader (true);
+  const char *text = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+
+  for (const char *at = text; *at != '\0'; at++)
+    ck_assert_uint_eq (ds_http_reader_feed (
+                           reader, (struct ds_str){ .data = at, .length = 1 }),
+                       1);
+  ck_assert_int_eq (seen.ends, 1);
+  ck_assert_uint_eq (seen.body_bytes, 3);
+}
+END_TEST
+
+/* Guards against a request that another reader would see as two.  */
+START_TEST (ambiguous_requests_are_malformed)
+{
+  static const char *const bad[] = {
+    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+    "Content-Length: 4\r\n\r\nabcd",
+    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, gzip\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc",
+    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc",
+    "GET /a HTTP/1.1\r\nHost: h\r\nX: a\x01" "b\r\n\r\n",
+    "GET /a HTTP/1.1\r\nHost: h\r\nUpgrade: other\r\nConnection: upgrade\r\n"
+    "\r\n",
+    "nonsense\r\n\r\n",
+  };
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct ds_http_reader *reader = new_reader (true);
+
+      (void)feed (reader, bad[i]);
+      ck_assert_msg (ds_http_reader_fault (reader) == DS_HTTP_FAULT_MALFORMED,
+                     "request %zu is accepted", i);
+    }
+}
+END_TEST
+
+START_TEST (limits_are_kept)
+{
+  struct ds_http_reader *head = new_reader (true);
+  struct ds_http_reader *body = new_reader (true);
+  struct ds_http_reader *chunks = new_reader (true);
+  char large[3000];
+
+  memset (large, 'x', sizeof large - 1);
+  large[sizeof large - 1] = '\0';
+  (void)feed (head, "GET /a HTTP/1.1\r\nHost: h\r\nX: ");
+  (void)feed (head, large);
+  ck_assert_int_eq (ds_http_reader_fault (head), DS_HTTP_FAULT_HEAD_TOO_LARGE);
+  (void)feed (body,
+              "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5001\r\n\r\n");
+  ck_assert_int_eq (ds_http_reader_fault (body), DS_HTTP_FAULT_BODY_TOO_LARGE);
+  (void)feed (chunks, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                      "chunked\r\n\r\n1800\r\n");
+  (void)feed (chunks, large);
+  (void)feed (chunks, large);
+  ck_assert_int_eq (ds_http_reader_fault (chunks),
+                    DS_HTTP_FAULT_BODY_TOO_LARGE);
+}
+END_TEST
+
+/* Guards against an answer that is cut off and looks complete.  */
+START_TEST (only_an_answer_without_length_ends_with_the_connection)
+{
+  struct ds_http_reader *cut = new_reader (false);
+  struct ds_http_reader *open = new_reader (false);
+
+  (void)feed (cut, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+  ck_assert (seen.framed);
+  ds_http_reader_finish (cut);
+  ck_assert_int_eq (seen.ends, 0);
+  ck_assert_int_eq (ds_http_reader_fault (cut), DS_HTTP_FAULT_MALFORMED);
+  (void)feed (open, "HTTP/1.1 200 OK\r\n\r\nabc");
+  ck_assert (!seen.framed && !seen.keep_alive);
+  ds_http_reader_finish (open);
+  ck_assert_int_eq (seen.ends, 1);
+}
+END_TEST
+
+/* Guards against taking an interim answer for the answer.  */
+START_TEST (interim_answers_are_skipped)
+{
+  struct ds_http_reader *reader = new_reader (false);
+
+  (void)feed (reader, "HTTP/1.1 100 Continue\r\n\r\n"
+                      "HTTP/1.1 204 No Content\r\n\r\n");
+  ck_assert_int_eq (seen.heads, 1);
+  ck_assert_uint_eq (seen.status, 204);
+  ck_assert_int_eq (seen.ends, 1);
+}
+END_TEST
+
+START_TEST (lines_of_one_connection_are_known)
+{
+  struct ds_http_line lines[] = {
+    { DS_STR ("Connection"), DS_STR ("close, X-Private") },
+    { DS_STR ("x-private"), DS_STR ("1") },
+    { DS_STR ("X-Other"), DS_STR ("2") },
+    { DS_STR ("content-length"), DS_STR ("5") },
+  };
+  struct ds_http_head head = { .lines = lines, .line_count = 4 };
+
+  ck_assert (ds_http_line_is_hop_by_hop (&head, &lines[0]));
+  ck_assert (ds_http_line_is_hop_by_hop (&head, &lines[1]));
+  ck_assert (!ds_http_line_is_hop_by_hop (&head, &lines[2]));
+  ck_assert (ds_http_line_is_hop_by_hop (&head, &lines[3]));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("http_message");
+  TCase *test_case = tcase_create ("http_message");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_add_test (test_case, a_message_ends_where_its_length_says);
+  tcase_add_test (test_case, a_message_may_come_byte_by_byte);
+  tcase_add_test (test_case, ambiguous_requests_are_malformed);
+  tcase_add_test (test_case, limits_are_kept);
+  tcase_add_test (test_case,
+                  only_an_answer_without_length_ends_with_the_connection);
+  tcase_add_test (test_case, interim_answers_are_skipped);
+  tcase_add_test (test_case, lines_of_one_connection_are_known);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,229 @@
+#include "core/placement.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define SHARED_TOKENS 13300
+#define OWN_TOKENS 3700
+
+static TALLOC_CTX *owner;
+static struct ds_replica_set *set;
+
+static void
+add_replica (const char *id, const char *service, const char *zone,
+             bool draining)
+{
+  struct ds_replica_record record = {
+    .id = ds_str_from_c (id),
+    .born_ms = 5,
+    .service = ds_str_from_c (service),
+    .address = DS_STR ("10.0.0.1:80"),
+    .zone = ds_str_from_c (zone),
+    .slots = 6,
+    .draining = draining,
+  };
+
+  ck_assert_int_eq (ds_replica_set_put (set, &record), 0);
+}
+
+static void
+set_up (void)
+{
+  char id[8];
+
+  owner = talloc_new (NULL);
+  ck_assert_int_eq (ds_replica_set_new (&set, owner), 0);
+  for (int i = 0; i < 12; i++)
+    {
+      (void)snprintf (id, sizeof id, "m%d", i);
+      add_replica (id, "models", i % 3 == 0 ? "kelheim" : "riedenburg",
+                   false);
+    }
+  add_replica ("b1", "ledger", "kelheim", false);
+  add_replica ("b2", "ledger", "riedenburg", false);
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (owner);
+}
+
+static struct ds_placement_request
+history_request (uint64_t shared, uint64_t own)
+{
+  return (struct ds_placement_request){
+    .service = DS_STR ("models"),
+    .zone = DS_STR ("kelheim"),
+    .parts = { { .id = shared, .tokens = SHARED_TOKENS },
+               { .id = own, .tokens = OWN_TOKENS } },
+    .part_count = 2,
+    .prompt_tokens = SHARED_TOKENS + OWN_TOKENS,
+    .objective_ms = 800,
+  };
+}
+
+/* Load: eight hosts meet the same long shared part within one moment, before
+   any has told the others.  All of them must send it to one replica, or it is
+   read several times.  */
+START_TEST (a_new_part_has_one_home)
+{
+  for (uint64_t part = 1; part < 40; part++)
+    {
+      struct ds_placement_request first = history_request (part, 1000 + part);
+      struct ds_placement_request second = history_request (part, 2000 + part);
+      struct ds_placement a = ds_placement_choose (set, &first, 1);
+      struct ds_placement b = ds_placement_choose (set, &second, 1);
+
+      ck_assert_int_eq (a.status, DS_PLACED);
+      ck_assert_ptr_eq (a.replica, b.replica);
+    }
+}
+END_TEST
+
+/* Load: many requests about one part, others idle.  They stay with the replica
+   that has read it while its queue is shorter than half of the objective, and
+   leave it when the queue is longer.  */
+START_TEST (requests_stay_with_what_was_read_until_the_queue_is_long)
+{
+  struct ds_placement_request request = history_request (77, 1);
+  struct ds_placement first = ds_placement_choose (set, &request, 1);
+  struct ds_placement next;
+
+  ds_placement_note_read (first.replica, &request, 1);
+  request = history_request (77, 2);
+  first.replica->own.prefill_tokens = 15000;
+  next = ds_placement_choose (set, &request, 2);
+  ck_assert_ptr_eq (next.replica, first.replica);
+  ck_assert_uint_eq (next.unread_tokens, OWN_TOKENS);
+  first.replica->own.prefill_tokens = 80000;
+  next = ds_placement_choose (set, &request, 2);
+  ck_assert_ptr_ne (next.replica, first.replica);
+}
+END_TEST
+
+/* Load: what the other hosts have sent to a replica counts as its queue too;
+   without it all hosts choose the same one.  */
+START_TEST (work_of_other_hosts_counts)
+{
+  struct ds_placement_request request
+      = { .service = DS_STR ("ledger"), .zone = DS_STR ("kelheim") };
+  struct ds_placement near = ds_placement_choose (set, &request, 1);
+  struct ds_placement far;
+
+  ck_assert (ds_str_equal (near.replica->record.id, DS_STR ("b1")));
+  near.replica->others.running = 12;
+  far = ds_placement_choose (set, &request, 1);
+  ck_assert (ds_str_equal (far.replica->record.id, DS_STR ("b2")));
+}
+END_TEST
+
+/* Guards against work for a replica that is leaving.  */
+START_TEST (a_draining_replica_gets_no_work)
+{
+  struct ds_placement_request request
+      = { .service = DS_STR ("ledger"), .zone = DS_STR ("kelheim") };
+
+  add_replica ("b1", "ledger", "kelheim", true);
+  add_replica ("b2", "ledger", "riedenburg", true);
+  ck_assert_int_eq (ds_placement_choose (set, &request, 1).status,
+                    DS_PLACEMENT_NO_REPLICA);
+}
+END_TEST
+
+/* Load: a replica fails part of its requests while its health is good.  It is
+   avoided for longer with each failure in a row, and used when nothing else is
+   left.  */
+START_TEST (a_failing_replica_is_avoided)
+{
+  struct ds_placement_request request
+      = { .service = DS_STR ("ledger"), .zone = DS_STR ("kelheim") };
+  struct ds_placement first = ds_placement_choose (set, &request, 1000);
+  struct ds_placement next;
+
+  ds_placement_note_failure (first.replica, 1000);
+  next = ds_placement_choose (set, &request, 1001);
+  ck_assert_ptr_ne (next.replica, first.replica);
+  request.tried[0] = next.replica->hash;
+  request.tried_count = 1;
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 1001).replica,
+                    first.replica);
+  ds_placement_note_success (first.replica);
+  request.tried_count = 0;
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 1002).replica,
+                    first.replica);
+}
+END_TEST
+
+/* Guards against sending one request to a replica twice.  */
+START_TEST (tried_replicas_are_left_out)
+{
+  struct ds_placement_request request
+      = { .service = DS_STR ("ledger"), .zone = DS_STR ("kelheim") };
+
+  for (int i = 0; i < 2; i++)
+    {
+      struct ds_placement placement = ds_placement_choose (set, &request, 1);
+
+      ck_assert_int_eq (placement.status, DS_PLACED);
+      request.tried[request.tried_count++] = placement.replica->hash;
+    }
+  ck_assert_int_eq (ds_placement_choose (set, &request, 1).status,
+                    DS_PLACEMENT_NONE_LEFT);
+}
+END_TEST
+
+/* Guards against taking a part as kept although one before it is not: engines
+   keep a prompt from its beginning.  */
+START_TEST (a_gap_ends_what_is_kept)
+{
+  struct ds_placement_request request = history_request (5, 6);
+  struct ds_replica *replica = ds_replica_set_at (set, 0);
+
+  (void)ds_placement_note_part (replica, 6, 1);
+  ck_assert_uint_eq (ds_placement_unread (replica, &request, 2),
+                     SHARED_TOKENS + OWN_TOKENS);
+  (void)ds_placement_note_part (replica, 5, 1);
+  ck_assert_uint_eq (ds_placement_unread (replica, &request, 2), 1);
+}
+END_TEST
+
+/* Load: one of three engines is slower by a third.  Its slowness is learnt and
+   moves work away from it.  */
+START_TEST (slowness_is_learnt)
+{
+  struct ds_replica *replica = ds_replica_set_at (set, 0);
+
+  for (int i = 0; i < 60; i++)
+    ds_placement_note_first_event (replica, 400, 200 * replica->slowness);
+  ck_assert (replica->slowness > 1.3F);
+  ck_assert (replica->slowness < 3.0F);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placement");
+  TCase *test_case = tcase_create ("placement");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_add_test (test_case, a_new_part_has_one_home);
+  tcase_add_test (test_case,
+                  requests_stay_with_what_was_read_until_the_queue_is_long);
+  tcase_add_test (test_case, work_of_other_hosts_counts);
+  tcase_add_test (test_case, a_draining_replica_gets_no_work);
+  tcase_add_test (test_case, a_failing_replica_is_avoided);
+  tcase_add_test (test_case, tried_replicas_are_left_out);
+  tcase_add_test (test_case, a_gap_ends_what_is_kept);
+  tcase_add_test (test_case, slowness_is_learnt);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test_replica_set.c
@@ -0,0 +1,127 @@
+#include "core/replica_set.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+static TALLOC_CTX *owner;
+static struct ds_replica_set *set;
+
+static void
+set_up (void)
+{
+  owner = talloc_new (NULL);
+  ck_assert_int_eq (ds_replica_set_new (&set, owner), 0);
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (owner);
+}
+
+static void
+put (const char *id, uint64_t born_ms, const char *address)
+{
+  struct ds_replica_record record = {
+    .id = ds_str_from_c (id),
+    .born_ms = born_ms,
+    .service = DS_STR ("models"),
+    .address = ds_str_from_c (address),
+    .zone = DS_STR ("kelheim"),
+    .slots = 4,
+  };
+
+  ck_assert_int_eq (ds_replica_set_put (set, &record), 0);
+}
+
+/* Guards against connections and loads of a life that has ended being used for
+   the next one under the same id.  */
+START_TEST (a_new_life_is_another_replica)
+{
+  struct ds_replica *before;
+
+  put ("a", 10, "10.0.0.1:80");
+  before = ds_replica_set_at (set, 0);
+  (void)talloc_reference (owner, before);
+  put ("a", 11, "10.0.0.1:80");
+  ck_assert_uint_eq (ds_replica_set_count (set), 1);
+  ck_assert (before->gone);
+  ck_assert_ptr_ne (ds_replica_set_at (set, 0), before);
+}
+END_TEST
+
+/* Guards against an older entry, from a stale answer, bringing a life back.  */
+START_TEST (an_older_life_is_ignored)
+{
+  put ("a", 11, "10.0.0.1:80");
+  put ("a", 10, "10.0.0.9:80");
+  ck_assert (ds_str_equal (ds_replica_set_at (set, 0)->record.address,
+                           DS_STR ("10.0.0.1:80")));
+}
+END_TEST
+
+/* Load: the store was away and all entries lapsed.  They are used on for two
+   seconds and dropped if they do not come back.  */
+START_TEST (lapsed_entries_are_used_until_their_time)
+{
+  put ("a", 1, "10.0.0.1:80");
+  put ("b", 1, "10.0.0.2:80");
+  ds_replica_set_begin_list (set);
+  ds_replica_set_end_list (set, 5000);
+  ds_replica_set_sweep (set, 4999);
+  ck_assert_uint_eq (ds_replica_set_count (set), 2);
+  put ("b", 1, "10.0.0.2:80");
+  ds_replica_set_sweep (set, 5000);
+  ck_assert_uint_eq (ds_replica_set_count (set), 1);
+  ck_assert (ds_str_equal (ds_replica_set_at (set, 0)->record.id,
+                           DS_STR ("b")));
+}
+END_TEST
+
+/* Guards against work for a replica whose entry went in orderly times.  */
+START_TEST (a_removed_entry_is_gone_at_once)
+{
+  put ("a", 1, "10.0.0.1:80");
+  ds_replica_set_remove (set, DS_STR ("a"), 0);
+  ds_replica_set_remove (set, DS_STR ("unknown"), 0);
+  ck_assert_uint_eq (ds_replica_set_count (set), 0);
+}
+END_TEST
+
+/* Guards against a list that drops what it has named.  */
+START_TEST (a_list_drops_only_what_it_does_not_name)
+{
+  put ("a", 1, "10.0.0.1:80");
+  put ("b", 1, "10.0.0.2:80");
+  ds_replica_set_begin_list (set);
+  put ("b", 1, "10.0.0.2:80");
+  put ("c", 1, "10.0.0.3:80");
+  ds_replica_set_end_list (set, 0);
+  ck_assert_uint_eq (ds_replica_set_count (set), 2);
+  for (size_t i = 0; i < 2; i++)
+    ck_assert (!ds_str_equal (ds_replica_set_at (set, i)->record.id,
+                              DS_STR ("a")));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("replica_set");
+  TCase *test_case = tcase_create ("replica_set");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_add_test (test_case, a_new_life_is_another_replica);
+  tcase_add_test (test_case, an_older_life_is_ignored);
+  tcase_add_test (test_case, lapsed_entries_are_used_until_their_time);
+  tcase_add_test (test_case, a_removed_entry_is_gone_at_once);
+  tcase_add_test (test_case, a_list_drops_only_what_it_does_not_name);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test_routing_config.c
@@ -0,0 +1,222 @@
+#include "platform/config_codec.h"
+
+#include <check.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+static TALLOC_CTX *owner;
+
+static const char config_text[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"r1\",\"host\":\"ficu95.example\",\"path_prefix\":\"/a/\","
+      "\"kind\":\"idempotent\",\"timeout_ms\":800,\"target_latency_ms\":300,"
+      "\"priority\":2,\"service\":\"s1\",\"max_attempts\":2,\"public\":true},"
+      "{\"name\":\"r2\",\"host\":\"ficu95.example\","
+      "\"path_prefix\":\"/a/b/\",\"kind\":\"streaming\",\"timeout_ms\":9000,"
+      "\"traffic_split\":[{\"service\":\"s1\",\"weight\":90},"
+      "{\"service\":\"s2\",\"weight\":10}],\"max_attempts\":2,"
+      "\"sticky\":true,\"resumable\":true,\"gap_aim_ms\":250},"
+      "{\"name\":\"r3\",\"host\":\"ficu95.example\",\"path_prefix\":\"/u/\","
+      "\"kind\":\"a-later-kind\",\"service\":\"s2\"}],"
+      "\"services\":[{\"name\":\"s1\",\"health_path\":\"/health\","
+      "\"max_connections\":370,\"engine\":{\"slots\":64,\"kv_capacity\":421968,"
+      "\"stride\":4}},{\"name\":\"s2\",\"health_path\":\"/h\"}],"
+      "\"limits\":{\"max_header_bytes\":9000,\"max_body_bytes\":70000,"
+      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+      "\"tenants\":[{\"name\":\"hule930\",\"api_keys\":[\"k1\",\"k2\"],"
+      "\"priority\":1,\"prepaid\":4958671},{\"name\":\"free\","
+      "\"api_keys\":[\"k3\"]}]}";
+
+static struct ds_routing_config *
+load (void)
+{
+  json_t *spec = json_loads (config_text, 0, NULL);
+  struct ds_routing_config *config;
+  struct ds_error error;
+
+  ck_assert_int_eq (ds_config_decode (&config, owner, spec, &error), 0);
+  json_decref (spec);
+  return config;
+}
+
+static void
+set_up (void)
+{
+  owner = talloc_new (NULL);
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (owner);
+}
+
+/* Guards against a shorter prefix that hides a longer one, and a prefix that
+   matches within a name.  */
+START_TEST (the_longest_prefix_of_the_host_wins)
+{
+  struct ds_routing_config *config = load ();
+  struct ds_str host = DS_STR ("FICU95.example:8080");
+
+  ck_assert (ds_str_equal (
+      ds_routing_config_route (config, host, DS_STR ("/a/b/2f"))->name,
+      DS_STR ("r2")));
+  ck_assert (ds_str_equal (
+      ds_routing_config_route (config, host, DS_STR ("/a/bc/2f"))->name,
+      DS_STR ("r1")));
+  ck_assert_ptr_null (
+      ds_routing_config_route (config, host, DS_STR ("/ab/2f")));
+  ck_assert_ptr_null (
+      ds_routing_config_route (config, host, DS_STR ("/a")));
+  ck_assert_ptr_null (ds_routing_config_route (
+      config, DS_STR ("other.example"), DS_STR ("/a/2f")));
+}
+END_TEST
+
+/* Guards against repeating calls of a kind that this version does not know.  */
+START_TEST (an_unknown_kind_runs_once)
+{
+  struct ds_routing_config *config = load ();
+  const struct ds_route *route = ds_routing_config_route (
+      config, DS_STR ("ficu95.example"), DS_STR ("/u/1"));
+
+  ck_assert_int_eq (route->kind, DS_CALL_ONCE);
+  ck_assert_uint_eq (route->max_attempts, 1);
+}
+END_TEST
+
+START_TEST (fields_arrive_in_their_types)
+{
+  struct ds_routing_config *config = load ();
+  const struct ds_route *stream = ds_routing_config_route (
+      config, DS_STR ("ficu95.example"), DS_STR ("/a/b/"));
+  const struct ds_service *service
+      = ds_routing_config_service (config, DS_STR ("s1"));
+
+  ck_assert_int_eq (stream->kind, DS_CALL_STREAM);
+  ck_assert (stream->resumable && stream->has_prompt && !stream->is_public);
+  ck_assert_uint_eq (stream->gap_ms, 250);
+  ck_assert (service->is_engine);
+  ck_assert_uint_eq (service->tokens_per_event, 4);
+  ck_assert_uint_eq (config->limits.head_bytes, 9000);
+  ck_assert_uint_eq (config->limits.body_bytes, 70000);
+}
+END_TEST
+
+/* Guards against a key that opens another tenant's budget, and a budget for a
+   tenant that has none.  */
+START_TEST (keys_belong_to_their_tenant)
+{
+  struct ds_routing_config *config = load ();
+  const struct ds_tenant *tenant
+      = ds_routing_config_tenant (config, DS_STR ("k2"));
+
+  ck_assert (ds_str_equal (tenant->name, DS_STR ("hule930")));
+  ck_assert (tenant->has_budget && tenant->prepaid == 4958671);
+  ck_assert (!ds_routing_config_tenant (config, DS_STR ("k3"))->has_budget);
+  ck_assert_ptr_null (ds_routing_config_tenant (config, DS_STR ("k")));
+  ck_assert_ptr_null (ds_routing_config_tenant (config, DS_STR_EMPTY));
+}
+END_TEST
+
+START_TEST (a_split_follows_its_weights)
+{
+  struct ds_routing_config *config = load ();
+  const struct ds_route *route = ds_routing_config_route (
+      config, DS_STR ("ficu95.example"), DS_STR ("/a/b/"));
+  int second = 0;
+
+  for (uint64_t draw = 0; draw < 1000; draw++)
+    if (ds_str_equal (ds_route_choose_service (route, draw), DS_STR ("s2")))
+      second++;
+  ck_assert_int_eq (second, 100);
+}
+END_TEST
+
+/* Guards against putting something in force that is no configuration.  */
+START_TEST (a_configuration_without_version_or_routes_is_refused)
+{
+  static const char *const bad[]
+      = { "{}", "{\"version\":1}", "{\"routes\":[]}",
+          "{\"version\":\"7\",\"routes\":[]}" };
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      json_t *spec = json_loads (bad[i], 0, NULL);
+      struct ds_routing_config *config;
+      struct ds_error error;
+
+      ck_assert_int_eq (ds_config_decode (&config, owner, spec, &error),
+                        DS_EPROTOCOL);
+      json_decref (spec);
+    }
+}
+END_TEST
+
+/* Guards against using what another writer left among the replicas' entries.
+ */
+START_TEST (foreign_replica_entries_are_refused)
+{
+  static const char *const bad[] = {
+    "{}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\"}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+    "\"state\":\"resting\"}",
+    "{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+    "\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"slots\":\"six\"}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"born\":1.5}",
+    "[]",
+  };
+  struct ds_replica_record record;
+  struct ds_error error;
+  json_t *good
+      = json_loads ("{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
+                    "\"zone\":\"z\",\"state\":\"draining\",\"slots\":6,"
+                    "\"born\":1779876379362}",
+                    0, NULL);
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      json_t *spec = json_loads (bad[i], 0, NULL);
+
+      ck_assert_int_eq (
+          ds_replica_decode (&record, DS_STR ("i-1"), spec, &error),
+          DS_EPROTOCOL);
+      json_decref (spec);
+    }
+  ck_assert_int_eq (ds_replica_decode (&record, DS_STR ("i-1"), good, &error),
+                    0);
+  ck_assert (record.draining && record.slots == 6
+             && record.born_ms == 1779876379362);
+  json_decref (good);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("routing_config");
+  TCase *test_case = tcase_create ("routing_config");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_add_test (test_case, the_longest_prefix_of_the_host_wins);
+  tcase_add_test (test_case, an_unknown_kind_runs_once);
+  tcase_add_test (test_case, fields_arrive_in_their_types);
+  tcase_add_test (test_case, keys_belong_to_their_tenant);
+  tcase_add_test (test_case, a_split_follows_its_weights);
+  tcase_add_test (test_case,
+                  a_configuration_without_version_or_routes_is_refused);
+  tcase_add_test (test_case, foreign_replica_entries_are_refused);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
