--- a/include/daisystep/routing_config.h
+++ b/include/daisystep/routing_config.h
@@ -29,7 +29,7 @@
   struct ds_str host;
   struct ds_str path_prefix; /* begins and ends with a slash */
   enum ds_call_kind kind;
-  bool resumable; /* a stream that may go on at another replica */
+  bool resumable;  /* a stream that may go on at another replica */
   bool has_prompt; /* requests carry a model and the parts of their prompt */
   bool is_public;  /* needs no key */
   uint32_t max_attempts; /* replicas that may run one request */
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 mapfile -t files < <(git ls-files --cached --others --exclude-standard \
-  'src/*.[ch]' 'include/*.h' 'tests/*.[ch]' 'bench/*.[ch]' 'bench/support/*.[ch]' | grep -v '\.pb-c\.')
+  'src/*.[ch]' 'include/*.h' 'platform/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' 'bench/support/*.[ch]' | grep -v '\.pb-c\.')
 if [ "${1:-}" = fix ]; then
   clang-format -i "${files[@]}"
   exit 0
--- a/src/base/decision_log.c
+++ b/src/base/decision_log.c
@@ -162,8 +162,7 @@
   count = write (STDOUT_FILENO, state.waiting, state.length);
   if (count <= 0)
     return;
-  memmove (state.waiting, state.waiting + count,
-           state.length - (size_t)count);
+  memmove (state.waiting, state.waiting + count, state.length - (size_t)count);
   state.length -= (size_t)count;
 }
 
--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -113,7 +113,9 @@
 
   if (allotment->revoked || allotment->wanted > allotment->free)
     return true;
-  return allotment->known && allotment->ledger_rest > 0
+  if (!allotment->known)
+    return allotment->limit > 0;
+  return allotment->ledger_rest > 0
          && (double)allotment->free < REFILL_BELOW * (double)target;
 }
 
@@ -152,9 +154,9 @@
   if (grown == NULL)
     return DS_ENOMEM;
   allotment->borrowed = grown;
-  grown[allotment->borrowed_count++] = (struct ds_borrowing){
-    .giver = ds_str_copy (owner, giver), .tokens = tokens
-  };
+  grown[allotment->borrowed_count++]
+      = (struct ds_borrowing){ .giver = ds_str_copy (owner, giver),
+                               .tokens = tokens };
   allotment->free += tokens;
   return 0;
 }
@@ -168,8 +170,8 @@
 {
   for (size_t i = 0; i < update->borrowed_count; i++)
     {
-      uint64_t *from = ds_ledger_account_grant (page, account,
-                                                update->borrowed[i].giver);
+      uint64_t *from
+          = ds_ledger_account_grant (page, account, update->borrowed[i].giver);
       uint64_t *to;
       uint64_t moved;
 
@@ -295,8 +297,7 @@
     return;
   ds_allotment_set_limit (allotment, account->limit, account->version);
   taken = account->settled + ds_ledger_account_granted (account);
-  allotment->ledger_rest
-      = account->limit > taken ? account->limit - taken : 0;
+  allotment->ledger_rest = account->limit > taken ? account->limit - taken : 0;
   allotment->ledger_settled = account->settled;
   allotment->known = true;
 }
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -50,24 +50,25 @@
   struct ds_borrowing *borrowed;
   size_t borrowed_count;
   struct ds_allotment_update update;
-  double demand; /* tokens a second, of recent requests at their most */
+  double demand;        /* tokens a second, of recent requests at their most */
   double demand_sum;    /* of weighted rates; DEMAND before its correction */
   double demand_weight; /* of the rates in DEMAND_SUM, up to 1 */
   uint64_t others_free; /* at other hosts, as they have told */
   double others_demand;
-  uint64_t demanded;      /* since DEMAND was worked out last */
-  uint64_t wanted;        /* by requests that wait */
-  uint64_t ledger_rest;   /* limit less all grants and what is settled */
+  uint64_t demanded;    /* since DEMAND was worked out last */
+  uint64_t wanted;      /* by requests that wait */
+  uint64_t ledger_rest; /* limit less all grants and what is settled */
   uint64_t ledger_settled;
   uint64_t last_request_ms;
   uint64_t asked_ms; /* when other hosts were last asked for tokens */
-  bool known; /* the ledger has been read */
-  bool revoked; /* the limit was lowered: nothing is free until the ledger
-                   says so */
+  bool known;        /* the ledger has been read */
+  bool revoked;      /* the limit was lowered: nothing is free until the ledger
+                        says so */
 };
 
-/* How much a host keeps: HOLD_S seconds of its demand, which outlast a cut from
-   the store, while that is no more than PART of what the tenant has left.  */
+/* How much a host keeps: HOLD_S seconds of its demand, which outlast a cut
+   from the store, while that is no more than PART of what the tenant has left.
+ */
 struct ds_allotment_policy
 {
   double hold_s;
--- a/src/core/ledger_page.c
+++ b/src/core/ledger_page.c
@@ -87,8 +87,8 @@
     if (status == 0)
       status = read_count (&number, value);
     if (status == 0)
-      status = ds_ledger_page_set_operation (page, ds_str_from_c (key),
-                                             number);
+      status
+          = ds_ledger_page_set_operation (page, ds_str_from_c (key), number);
   }
   if (status != 0)
     {
@@ -171,9 +171,9 @@
   if (grown == NULL)
     return DS_ENOMEM;
   page->writers = grown;
-  grown[page->writer_count++] = (struct ds_ledger_writer){
-    .name = ds_str_copy (page, writer), .number = number
-  };
+  grown[page->writer_count++]
+      = (struct ds_ledger_writer){ .name = ds_str_copy (page, writer),
+                                   .number = number };
   return 0;
 }
 
@@ -220,8 +220,8 @@
   return &grown[page->account_count++];
 }
 
-/* What WRITER holds in ACCOUNT, made when it holds nothing; null when memory is
-   short.  */
+/* What WRITER holds in ACCOUNT, made when it holds nothing; null when memory
+   is short.  */
 uint64_t *
 ds_ledger_account_grant (struct ds_ledger_page *page,
                          struct ds_ledger_account *account,
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -145,9 +145,8 @@
              uint64_t *unread)
 {
   double running = replica->own.running + replica->others.running;
-  double cost = ds_str_equal (replica->record.zone, request->zone)
-                    ? 0
-                    : OTHER_ZONE_MS;
+  double cost
+      = ds_str_equal (replica->record.zone, request->zone) ? 0 : OTHER_ZONE_MS;
   double read_ms;
 
   if (request->prompt_tokens == 0)
@@ -162,8 +161,7 @@
   read_ms += reading_penalty (request, *unread);
   /* Hosts that meet a part at the same time send it to the same replica.  */
   if (*unread > last_part (request) && affinity_key (request) != 0
-      && rank_of (set, replica, request->service, affinity_key (request))
-             == 0)
+      && rank_of (set, replica, request->service, affinity_key (request)) == 0)
     read_ms *= HOME_DISCOUNT;
   return cost + read_ms
          + ((double)(replica->own.prefill_tokens
@@ -254,9 +252,9 @@
 
   if (ratio > SLOWNESS_MAX)
     ratio = SLOWNESS_MAX;
-  replica->slowness += (float)(SLOWNESS_WEIGHT
-                               * (ratio * replica->slowness
-                                  - replica->slowness));
+  replica->slowness
+      += (float)(SLOWNESS_WEIGHT
+                 * (ratio * replica->slowness - replica->slowness));
   if (replica->slowness < SLOWNESS_MIN)
     replica->slowness = SLOWNESS_MIN;
   if (replica->slowness > SLOWNESS_MAX)
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -58,8 +58,8 @@
 void ds_placement_note_read (struct ds_replica *replica,
                              const struct ds_placement_request *request,
                              uint64_t now_ms);
-void ds_placement_note_first_event (struct ds_replica *replica,
-                                    double took_ms, double expected_ms);
+void ds_placement_note_first_event (struct ds_replica *replica, double took_ms,
+                                    double expected_ms);
 void ds_placement_note_failure (struct ds_replica *replica, uint64_t now_ms);
 void ds_placement_note_success (struct ds_replica *replica);
 
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -22,7 +22,7 @@
 /* Work that a host has given to a replica and that has not ended.  */
 struct ds_replica_load
 {
-  uint32_t running;       /* requests */
+  uint32_t running;        /* requests */
   uint64_t prefill_tokens; /* prompt tokens of those without a first event */
 };
 
--- a/src/core/retry_allowance.c
+++ b/src/core/retry_allowance.c
@@ -116,10 +116,9 @@
       requests += service->requests[i];
       retries += service->retries[i];
     }
-  if (retries + 1
-      > allowance->bound.ratio * RATIO_SHARE * requests
-            + allowance->bound.slack * SLACK_SHARE
-                  / (double)(hosts > 0 ? hosts : 1))
+  if (retries + 1 > allowance->bound.ratio * RATIO_SHARE * requests
+                        + allowance->bound.slack * SLACK_SHARE
+                              / (double)(hosts > 0 ? hosts : 1))
     return false;
   service->retries[service->slice % SLICES]++;
   return true;
--- a/src/core/retry_allowance.h
+++ b/src/core/retry_allowance.h
@@ -17,8 +17,7 @@
 
 struct ds_retry_allowance;
 
-int ds_retry_allowance_new (struct ds_retry_allowance **out,
-                            TALLOC_CTX *owner,
+int ds_retry_allowance_new (struct ds_retry_allowance **out, TALLOC_CTX *owner,
                             const struct ds_retry_bound *bound);
 void ds_retry_allowance_note_request (struct ds_retry_allowance *allowance,
                                       struct ds_str service, uint64_t now_ms);
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -23,7 +23,7 @@
 /* The shortest time between two updates of a host.  */
 #define UPDATE_GAP_MS 60
 /* Hosts that may write a page at the shortest times; with more of them all
-   times grow in proportion, since an update takes the page for about 10 ms.  */
+   times grow in proportion, since an update takes the page for about 10 ms. */
 #define WRITERS_AT_EASE 8
 /* Distance of repeated questions to other hosts while requests wait.  */
 #define ASK_MS 60
@@ -131,8 +131,7 @@
   return allotment->free
              > 2 * ds_allotment_target (allotment, &keeper->options.policy)
                    + keeper->options.policy.minimum
-         || ds_allotment_needs_update (allotment, &keeper->options.policy)
-         || (!allotment->known && allotment->demand > 0);
+         || ds_allotment_needs_update (allotment, &keeper->options.policy);
 }
 
 static bool
@@ -311,13 +310,12 @@
     withdraw_all (keeper);
   observe_page (keeper);
   keeper->conflicts++;
-  keeper->not_before_ms
-      = now_ms + 1
-        + (uint64_t)random ()
-              % ((uint64_t)CONFLICT_PAUSE_MS
-                 << (keeper->conflicts < CONFLICT_DOUBLINGS
-                         ? keeper->conflicts
-                         : CONFLICT_DOUBLINGS));
+  keeper->not_before_ms = now_ms + 1
+                          + (uint64_t)random ()
+                                % ((uint64_t)CONFLICT_PAUSE_MS
+                                   << (keeper->conflicts < CONFLICT_DOUBLINGS
+                                           ? keeper->conflicts
+                                           : CONFLICT_DOUBLINGS));
 }
 
 static void
@@ -355,9 +353,8 @@
       /* An earlier try may still be done; this one was not.  */
       if (!keeper->unresolved)
         withdraw_all (keeper);
-      keeper->not_before_ms
-          = now_ms + REFUSED_PAUSE_MS / 2
-            + (uint64_t)(random () % (REFUSED_PAUSE_MS / 2));
+      keeper->not_before_ms = now_ms + REFUSED_PAUSE_MS / 2
+                              + (uint64_t)(random () % (REFUSED_PAUSE_MS / 2));
       break;
     }
 }
@@ -521,6 +518,8 @@
   keeper->options = *options;
   keeper->options.writer = ds_str_copy (keeper, options->writer);
   keeper->ticked_ms = ds_clock_ms ();
+  /* The store is taken to be there until a call has failed.  */
+  keeper->store_answers = true;
   talloc_set_destructor (keeper, destroy);
   *out = keeper;
   return 0;
@@ -613,10 +612,9 @@
 {
   struct ds_allotment *allotment = find (keeper, tenant);
 
-  return allotment != NULL
-             ? ds_allotment_give (allotment, tokens,
-                                  keeper->closing ? 0 : KEEP_S)
-             : 0;
+  return allotment != NULL ? ds_allotment_give (allotment, tokens,
+                                                keeper->closing ? 0 : KEEP_S)
+                           : 0;
 }
 
 /* Another host has given TOKENS.  */
--- a/src/entry/budget_keeper.h
+++ b/src/entry/budget_keeper.h
@@ -45,11 +45,12 @@
                             struct ds_str tenant, uint64_t tokens,
                             struct ds_str giver);
 
-enum ds_budget_answer
-ds_budget_reserve (struct ds_budget_keeper *keeper,
-                   struct ds_budget_wait **wait, struct ds_str tenant,
-                   uint64_t tokens, uint64_t until_ms,
-                   ds_budget_decided_fn *on_decided, void *user_data);
+enum ds_budget_answer ds_budget_reserve (struct ds_budget_keeper *keeper,
+                                         struct ds_budget_wait **wait,
+                                         struct ds_str tenant, uint64_t tokens,
+                                         uint64_t until_ms,
+                                         ds_budget_decided_fn *on_decided,
+                                         void *user_data);
 void ds_budget_cancel_wait (struct ds_budget_wait *wait);
 void ds_budget_settle (struct ds_budget_keeper *keeper, struct ds_str tenant,
                        uint64_t reserved, uint64_t used);
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -68,8 +68,7 @@
   if (after_ms > 0)
     caller->timer = tevent_add_timer (
         caller->group->ev, caller,
-        tevent_timeval_current_ofs (after_ms / 1000,
-                                    after_ms % 1000 * 1000),
+        tevent_timeval_current_ofs (after_ms / 1000, after_ms % 1000 * 1000),
         on_timeout, caller);
 }
 
@@ -256,8 +255,8 @@
                                  group->limits.head_bytes,
                                  group->limits.body_bytes, &reader_handlers);
   if (status == 0)
-    status = ds_tcp_adopt (&caller->tcp, group->ev, &options, fd,
-                           &tcp_handlers);
+    status
+        = ds_tcp_adopt (&caller->tcp, group->ev, &options, fd, &tcp_handlers);
   if (status != 0)
     {
       (void)close (fd);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -115,7 +115,8 @@
 
   return head->target.length >= length
          && memcmp (head->target.data, path, length) == 0
-         && (head->target.length == length || head->target.data[length] == '?');
+         && (head->target.length == length
+             || head->target.data[length] == '?');
 }
 
 static void
@@ -144,8 +145,7 @@
   while (at != NULL)
     {
       const char *item = at + 1;
-      const char *next
-          = memchr (item, '&', (size_t)(end - item));
+      const char *next = memchr (item, '&', (size_t)(end - item));
       const char *stop = next != NULL ? next : end;
 
       if ((size_t)(stop - item) > key_length
@@ -178,7 +178,8 @@
     };
   for (size_t i = 0; i < members; i++)
     {
-      const struct ds_fleet_member *member = ds_fleet_view_at (entry->fleet, i);
+      const struct ds_fleet_member *member
+          = ds_fleet_view_at (entry->fleet, i);
 
       if (ds_fleet_member_is_alive (member, now_ms) && member->ready
           && !member->draining)
@@ -292,8 +293,7 @@
   struct ds_routing_config *config;
   struct ds_decision line;
 
-  if (object->deleted
-      || !ds_str_equal (object->name, DS_STR (DS_CONFIG_NAME)))
+  if (object->deleted || !ds_str_equal (object->name, DS_STR (DS_CONFIG_NAME)))
     return;
   if (ds_config_decode (&config, entry, object->spec, &error) != 0)
     {
@@ -464,8 +464,9 @@
   const struct ds_token_holding *left = a;
   const struct ds_token_holding *right = b;
 
-  return left->tokens < right->tokens ? 1 : left->tokens > right->tokens ? -1
-                                                                         : 0;
+  return left->tokens < right->tokens   ? 1
+         : left->tokens > right->tokens ? -1
+                                        : 0;
 }
 
 /* The largest holdings of this host.  */
@@ -610,7 +611,8 @@
 
   for (size_t i = 0; i < ds_fleet_view_count (entry->fleet); i++)
     {
-      const struct ds_fleet_member *member = ds_fleet_view_at (entry->fleet, i);
+      const struct ds_fleet_member *member
+          = ds_fleet_view_at (entry->fleet, i);
 
       if (member->heard_ms > 0 && now_ms - member->heard_ms < SHARING_MS)
         hosts++;
@@ -695,9 +697,9 @@
 
   (void)timer;
   (void)now;
-  (void)tevent_add_timer (
-      ev, entry, tevent_timeval_current_ofs (0, TICK_MS * 1000), on_tick,
-      entry);
+  (void)tevent_add_timer (ev, entry,
+                          tevent_timeval_current_ofs (0, TICK_MS * 1000),
+                          on_tick, entry);
   ds_replica_set_sweep (entry->replicas, now_ms);
   ds_replica_pool_sweep (entry->exchanges.pool, now_ms);
   ds_fleet_view_tick (entry->fleet, now_ms);
@@ -920,8 +922,8 @@
   entry->settings_path = talloc_strdup (entry, settings_path);
   if (stat (settings_path, &file) == 0)
     entry->settings_changed = file.st_mtim;
-  status = ds_entry_settings_load (&entry->settings, entry, settings_path,
-                                   error);
+  status
+      = ds_entry_settings_load (&entry->settings, entry, settings_path, error);
   if (status != 0)
     goto fail;
   entry->incarnation = choose_incarnation ();
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -50,7 +50,7 @@
   enum phase phase;
   uint64_t digest;
   uint64_t arrived_ms;
-  uint64_t until_ms; /* no answer is wanted after it */
+  uint64_t until_ms;         /* no answer is wanted after it */
   uint64_t attempt_until_ms; /* of the first attempt; later ones keep to it */
   struct tevent_timer *timer;
 
@@ -58,7 +58,7 @@
   uint64_t reserved;
   bool has_reservation;
 
-  struct ds_pooled *pooled; /* of the attempt under way */
+  struct ds_pooled *pooled;   /* of the attempt under way */
   struct ds_replica *replica; /* referenced while an attempt is under way */
   uint64_t unread_tokens;
   bool unread_counted; /* in the replica's load */
@@ -187,9 +187,9 @@
   struct ds_byte_buffer out = { .data = NULL };
   struct ds_caller *caller = x->caller;
   char body[160];
-  int length = snprintf (body, sizeof body,
-                         "{\"error\":\"%s\",\"ran\":\"%s\"}", reason,
-                         x->may_have_run ? "unknown" : "no");
+  int length
+      = snprintf (body, sizeof body, "{\"error\":\"%s\",\"ran\":\"%s\"}",
+                  reason, x->may_have_run ? "unknown" : "no");
 
   x->status = status;
   if (ds_wire_write_refusal (
@@ -326,7 +326,8 @@
   drop_attempt (x);
   ds_event_stream_drop_rest (&x->events);
   ds_byte_buffer_release (&x->held);
-  if (may_run_again (x, now_ms) && (!x->answered || x->route->kind == DS_CALL_STREAM)
+  if (may_run_again (x, now_ms)
+      && (!x->answered || x->route->kind == DS_CALL_STREAM)
       && ds_retry_allowance_take (x->context->retries, x->placing.service,
                                   x->context->hosts, now_ms))
     {
@@ -636,10 +637,9 @@
   x->runs++;
   x->may_have_run = true;
   ds_http_connection_handle (ds_pooled_connection (x->pooled), &handlers);
-  (void)ds_http_connection_send (ds_pooled_connection (x->pooled),
-                                 ds_byte_buffer_content (&out), x->body,
-                                 ds_str_equal (x->head->method,
-                                               DS_STR ("HEAD")));
+  (void)ds_http_connection_send (
+      ds_pooled_connection (x->pooled), ds_byte_buffer_content (&out), x->body,
+      ds_str_equal (x->head->method, DS_STR ("HEAD")));
   ds_byte_buffer_release (&out);
   return 0;
 }
@@ -672,8 +672,8 @@
 attempt (struct ds_exchange *x)
 {
   uint64_t now_ms = ds_clock_ms ();
-  struct ds_placement placement = ds_placement_choose (
-      x->context->replicas, &x->placing, now_ms);
+  struct ds_placement placement
+      = ds_placement_choose (x->context->replicas, &x->placing, now_ms);
 
   x->phase = AT_REPLICA;
   if (placement.status != DS_PLACED)
@@ -758,8 +758,8 @@
   const struct ds_routing_config *config = x->config;
 
   *tenant = NULL;
-  x->route = ds_routing_config_route (config, x->request.host,
-                                      x->request.path);
+  x->route
+      = ds_routing_config_route (config, x->request.host, x->request.path);
   if (x->route == NULL)
     {
       refuse (x, 404, 0, "no route");
@@ -782,8 +782,8 @@
 {
   x->placing = (struct ds_placement_request){
     .zone = x->context->zone,
-    .service = ds_route_choose_service (
-        x->route, ds_str_hash (x->request.id, 7)),
+    .service
+    = ds_route_choose_service (x->route, ds_str_hash (x->request.id, 7)),
     .part_count = x->request.part_count,
     .prompt_tokens = x->request.prompt_tokens,
     .objective_ms = x->route->objective_ms,
@@ -794,8 +794,8 @@
 static uint64_t
 digest_of (const struct ds_exchange *x)
 {
-  return ds_str_hash (x->body, ds_str_hash (x->request.path,
-                                            ds_str_hash (x->tenant, 3)));
+  return ds_str_hash (
+      x->body, ds_str_hash (x->request.path, ds_str_hash (x->tenant, 3)));
 }
 
 /* Serves one request of a caller.  HEAD and BODY are valid until the answer is
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -1,13 +1,13 @@
 #ifndef DS_ENTRY_EXCHANGE_H
 #define DS_ENTRY_EXCHANGE_H
 
+#include "core/crash_guard.h"
 #include "core/replica_set.h"
 #include "core/retry_allowance.h"
 #include "daisystep/routing_config.h"
 #include "entry/budget_keeper.h"
 #include "entry/caller.h"
 #include "entry/fleet_view.h"
-#include "core/crash_guard.h"
 #include "entry/replica_pool.h"
 
 /* What all exchanges of a host use.  CONFIG is replaced when a newer version
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -170,8 +170,7 @@
                Daisystep__Gossip__Datagram *datagram)
 {
   struct ds_token_holding holdings[DS_HOLDINGS_MAX];
-  size_t count
-      = view->handlers.holdings (holdings, view->handlers.user_data);
+  size_t count = view->handlers.holdings (holdings, view->handlers.user_data);
 
   datagram->holdings = talloc_array (owner, Daisystep__Gossip__TokenHolding *,
                                      DS_HOLDINGS_MAX);
@@ -294,8 +293,8 @@
              Daisystep__Gossip__Datagram *datagram)
 {
   datagram->n_gifts = 0;
-  datagram->gifts = talloc_array (owner, Daisystep__Gossip__TokenGift *,
-                                  GIFTS_MAX);
+  datagram->gifts
+      = talloc_array (owner, Daisystep__Gossip__TokenGift *, GIFTS_MAX);
   for (size_t i = 0; i < member->gift_count && datagram->gifts != NULL; i++)
     {
       Daisystep__Gossip__TokenGift *gift
@@ -478,8 +477,8 @@
   uint64_t now_ms = ds_clock_ms ();
 
   if (ds_str_equal (host, view->self.host) || host.length == 0
-      || ds_socket_address_parse (
-             &address, ds_str_from_c (datagram->gossip_address))
+      || ds_socket_address_parse (&address,
+                                  ds_str_from_c (datagram->gossip_address))
              != 0)
     return;
   member = find (view, host);
@@ -588,8 +587,8 @@
       return ds_error_set (error, DS_EIO, "open gossip", "", "%s",
                            strerror (failure));
     }
-  view->watch = tevent_add_fd (ev, view, view->fd, TEVENT_FD_READ, on_readable,
-                               view);
+  view->watch
+      = tevent_add_fd (ev, view, view->fd, TEVENT_FD_READ, on_readable, view);
   *out = view;
   return 0;
 }
@@ -684,8 +683,7 @@
   fill_reads (view, scratch, &datagram);
   for (size_t i = 0; i < targets; i++)
     {
-      struct member *member
-          = view->members[view->next_target++ % view->count];
+      struct member *member = view->members[view->next_target++ % view->count];
 
       send_member (view, member, &datagram, scratch);
     }
@@ -735,14 +733,12 @@
 ds_fleet_view_held (const struct ds_fleet_view *view, struct ds_str tenant)
 {
   uint64_t now_ms = ds_clock_ms ();
-  struct ds_token_holding sum
-      = { .tenant = ds_fleet_tenant_hash (tenant) };
+  struct ds_token_holding sum = { .tenant = ds_fleet_tenant_hash (tenant) };
 
   for (size_t i = 0; i < view->count; i++)
     if (ds_fleet_member_is_alive (&view->members[i]->open, now_ms))
       {
-        struct ds_token_holding one
-            = held_by (view->members[i], sum.tenant);
+        struct ds_token_holding one = held_by (view->members[i], sum.tenant);
 
         sum.tokens += one.tokens;
         sum.demand += one.demand;
@@ -781,8 +777,7 @@
 
       if (own == 0 || !ds_fleet_member_is_alive (&member->open, now_ms))
         continue;
-      ask.tokens
-          = (uint64_t)((double)tokens * (double)own / (double)held) + 1;
+      ask.tokens = (uint64_t)((double)tokens * (double)own / (double)held) + 1;
       send_member (view, member, &datagram, scratch);
     }
   talloc_free (scratch);
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -73,17 +73,15 @@
 void ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str tenant,
                         uint64_t tokens);
 void ds_fleet_view_note_read (struct ds_fleet_view *view,
-                              const struct ds_replica *replica,
-                              uint64_t part);
+                              const struct ds_replica *replica, uint64_t part);
 uint64_t ds_fleet_tenant_hash (struct ds_str tenant);
-struct ds_token_holding
-ds_fleet_view_held (const struct ds_fleet_view *view, struct ds_str tenant);
+struct ds_token_holding ds_fleet_view_held (const struct ds_fleet_view *view,
+                                            struct ds_str tenant);
 size_t ds_fleet_view_count (const struct ds_fleet_view *view);
 const struct ds_fleet_member *
 ds_fleet_view_at (const struct ds_fleet_view *view, size_t index);
 bool ds_fleet_member_is_alive (const struct ds_fleet_member *member,
                                uint64_t now_ms);
-size_t ds_fleet_view_alive (const struct ds_fleet_view *view,
-                            uint64_t now_ms);
+size_t ds_fleet_view_alive (const struct ds_fleet_view *view, uint64_t now_ms);
 
 #endif
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -73,8 +73,8 @@
 {
   uint32_t pause;
 
-  follower->retry_ms = follower->retry_ms == 0 ? RETRY_MIN_MS
-                                               : 2 * follower->retry_ms;
+  follower->retry_ms
+      = follower->retry_ms == 0 ? RETRY_MIN_MS : 2 * follower->retry_ms;
   if (follower->retry_ms > RETRY_MAX_MS)
     follower->retry_ms = RETRY_MAX_MS;
   /* Spread, so that the fleet does not come back at one moment.  */
--- a/src/entry/replica_pool.h
+++ b/src/entry/replica_pool.h
@@ -9,8 +9,7 @@
 
 int ds_replica_pool_new (struct ds_replica_pool **out, TALLOC_CTX *owner,
                          struct tevent_context *ev);
-int ds_replica_pool_take (struct ds_pooled **out,
-                          struct ds_replica_pool *pool,
+int ds_replica_pool_take (struct ds_pooled **out, struct ds_replica_pool *pool,
                           struct ds_replica *replica, uint64_t now_ms,
                           bool fresh);
 void ds_replica_pool_put (struct ds_pooled *pooled, uint64_t now_ms,
--- a/src/entry/store_link.c
+++ b/src/entry/store_link.c
@@ -2,8 +2,9 @@
 #include "daisystep/metrics.h"
 #include "io/http_connection.h"
 
-/* The store accepts a connection within milliseconds.  A lost opening packet is
-   sent again by a new attempt sooner than by the system, after one second.  */
+/* The store accepts a connection within milliseconds.  A lost opening packet
+   is sent again by a new attempt sooner than by the system, after one second.
+ */
 #define CONNECT_MS 400
 /* The store's machine leaves bytes unacknowledged for so long only when the
    path is cut.  */
@@ -294,8 +295,8 @@
   pending->link = link;
   pending->on_done = on_done;
   pending->user_data = user_data;
-  status = ds_store_call_encode (&head, &body, pending, call,
-                                 link->address_text);
+  status
+      = ds_store_call_encode (&head, &body, pending, call, link->address_text);
   if (status == 0)
     status = take_channel (&pending->channel, link);
   if (status != 0)
--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -161,7 +161,8 @@
                          const struct ds_tcp_options *options,
                          const struct ds_socket_address *address)
 {
-  struct ds_http_connection *c = talloc_zero (owner, struct ds_http_connection);
+  struct ds_http_connection *c
+      = talloc_zero (owner, struct ds_http_connection);
   struct ds_tcp_handlers tcp_handlers = {
     .on_bytes = on_bytes,
     .on_end = on_tcp_end,
--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -58,9 +58,9 @@
 {
   if (reader->text.end + length > reader->head_limit)
     return fail (reader, DS_HTTP_FAULT_HEAD_TOO_LARGE);
-  return ds_byte_buffer_append (reader, &reader->text,
-                                (struct ds_str){ .data = at,
-                                                 .length = length })
+  return ds_byte_buffer_append (
+             reader, &reader->text,
+             (struct ds_str){ .data = at, .length = length })
                  == 0
              ? 0
              : fail (reader, DS_HTTP_FAULT_MALFORMED);
@@ -453,11 +453,16 @@
 ds_http_line_is_hop_by_hop (const struct ds_http_head *head,
                             const struct ds_http_line *line)
 {
-  static const char *const names[]
-      = { "Connection",         "Keep-Alive", "Proxy-Connection",
-          "Proxy-Authenticate", "TE",         "Trailer",
-          "Transfer-Encoding",  "Upgrade",    "Content-Length",
-          "Expect" };
+  static const char *const names[] = { "Connection",
+                                       "Keep-Alive",
+                                       "Proxy-Connection",
+                                       "Proxy-Authenticate",
+                                       "TE",
+                                       "Trailer",
+                                       "Transfer-Encoding",
+                                       "Upgrade",
+                                       "Content-Length",
+                                       "Expect" };
 
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
     if (ds_http_line_is (line, names[i]))
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -271,8 +271,7 @@
 
   if (fd < 0)
     return DS_EIO;
-  if (connect (fd, (const struct sockaddr *)&address->storage,
-               address->length)
+  if (connect (fd, (const struct sockaddr *)&address->storage, address->length)
           != 0
       && errno != EINPROGRESS)
     {
@@ -400,8 +399,8 @@
   (void)flags;
   for (int i = 0; i < ACCEPTS_A_TURN; i++)
     {
-      int fd = accept4 (listener->fd, NULL, NULL,
-                        SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int fd
+          = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
       if (fd < 0)
         return;
@@ -447,8 +446,7 @@
                          SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   (void)setsockopt (listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (listener->fd < 0
-      || bind (listener->fd, (struct sockaddr *)&parsed.storage,
-               parsed.length)
+      || bind (listener->fd, (struct sockaddr *)&parsed.storage, parsed.length)
              != 0
       || listen (listener->fd, BACKLOG) != 0)
     {
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -30,10 +30,11 @@
 };
 
 /* CONNECT_MS ends an attempt to connect that has no answer for so long, 0 for
-   the system's default, which is minutes.  UNACKED_MS ends a connection whose bytes the peer's machine has not
-   acknowledged for so long, 0 for the system's default.  KEEPALIVE_S is the
-   idle time after which the peer's machine is probed, and the distance of two
-   further probes; 0 for no probes.  */
+   the system's default, which is minutes.  UNACKED_MS ends a connection whose
+   bytes the peer's machine has not acknowledged for so long, 0 for the
+   system's default.  KEEPALIVE_S is the idle time after which the peer's
+   machine is probed, and the distance of two further probes; 0 for no probes.
+ */
 struct ds_tcp_options
 {
   struct tevent_context *ev;
--- a/src/program/cmd_entry.c
+++ b/src/program/cmd_entry.c
@@ -35,8 +35,8 @@
     .purpose = "Runs an entry host on the users' platform until SIGTERM. "
                "SIGHUP reads the settings again.",
   };
-  struct arg_str *path = arg_str0 (NULL, "config", "FILE",
-                                   "settings file, default $DAISYSTEP_SETTINGS");
+  struct arg_str *path = arg_str0 (
+      NULL, "config", "FILE", "settings file, default $DAISYSTEP_SETTINGS");
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
   struct arg_end *end = arg_end (8);
   void *table[] = { path, help, end };
--- /dev/null
+++ b/tests/standins/platform_replica.c
@@ -0,0 +1,228 @@
+#include "common_server.h"
+
+#include <argtable2.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Stands in for a replica of the platform.  It answers with its MAC, or as
+   POST /standin/faults says: "shed" and "fail" count requests that it rejects
+   or fails, "drop" those whose answer is lost after the run, "cut_after" is
+   the number of events after which a stream breaks off once.  GET
+   /standin/runs tells what has run.  */
+
+#define EVENTS 6
+#define EVENT_BYTES 64
+
+struct replica
+{
+  pthread_mutex_t lock;
+  json_t *runs; /* of {"id", "tenant", "deadline", "last"} */
+  const char *id;
+  json_int_t shed;
+  json_int_t fail;
+  json_int_t drop;
+  json_int_t cut_after;
+};
+
+struct stream
+{
+  char text[EVENTS * EVENT_BYTES];
+  size_t length;
+  bool cut;
+};
+
+static bool
+take (json_int_t *count)
+{
+  if (*count <= 0)
+    return false;
+  --*count;
+  return true;
+}
+
+static enum MHD_Result
+answer (struct standin_request *request, unsigned status, const char *text,
+        bool not_run, const char *id)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+  const char *request_id = standin_request_header (request, "Request-Id");
+  enum MHD_Result result;
+
+  if (request_id != NULL)
+    (void)MHD_add_response_header (response, "Request-Id", request_id);
+  if (not_run)
+    (void)MHD_add_response_header (response, "Not-Executed", "1");
+  else
+    (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  (void)MHD_add_response_header (response, "Instance-Id", id);
+  result = MHD_queue_response (request->connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static ssize_t
+read_stream (void *state, uint64_t position, char *buffer, size_t size)
+{
+  const struct stream *stream = state;
+  size_t left = stream->length - (size_t)position;
+
+  if (left == 0)
+    return stream->cut ? MHD_CONTENT_READER_END_WITH_ERROR
+                       : MHD_CONTENT_READER_END_OF_STREAM;
+  if (left > size)
+    left = size;
+  memcpy (buffer, stream->text + position, left);
+  return (ssize_t)left;
+}
+
+static enum MHD_Result
+answer_stream (struct replica *replica, struct standin_request *request)
+{
+  const char *last = standin_request_header (request, "Last-Event-Id");
+  int first = last != NULL ? atoi (last) + 1 : 1;
+  struct stream *stream = calloc (1, sizeof *stream);
+  struct MHD_Response *response;
+  enum MHD_Result result;
+  json_int_t cut_after;
+
+  pthread_mutex_lock (&replica->lock);
+  cut_after = replica->cut_after;
+  replica->cut_after = 0;
+  pthread_mutex_unlock (&replica->lock);
+  for (int i = first; i <= EVENTS; i++)
+    {
+      if (cut_after > 0 && i > cut_after)
+        {
+          /* It breaks off within an event.  */
+          stream->length += (size_t)snprintf (stream->text + stream->length,
+                                              EVENT_BYTES, "id: %d\nda", i);
+          stream->cut = true;
+          break;
+        }
+      stream->length
+          += (size_t)snprintf (stream->text + stream->length, EVENT_BYTES,
+                               "id: %d\ndata: piece %d\n\n", i, i);
+    }
+  response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 512,
+                                                read_stream, stream, free);
+  (void)MHD_add_response_header (response, "Content-Type",
+                                 "text/event-stream");
+  (void)MHD_add_response_header (
+      response, "Request-Id", standin_request_header (request, "Request-Id"));
+  (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static const char *
+or_empty (const char *text)
+{
+  return text != NULL ? text : "";
+}
+
+static enum MHD_Result
+serve (struct replica *replica, struct standin_request *request)
+{
+  const char *expected = standin_request_header (request, "Expect-Instance");
+  bool shed;
+  bool fail;
+  bool drop;
+  char text[128];
+
+  if (expected != NULL && strcmp (expected, replica->id) != 0)
+    return answer (request, 421, "", true, replica->id);
+  pthread_mutex_lock (&replica->lock);
+  shed = take (&replica->shed);
+  fail = !shed && take (&replica->fail);
+  drop = !shed && !fail && take (&replica->drop);
+  if (!shed)
+    json_array_append_new (
+        replica->runs,
+        json_pack (
+            "{s:s,s:s,s:s,s:s,s:s}", "id",
+            or_empty (standin_request_header (request, "Request-Id")),
+            "tenant", or_empty (standin_request_header (request, "Tenant")),
+            "deadline",
+            or_empty (standin_request_header (request, "Deadline-Ms")), "key",
+            or_empty (standin_request_header (request, "Authorization")),
+            "last",
+            or_empty (standin_request_header (request, "Last-Event-Id"))));
+  pthread_mutex_unlock (&replica->lock);
+  if (shed)
+    return answer (request, 503, "", true, replica->id);
+  if (fail)
+    return answer (request, 500, "failed", false, replica->id);
+  if (drop)
+    return standin_drop (request);
+  if (strstr (request->path, "/stream/") != NULL)
+    return answer_stream (replica, request);
+  (void)snprintf (text, sizeof text, "%s:%.*s", replica->id,
+                  (int)request->body_length, request->body);
+  return answer (request, 200, text, false, replica->id);
+}
+
+static enum MHD_Result
+set_faults (struct replica *replica, struct standin_request *request)
+{
+  json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
+
+  pthread_mutex_lock (&replica->lock);
+  replica->shed = json_integer_value (json_object_get (body, "shed"));
+  replica->fail = json_integer_value (json_object_get (body, "fail"));
+  replica->drop = json_integer_value (json_object_get (body, "drop"));
+  replica->cut_after
+      = json_integer_value (json_object_get (body, "cut_after"));
+  pthread_mutex_unlock (&replica->lock);
+  json_decref (body);
+  return standin_answer_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
+static enum MHD_Result
+handle (void *state, struct standin_request *request)
+{
+  struct replica *replica = state;
+  json_t *runs;
+
+  if (standin_request_is (request, "POST", "/standin/faults"))
+    return set_faults (replica, request);
+  if (standin_request_is (request, "GET", "/standin/runs"))
+    {
+      pthread_mutex_lock (&replica->lock);
+      runs = json_deep_copy (replica->runs);
+      pthread_mutex_unlock (&replica->lock);
+      return standin_answer_json (request, MHD_HTTP_OK, NULL, runs);
+    }
+  return serve (replica, request);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct replica replica = { .runs = json_array () };
+  struct standin_arguments arguments;
+  struct arg_str *id = arg_str1 (NULL, "id", "ID", "id of the replica");
+  int status = EXIT_FAILURE;
+
+  pthread_mutex_init (&replica.lock, NULL);
+  standin_arguments_init (&arguments);
+  void *table[] = { arguments.help,
+                    arguments.address,
+                    arguments.ready_file,
+                    arguments.stop_after_ms,
+                    id,
+                    arg_end (8) };
+  if (standin_arguments_parse (&arguments, table, argc, argv) == 0)
+    {
+      replica.id = id->sval[0];
+      status = standin_run (&arguments, handle, &replica);
+    }
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  json_decref (replica.runs);
+  pthread_mutex_destroy (&replica.lock);
+  return status;
+}
--- /dev/null
+++ b/tests/standins/platform_store.c
@@ -0,0 +1,325 @@
+#include "common_server.h"
+
+#include <argtable2.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Stands in for the platform's store: objects by kind and name, one revision
+   counter, lists, watches and conditional writes, in the platform's form.
+   POST /standin/faults takes "busy" (answers 503), "silent" (no answer),
+   "lose_answers"
+   (that many writes of the ledger are done and not answered) and "compact"
+   (the history is gone).  */
+
+#define OBJECTS_PREFIX "/daisystep/objects/"
+#define WATCH_LOOK_MS 10
+
+struct store
+{
+  pthread_mutex_t lock;
+  json_t *objects; /* KIND/NAME to object */
+  json_t *events;  /* of the history, oldest first */
+  json_int_t revision;
+  json_int_t history_start;
+  bool busy;
+  bool silent;
+  json_int_t lose_answers;
+};
+
+static void
+add_event (struct store *store, json_t *object, bool tombstone)
+{
+  json_array_append_new (
+      store->events,
+      json_pack ("{s:b,s:O}", "tombstone", tombstone, "object", object));
+}
+
+static json_t *
+put_object (struct store *store, const char *key, const char *name,
+            json_t *spec)
+{
+  json_t *object;
+
+  store->revision++;
+  object = json_pack ("{s:{s:s,s:I,s:[],s:b},s:O,s:n}", "metadata", "name",
+                      name, "revision", store->revision, "finalizers",
+                      "deleting", 0, "spec", spec, "status");
+  json_object_set_new (object, "kind_for_events",
+                       json_stringn (key, (size_t)(strchr (key, '/') - key)));
+  json_object_set (store->objects, key, object);
+  add_event (store, object, false);
+  return json_incref (object);
+}
+
+static bool
+is_of_kind (json_t *object, const char *kind)
+{
+  return strcmp (
+             json_string_value (json_object_get (object, "kind_for_events")),
+             kind)
+         == 0;
+}
+
+static enum MHD_Result
+list (struct store *store, struct standin_request *request, const char *kind)
+{
+  json_t *items = json_array ();
+  const char *key;
+  json_t *object;
+  json_int_t revision;
+
+  pthread_mutex_lock (&store->lock);
+  json_object_foreach (store->objects, key, object)
+  {
+    if (is_of_kind (object, kind))
+      json_array_append (items, object);
+  }
+  revision = store->revision;
+  pthread_mutex_unlock (&store->lock);
+  return standin_answer_json (request, MHD_HTTP_OK, NULL,
+                              json_pack ("{s:o,s:b,s:I}", "items", items,
+                                         "has_more", 0, "current_rev",
+                                         revision));
+}
+
+/* The events of KIND after SINCE, or null when that history is gone.  */
+static json_t *
+events_since (struct store *store, const char *kind, json_int_t since)
+{
+  json_t *events = json_array ();
+  size_t i;
+  json_t *event;
+
+  if (since < store->history_start)
+    {
+      json_decref (events);
+      return NULL;
+    }
+  json_array_foreach (store->events, i, event)
+  {
+    json_t *object = json_object_get (event, "object");
+
+    if (json_integer_value (
+            json_object_get (json_object_get (object, "metadata"), "revision"))
+            > since
+        && is_of_kind (object, kind))
+      json_array_append (events, event);
+  }
+  return events;
+}
+
+static enum MHD_Result
+watch (struct store *store, struct standin_request *request, const char *kind)
+{
+  json_int_t since
+      = (json_int_t)standin_request_query_u64 (request, "watch", 0);
+  uint64_t until
+      = standin_now_ms () + standin_request_query_u64 (request, "wait_ms", 0);
+  json_t *events;
+  json_int_t revision;
+
+  for (;;)
+    {
+      pthread_mutex_lock (&store->lock);
+      events = events_since (store, kind, since);
+      revision = store->revision;
+      pthread_mutex_unlock (&store->lock);
+      if (events == NULL)
+        return standin_answer_error (request, MHD_HTTP_GONE, "history gone");
+      if (json_array_size (events) > 0 || standin_now_ms () >= until)
+        return standin_answer_json (request, MHD_HTTP_OK, NULL,
+                                    json_pack ("{s:o,s:I}", "events", events,
+                                               "current_rev", revision));
+      json_decref (events);
+      if (!standin_request_wait (request, WATCH_LOOK_MS))
+        return standin_drop (request);
+    }
+}
+
+static json_int_t
+revision_of (json_t *object)
+{
+  return json_integer_value (
+      json_object_get (json_object_get (object, "metadata"), "revision"));
+}
+
+/* Creates or replaces an object, or refuses with the one that is there.  */
+static enum MHD_Result
+write_object (struct store *store, struct standin_request *request,
+              const char *kind, const char *path_name)
+{
+  json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
+  json_t *metadata = json_object_get (body, "metadata");
+  const char *name
+      = path_name != NULL
+            ? path_name
+            : json_string_value (json_object_get (metadata, "name"));
+  json_t *wanted = json_object_get (metadata, "revision");
+  char key[256];
+  json_t *present;
+  json_t *answer;
+  unsigned status = MHD_HTTP_OK;
+  bool lose = false;
+
+  if (name == NULL)
+    {
+      json_decref (body);
+      return standin_answer_error (request, MHD_HTTP_BAD_REQUEST, "no name");
+    }
+  (void)snprintf (key, sizeof key, "%s/%s", kind, name);
+  pthread_mutex_lock (&store->lock);
+  present = json_object_get (store->objects, key);
+  if (present != NULL
+      && (path_name == NULL
+          || (wanted != NULL
+              && json_integer_value (wanted) != revision_of (present))))
+    {
+      status = MHD_HTTP_CONFLICT;
+      answer = json_incref (present);
+    }
+  else if (path_name != NULL && present == NULL)
+    {
+      status = MHD_HTTP_NOT_FOUND;
+      answer = json_object ();
+    }
+  else
+    {
+      answer = put_object (store, key, name, json_object_get (body, "spec"));
+      lose = store->lose_answers > 0 && strstr (kind, "ledger") != NULL;
+      if (lose)
+        store->lose_answers--;
+    }
+  pthread_mutex_unlock (&store->lock);
+  json_decref (body);
+  if (lose)
+    {
+      json_decref (answer);
+      return standin_drop (request);
+    }
+  return standin_answer_json (request, status, NULL, answer);
+}
+
+static enum MHD_Result
+read_object (struct store *store, struct standin_request *request,
+             const char *kind, const char *name)
+{
+  char key[256];
+  json_t *object;
+
+  (void)snprintf (key, sizeof key, "%s/%s", kind, name);
+  pthread_mutex_lock (&store->lock);
+  object = json_incref (json_object_get (store->objects, key));
+  pthread_mutex_unlock (&store->lock);
+  if (object == NULL)
+    return standin_answer_error (request, MHD_HTTP_NOT_FOUND, "no object");
+  return standin_answer_json (request, MHD_HTTP_OK, NULL, object);
+}
+
+static enum MHD_Result
+delete_object (struct store *store, struct standin_request *request,
+               const char *kind, const char *name)
+{
+  char key[256];
+  json_t *object;
+
+  (void)snprintf (key, sizeof key, "%s/%s", kind, name);
+  pthread_mutex_lock (&store->lock);
+  object = json_deep_copy (json_object_get (store->objects, key));
+  if (object != NULL)
+    {
+      store->revision++;
+      json_object_set_new (json_object_get (object, "metadata"), "revision",
+                           json_integer (store->revision));
+      add_event (store, object, true);
+      json_object_del (store->objects, key);
+      json_decref (object);
+    }
+  pthread_mutex_unlock (&store->lock);
+  return standin_answer_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
+static enum MHD_Result
+set_faults (struct store *store, struct standin_request *request)
+{
+  json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
+
+  pthread_mutex_lock (&store->lock);
+  store->busy = json_is_true (json_object_get (body, "busy"));
+  store->silent = json_is_true (json_object_get (body, "silent"));
+  store->lose_answers
+      = json_integer_value (json_object_get (body, "lose_answers"));
+  if (json_is_true (json_object_get (body, "compact")))
+    {
+      store->revision++;
+      store->history_start = store->revision;
+      json_array_clear (store->events);
+    }
+  pthread_mutex_unlock (&store->lock);
+  json_decref (body);
+  return standin_answer_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
+static enum MHD_Result
+handle (void *state, struct standin_request *request)
+{
+  struct store *store = state;
+  char kind[64];
+  char *slash;
+  bool busy;
+  bool silent;
+
+  if (standin_request_is (request, "POST", "/standin/faults"))
+    return set_faults (store, request);
+  if (strncmp (request->path, OBJECTS_PREFIX, strlen (OBJECTS_PREFIX)) != 0)
+    return standin_answer_error (request, MHD_HTTP_NOT_FOUND, "no such path");
+  pthread_mutex_lock (&store->lock);
+  busy = store->busy;
+  silent = store->silent;
+  pthread_mutex_unlock (&store->lock);
+  if (silent)
+    {
+      (void)standin_request_wait (request, 60000);
+      return standin_drop (request);
+    }
+  if (busy)
+    return standin_answer_error (request, MHD_HTTP_SERVICE_UNAVAILABLE,
+                                 "busy");
+  (void)snprintf (kind, sizeof kind, "%s",
+                  request->path + strlen (OBJECTS_PREFIX));
+  slash = strchr (kind, '/');
+  if (slash != NULL)
+    *slash++ = '\0';
+  if (strcmp (request->method, "POST") == 0
+      || strcmp (request->method, "PUT") == 0)
+    return write_object (store, request, kind, slash);
+  if (strcmp (request->method, "DELETE") == 0)
+    return delete_object (store, request, kind, slash);
+  if (slash != NULL)
+    return read_object (store, request, kind, slash);
+  if (standin_request_query (request, "watch") != NULL)
+    return watch (store, request, kind);
+  return list (store, request, kind);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct store store
+      = { .objects = json_object (), .events = json_array (), .revision = 1 };
+  struct standin_arguments arguments;
+  int status = EXIT_FAILURE;
+
+  pthread_mutex_init (&store.lock, NULL);
+  standin_arguments_init (&arguments);
+  void *table[] = { arguments.help, arguments.address, arguments.ready_file,
+                    arguments.stop_after_ms, arg_end (8) };
+  if (standin_arguments_parse (&arguments, table, argc, argv) == 0)
+    status = standin_run (&arguments, handle, &store);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  json_decref (store.objects);
+  json_decref (store.events);
+  pthread_mutex_destroy (&store.lock);
+  return status;
+}
--- a/tests/test_allotment.c
+++ b/tests/test_allotment.c
@@ -157,9 +157,9 @@
       = ds_allotment_give (&from->allotment, 1 + (uint64_t)rand () % 9000, 0);
 
   if (tokens > 0)
-    ck_assert_int_eq (ds_allotment_borrow (owner, &to->allotment,
-                                           name_of (from), tokens),
-                      0);
+    ck_assert_int_eq (
+        ds_allotment_borrow (owner, &to->allotment, name_of (from), tokens),
+        0);
 }
 
 static void
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,574 @@
+#include "support/http.h"
+#include "support/process.h"
+
+#include "daisystep/error.h"
+
+#include <check.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define HOSTS 2
+#define REPLICAS 2
+/* A state that should come is waited for so long; the bound only ends a run
+   that hangs.  */
+#define PATIENCE_MS 20000
+#define POLL_MS 20
+#define OBJECTS "/daisystep/objects/"
+
+/* Entry hosts before stand-ins of the platform.  */
+static struct test_process *store;
+static struct test_process *replicas[REPLICAS];
+static struct test_process *hosts[HOSTS];
+static char callers[HOSTS][32];
+static char ready[HOSTS][32];
+static char directory[HOSTS][32];
+static int version;
+
+static void
+ip_of (char *out, int number, int port)
+{
+  int pid = (int)getpid ();
+
+  (void)sprintf (out, "127.3.%d.%d:%d", pid % 250 + 1,
+                 pid / 250 % 24 * 10 + number, port);
+}
+
+static void
+pause_ms (long ms)
+{
+  struct timespec time
+      = { .tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000L };
+
+  (void)nanosleep (&time, NULL);
+}
+
+static long
+put (const char *method, const char *path, json_t *spec, const char *name)
+{
+  json_t *object
+      = json_pack ("{s:{s:s},s:o}", "metadata", "name", name, "spec", spec);
+  char *text = json_dumps (object, JSON_COMPACT);
+  struct test_http_call call = {
+    .method = method, .address = store->address, .path = path, .body = text
+  };
+  struct test_http_reply *reply = test_http (&call);
+
+  json_decref (object);
+  free (text);
+  return reply->status;
+}
+
+/* Writes the configuration with PREPAID tokens for the tenant.  */
+static void
+put_config (long prepaid)
+{
+  json_t *spec = json_pack (
+      "{s:i,"
+      "s:[{s:s,s:s,s:s,s:s,s:i,s:i,s:s},{s:s,s:s,s:s,s:s,s:i,s:i,s:s},"
+      "{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:b,s:b}],"
+      "s:[{s:s,s:s,s:{s:i,s:i}}],"
+      "s:{s:i,s:i,s:i,s:i},"
+      "s:[{s:s,s:[s],s:I}]}",
+      "version", ++version, "routes", "name", "look", "host", "d.example",
+      "path_prefix", "/look/", "kind", "idempotent", "timeout_ms", 4000,
+      "max_attempts", 2, "service", "pool", "name", "book", "host",
+      "d.example", "path_prefix", "/book/", "kind", "non_idempotent",
+      "timeout_ms", 4000, "max_attempts", 1, "service", "pool", "name",
+      "stream", "host", "d.example", "path_prefix", "/stream/", "kind",
+      "streaming", "timeout_ms", 8000, "max_attempts", 2, "service", "pool",
+      "resumable", 1, "sticky", 1, "services", "name", "pool", "health_path",
+      "/health", "engine", "slots", 8, "stride", 4, "limits",
+      "max_header_bytes", 4000, "max_body_bytes", 20000, "header_timeout_ms",
+      3000, "idle_timeout_ms", 15000, "tenants", "name", "north", "api_keys",
+      "key-1", "prepaid", (json_int_t)prepaid);
+
+  ck_assert_ptr_nonnull (spec);
+  ck_assert_int_eq (
+      put (version == 1 ? "POST" : "PUT",
+           version == 1 ? OBJECTS "config" : OBJECTS "config/main", spec,
+           "main"),
+      200);
+}
+
+static void
+put_replica (int i, const char *state)
+{
+  char id[16];
+  char path[64];
+  json_t *spec
+      = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:I}", "service", "pool", "address",
+                   replicas[i]->address, "zone", "z", "state", state, "slots",
+                   8, "born", (json_int_t)1000 + i);
+  bool exists = strcmp (state, "ready") != 0;
+
+  (void)sprintf (id, "i-%d", i);
+  (void)sprintf (path, exists ? OBJECTS "servers/%s" : OBJECTS "servers", id);
+  ck_assert_int_eq (put (exists ? "PUT" : "POST", path, spec, id), 200);
+}
+
+static void
+start_host (int i)
+{
+  char name[16];
+  char gossip[32];
+  char metrics[32];
+  char text[2048];
+  char *file;
+  const char *arguments[] = { "entry", "--config", NULL, NULL };
+
+  (void)sprintf (name, "host-%d", i);
+  ip_of (callers[i], i, 8080);
+  ip_of (ready[i], i, 8081);
+  ip_of (directory[i], i, 8082);
+  ip_of (gossip, i, 8083);
+  ip_of (metrics, i, 8084);
+  (void)snprintf (
+      text, sizeof text,
+      "{\"host\":\"%s\",\"zone\":\"z\",\"region\":\"r\","
+      "\"caller_address\":\"%s\",\"readiness_address\":\"%s\","
+      "\"directory_address\":\"%s\",\"gossip_address\":\"%s\","
+      "\"metrics_address\":\"%s\",\"store_address\":\"%s\",\"grace_s\":8,"
+      "\"address_ttl_s\":2,\"retry\":{\"ratio\":0.2,\"slack\":50,"
+      "\"window_s\":10},\"budget\":{\"settle_ms\":200,\"hold_ms\":13000,"
+      "\"part_percent\":35,\"start_percent\":20,\"minimum_tokens\":2000}}",
+      name, callers[i], ready[i], directory[i], gossip, metrics,
+      store->address);
+  file = test_file_write (name, text);
+  arguments[2] = file;
+  ck_assert_int_eq (test_process_start (&hosts[i], name,
+                                        DS_BUILD_DIR "/daisystep", arguments),
+                    0);
+}
+
+static void
+wait_ready (int i)
+{
+  for (int waited = 0; waited < PATIENCE_MS; waited += POLL_MS)
+    {
+      struct test_http_call call
+          = { .address = ready[i], .path = "/daisystep/readiness" };
+
+      if (test_http (&call)->status == 200)
+        return;
+      pause_ms (POLL_MS);
+    }
+  ck_abort_msg ("host %d is not ready", i);
+}
+
+static void
+set_up (void)
+{
+  char address[32];
+  char id[16];
+
+  version = 0;
+  ip_of (address, 9, 7000);
+  const char *store_arguments[] = { "--address", address, NULL };
+
+  ck_assert_int_eq (test_standin_start (&store, "store",
+                                        TEST_STANDIN ("platform_store"),
+                                        store_arguments),
+                    0);
+  for (int i = 0; i < REPLICAS; i++)
+    {
+      const char *arguments[] = { "--address", address, "--id", id, NULL };
+
+      ip_of (address, 5 + i, 7000);
+      (void)sprintf (id, "i-%d", i);
+      ck_assert_int_eq (test_standin_start (&replicas[i], id,
+                                            TEST_STANDIN ("platform_replica"),
+                                            arguments),
+                        0);
+      put_replica (i, "ready");
+    }
+  put_config (100000);
+  for (int i = 0; i < HOSTS; i++)
+    start_host (i);
+  for (int i = 0; i < HOSTS; i++)
+    wait_ready (i);
+}
+
+static void
+tear_down (void)
+{
+  test_processes_end ();
+}
+
+/* A request with ID; TOKENS is the value of its line, null for none.  */
+static struct test_http_reply *
+request (int host, const char *method, const char *path, const char *id,
+         const char *tokens)
+{
+  char id_line[64];
+  char token_line[64];
+  const char *headers[8] = { "Host: d.example", "Authorization: Bearer key-1",
+                             "Deadline-Ms: 6000", id_line };
+  struct test_http_call call = {
+    .method = method,
+    .address = callers[host],
+    .path = path,
+    .headers = headers,
+    .body = strcmp (method, "GET") == 0 ? NULL : "hello",
+  };
+
+  (void)snprintf (id_line, sizeof id_line, "Request-Id: %s", id);
+  if (tokens != NULL)
+    {
+      (void)snprintf (token_line, sizeof token_line, "Token-Count: %s",
+                      tokens);
+      headers[4] = token_line;
+    }
+  return test_http (&call);
+}
+
+static int
+runs_of (const char *id)
+{
+  int count = 0;
+
+  for (int i = 0; i < REPLICAS; i++)
+    {
+      json_t *runs = test_get_json (replicas[i]->address, "/standin/runs");
+      size_t k;
+      json_t *run;
+
+      json_array_foreach (runs, k, run)
+      {
+        if (strcmp (json_string_value (json_object_get (run, "id")), id) == 0)
+          {
+            count++;
+            ck_assert_str_eq (
+                json_string_value (json_object_get (run, "tenant")), "north");
+            ck_assert_str_eq (json_string_value (json_object_get (run, "key")),
+                              "");
+          }
+      }
+      json_decref (runs);
+    }
+  return count;
+}
+
+static void
+set_faults (const struct test_process *standin, const char *text)
+{
+  ck_assert_int_eq (test_post (standin->address, "/standin/faults", text),
+                    200);
+}
+
+static void
+fault_all (const char *text)
+{
+  for (int i = 0; i < REPLICAS; i++)
+    set_faults (replicas[i], text);
+}
+
+/* Guards against an answer without its MAC, a key that is passed on, and a
+   tenant that the caller chose.  */
+START_TEST (an_answer_is_passed_on_whole)
+{
+  struct test_http_reply *reply
+      = request (0, "POST", "/book/1", "id-book", NULL);
+
+  ck_assert_int_eq (reply->code, 0);
+  ck_assert_int_eq (reply->status, 200);
+  ck_assert_str_eq (test_http_header (reply, "Server-Seal"), "seal.1");
+  ck_assert_ptr_nonnull (strstr (reply->body.data, ":hello"));
+  ck_assert_int_eq (runs_of ("id-book"), 1);
+}
+END_TEST
+
+START_TEST (what_no_configuration_allows_is_refused)
+{
+  const char *headers[] = { "Host: d.example", "Authorization: Bearer other",
+                            "Request-Id: x", NULL };
+  struct test_http_call call
+      = { .address = callers[0], .path = "/look/1", .headers = headers };
+
+  ck_assert_int_eq (test_http (&call)->status, 401);
+  ck_assert_int_eq (request (0, "GET", "/none/1", "id-1", NULL)->status, 404);
+  headers[2] = NULL;
+  ck_assert_int_eq (test_http (&call)->status, 400);
+  ck_assert_int_eq (runs_of ("x"), 0);
+}
+END_TEST
+
+/* Guards against a second run of a booking whose answer was lost, and against
+   the promise that it has not run.  */
+START_TEST (a_booking_whose_answer_is_lost_runs_once)
+{
+  struct test_http_reply *reply;
+
+  fault_all ("{\"drop\":1}");
+  reply = request (0, "POST", "/book/1", "id-lost", NULL);
+  ck_assert_int_eq (reply->status, 502);
+  ck_assert_int_eq (runs_of ("id-lost"), 1);
+}
+END_TEST
+
+/* Guards against giving up what may be repeated.  */
+START_TEST (a_lookup_whose_answer_is_lost_is_repeated)
+{
+  struct test_http_reply *reply;
+
+  fault_all ("{\"drop\":1}");
+  reply = request (0, "GET", "/look/1", "id-look", NULL);
+  /* Both replicas drop one answer: two attempts are allowed and both ran.  */
+  ck_assert_int_eq (runs_of ("id-look"), 2);
+  ck_assert_int_eq (reply->status, 502);
+  ck_assert_int_eq (request (0, "GET", "/look/1", "id-2", NULL)->status, 200);
+}
+END_TEST
+
+/* Guards against a promise that is not kept, and against refusing what another
+   replica could still run.  */
+START_TEST (a_rejected_booking_goes_elsewhere_or_did_not_run)
+{
+  set_faults (replicas[0], "{\"shed\":1}");
+  set_faults (replicas[1], "{\"shed\":0}");
+  ck_assert_int_eq (request (0, "POST", "/book/1", "id-a", NULL)->status, 200);
+  ck_assert_int_eq (runs_of ("id-a"), 1);
+  fault_all ("{\"shed\":5}");
+  ck_assert_int_eq (request (0, "POST", "/book/1", "id-b", NULL)->status, 503);
+  ck_assert_int_eq (runs_of ("id-b"), 0);
+}
+END_TEST
+
+/* Guards against a stream with a hole, a piece twice, or a torn event when its
+   replica breaks off within an event.  */
+START_TEST (a_broken_stream_goes_on_elsewhere)
+{
+  struct test_http_reply *reply;
+
+  fault_all ("{\"cut_after\":3}");
+  reply = request (0, "POST", "/stream/1", "id-s", "100,24");
+  if (reply->code != 0)
+    {
+      /* Both replicas cut once: the next request finds them whole.  */
+      reply = request (0, "POST", "/stream/1", "id-t", "100,24");
+    }
+  ck_assert_int_eq (reply->code, 0);
+  ck_assert_str_eq (reply->body.data,
+                    "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+                    "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+                    "id: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n");
+}
+END_TEST
+
+START_TEST (a_stream_cut_at_one_replica_is_resumed_at_the_other)
+{
+  struct test_http_reply *reply;
+  int before = 0;
+
+  for (int i = 0; i < 4; i++)
+    {
+      char id[16];
+
+      (void)sprintf (id, "id-%d", i);
+      set_faults (replicas[0], "{\"cut_after\":2}");
+      reply = request (0, "POST", "/stream/1", id, "100,24");
+      ck_assert_int_eq (reply->code, 0);
+      ck_assert_ptr_nonnull (strstr (reply->body.data, "piece 6"));
+      before += runs_of (id);
+    }
+  ck_assert_int_ge (before, 4);
+}
+END_TEST
+
+/* Guards against work for a replica that has said it leaves.  */
+START_TEST (a_draining_replica_gets_no_new_work)
+{
+  put_replica (0, "draining");
+  pause_ms (500);
+  for (int i = 0; i < 6; i++)
+    {
+      char id[16];
+
+      (void)sprintf (id, "id-%d", i);
+      ck_assert_int_eq (
+          request (i % HOSTS, "GET", "/look/1", id, NULL)->status, 200);
+    }
+  json_t *runs = test_get_json (replicas[0]->address, "/standin/runs");
+
+  ck_assert_uint_eq (json_array_size (runs), 0);
+  json_decref (runs);
+}
+END_TEST
+
+static long
+settled (void)
+{
+  json_t *page
+      = test_get_json (store->address, OBJECTS "daisystep-ledger/page-0");
+  json_t *value = test_json_at (page, "spec/accounts/north/settled");
+  long tokens = (long)json_integer_value (value);
+
+  json_decref (page);
+  return tokens;
+}
+
+/* Guards against overspending at two hosts, against billing twice when the
+   ledger's answer is lost, and against a refusal after a top-up.  */
+START_TEST (a_budget_is_spent_once_at_all_hosts)
+{
+  int served = 0;
+  char id[16];
+
+  set_faults (store, "{\"lose_answers\":2}");
+  put_config (100200);
+  for (int i = 0; i < 40; i++)
+    {
+      struct test_http_reply *reply;
+
+      (void)sprintf (id, "id-%d", i);
+      reply = request (i % HOSTS, "POST", "/stream/1", id, "9976,24");
+      if (reply->status == 200)
+        served++;
+      else
+        ck_assert (reply->status == 402 || reply->status == 503);
+    }
+  /* Ten requests of 10,000 tokens fit.  */
+  ck_assert_int_le (served, 10);
+  ck_assert_int_ge (served, 8);
+  put_config (200000);
+  for (int waited = 0; waited < PATIENCE_MS; waited += 200)
+    {
+      (void)sprintf (id, "more-%d", waited);
+      if (request (0, "POST", "/stream/1", id, "9976,24")->status == 200)
+        break;
+      pause_ms (200);
+      ck_assert_int_lt (waited + 200, PATIENCE_MS);
+    }
+  served++;
+  for (int waited = 0; waited < PATIENCE_MS && settled () < 10000L * served;
+       waited += POLL_MS)
+    pause_ms (POLL_MS);
+  ck_assert_int_eq (settled (), 10000L * served);
+}
+END_TEST
+
+/* Guards against refusing everything while the store is away: hosts hold
+   tokens, replicas and the configuration.  */
+START_TEST (hosts_serve_while_the_store_is_away)
+{
+  ck_assert_int_eq (request (0, "POST", "/stream/1", "warm", "500,24")->status,
+                    200);
+  pause_ms (600);
+  set_faults (store, "{\"busy\":true}");
+  pause_ms (1500);
+  ck_assert_int_eq (request (0, "POST", "/book/1", "id-b", NULL)->status, 200);
+  ck_assert_int_eq (request (0, "POST", "/stream/1", "id-s", "500,24")->status,
+                    200);
+  set_faults (store, "{\"busy\":false,\"compact\":true}");
+  put_config (150000);
+  for (int waited = 0; waited < PATIENCE_MS; waited += POLL_MS)
+    {
+      json_t *page
+          = test_get_json (store->address, OBJECTS "daisystep-ledger/page-0");
+      bool known = json_integer_value (
+                       test_json_at (page, "spec/accounts/north/limit"))
+                   == 150000;
+
+      json_decref (page);
+      if (known)
+        return;
+      pause_ms (POLL_MS);
+    }
+  ck_abort_msg ("the configuration after the outage is not in force");
+}
+END_TEST
+
+/* Guards against handing out a host that stops, and against a stop that loses
+   what it holds of the budgets.  */
+START_TEST (a_stopping_host_leaves_the_address_answer)
+{
+  struct test_http_call call
+      = { .address = directory[1],
+          .path = "/daisystep/resolve?name=d.example&region=r&zone=z" };
+  json_t *page;
+
+  for (int waited = 0; waited < PATIENCE_MS; waited += POLL_MS)
+    {
+      if (strstr (test_http (&call)->body.data, callers[0]) != NULL)
+        break;
+      pause_ms (POLL_MS);
+    }
+  ck_assert_ptr_nonnull (strstr (test_http (&call)->body.data, callers[0]));
+  (void)test_process_signal (hosts[0], SIGTERM);
+  for (int waited = 0; waited < PATIENCE_MS; waited += POLL_MS)
+    {
+      if (strstr (test_http (&call)->body.data, callers[0]) == NULL)
+        break;
+      pause_ms (POLL_MS);
+    }
+  ck_assert_ptr_null (strstr (test_http (&call)->body.data, callers[0]));
+  ck_assert (test_process_wait (hosts[0], PATIENCE_MS));
+  page = test_get_json (store->address, OBJECTS "daisystep-ledger/page-0");
+  const char *writer;
+  json_t *tokens;
+
+  json_object_foreach (test_json_at (page, "spec/accounts/north/grants"),
+                       writer, tokens)
+  {
+    ck_assert_msg (strncmp (writer, "host-0#", 7) != 0,
+                   "%s still holds tokens", writer);
+  }
+  json_decref (page);
+}
+END_TEST
+
+/* Guards against a caller that gets another's status when the host knows no
+   configuration: 503 with a time to come back, never 404 or 401.  */
+START_TEST (a_host_without_configuration_says_so)
+{
+  struct test_http_reply *reply;
+
+  (void)test_process_signal (hosts[0], SIGKILL);
+  ck_assert (test_process_wait (hosts[0], PATIENCE_MS));
+  set_faults (store, "{\"busy\":true}");
+  start_host (0);
+  do
+    {
+      pause_ms (POLL_MS);
+      reply = request (0, "GET", "/look/1", "id-n", NULL);
+    }
+  while (reply->status == 0);
+  ck_assert_int_eq (reply->status, 503);
+  ck_assert_ptr_nonnull (test_http_header (reply, "Retry-After"));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("entry");
+  TCase *test_case = tcase_create ("entry");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_set_timeout (test_case, 120);
+  tcase_add_test (test_case, an_answer_is_passed_on_whole);
+  tcase_add_test (test_case, what_no_configuration_allows_is_refused);
+  tcase_add_test (test_case, a_booking_whose_answer_is_lost_runs_once);
+  tcase_add_test (test_case, a_lookup_whose_answer_is_lost_is_repeated);
+  tcase_add_test (test_case, a_rejected_booking_goes_elsewhere_or_did_not_run);
+  tcase_add_test (test_case, a_broken_stream_goes_on_elsewhere);
+  tcase_add_test (test_case,
+                  a_stream_cut_at_one_replica_is_resumed_at_the_other);
+  tcase_add_test (test_case, a_draining_replica_gets_no_new_work);
+  tcase_add_test (test_case, a_budget_is_spent_once_at_all_hosts);
+  tcase_add_test (test_case, hosts_serve_while_the_store_is_away);
+  tcase_add_test (test_case, a_stopping_host_leaves_the_address_answer);
+  tcase_add_test (test_case, a_host_without_configuration_says_so);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -55,9 +55,9 @@
       = { .on_head = on_head, .on_body = on_body, .on_end = on_end };
   struct ds_http_reader *reader;
 
-  ck_assert_int_eq (ds_http_reader_new (&reader, owner, of_requests, 2000,
-                                        5000, &handlers),
-                    0);
+  ck_assert_int_eq (
+      ds_http_reader_new (&reader, owner, of_requests, 2000, 5000, &handlers),
+      0);
   return reader;
 }
 
@@ -126,7 +126,8 @@
     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, gzip\r\n\r\n",
     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc",
     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc",
-    "GET /a HTTP/1.1\r\nHost: h\r\nX: a\x01" "b\r\n\r\n",
+    "GET /a HTTP/1.1\r\nHost: h\r\nX: a\x01"
+    "b\r\n\r\n",
     "GET /a HTTP/1.1\r\nHost: h\r\nUpgrade: other\r\nConnection: upgrade\r\n"
     "\r\n",
     "nonsense\r\n\r\n",
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -37,8 +37,7 @@
   for (int i = 0; i < 12; i++)
     {
       (void)snprintf (id, sizeof id, "m%d", i);
-      add_replica (id, "models", i % 3 == 0 ? "kelheim" : "riedenburg",
-                   false);
+      add_replica (id, "models", i % 3 == 0 ? "kelheim" : "riedenburg", false);
     }
   add_replica ("b1", "ledger", "kelheim", false);
   add_replica ("b2", "ledger", "riedenburg", false);
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -143,8 +143,8 @@
                                NULL);
 }
 
-/* Guards against a piece of an event that a replica did not finish, and against
-   an event that comes twice where the stream goes on elsewhere.  */
+/* Guards against a piece of an event that a replica did not finish, and
+   against an event that comes twice where the stream goes on elsewhere.  */
 START_TEST (a_stream_goes_on_between_events)
 {
   struct ds_event_stream stream = { .last_id = 0 };
@@ -153,8 +153,8 @@
   ck_assert_int_eq (feed (&stream, "id: 1\ndata: a\n\nid: 2\nda"), 0);
   ck_assert_str_eq (passed, "id: 1\ndata: a\n\n");
   ds_event_stream_drop_rest (&stream);
-  ck_assert_int_eq (feed (&stream, "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"),
-                    0);
+  ck_assert_int_eq (
+      feed (&stream, "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"), 0);
   ck_assert_str_eq (passed, "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
   ck_assert_uint_eq (stream.events, 2);
   ck_assert_uint_eq (stream.last_id, 2);
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -50,7 +50,7 @@
 }
 END_TEST
 
-/* Guards against an older entry, from a stale answer, bringing a life back.  */
+/* Guards against an older entry, from a stale answer, bringing a life back. */
 START_TEST (an_older_life_is_ignored)
 {
   put ("a", 11, "10.0.0.1:80");
@@ -73,8 +73,8 @@
   put ("b", 1, "10.0.0.2:80");
   ds_replica_set_sweep (set, 5000);
   ck_assert_uint_eq (ds_replica_set_count (set), 1);
-  ck_assert (ds_str_equal (ds_replica_set_at (set, 0)->record.id,
-                           DS_STR ("b")));
+  ck_assert (
+      ds_str_equal (ds_replica_set_at (set, 0)->record.id, DS_STR ("b")));
 }
 END_TEST
 
@@ -99,8 +99,8 @@
   ds_replica_set_end_list (set, 0);
   ck_assert_uint_eq (ds_replica_set_count (set), 2);
   for (size_t i = 0; i < 2; i++)
-    ck_assert (!ds_str_equal (ds_replica_set_at (set, i)->record.id,
-                              DS_STR ("a")));
+    ck_assert (
+        !ds_str_equal (ds_replica_set_at (set, i)->record.id, DS_STR ("a")));
 }
 END_TEST
 
--- a/tests/test_routing_config.c
+++ b/tests/test_routing_config.c
@@ -20,7 +20,8 @@
       "{\"name\":\"r3\",\"host\":\"ficu95.example\",\"path_prefix\":\"/u/\","
       "\"kind\":\"a-later-kind\",\"service\":\"s2\"}],"
       "\"services\":[{\"name\":\"s1\",\"health_path\":\"/health\","
-      "\"max_connections\":370,\"engine\":{\"slots\":64,\"kv_capacity\":421968,"
+      "\"max_connections\":370,\"engine\":{\"slots\":64,\"kv_capacity\":"
+      "421968,"
       "\"stride\":4}},{\"name\":\"s2\",\"health_path\":\"/h\"}],"
       "\"limits\":{\"max_header_bytes\":9000,\"max_body_bytes\":70000,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
@@ -67,14 +68,13 @@
       DS_STR ("r1")));
   ck_assert_ptr_null (
       ds_routing_config_route (config, host, DS_STR ("/ab/2f")));
-  ck_assert_ptr_null (
-      ds_routing_config_route (config, host, DS_STR ("/a")));
+  ck_assert_ptr_null (ds_routing_config_route (config, host, DS_STR ("/a")));
   ck_assert_ptr_null (ds_routing_config_route (
       config, DS_STR ("other.example"), DS_STR ("/a/2f")));
 }
 END_TEST
 
-/* Guards against repeating calls of a kind that this version does not know.  */
+/* Guards against repeating calls of a kind that this version does not know. */
 START_TEST (an_unknown_kind_runs_once)
 {
   struct ds_routing_config *config = load ();
