--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -589,20 +589,28 @@
     start_call (keeper, now_ms);
 }
 
+/* True if the ledger knows all and no update is under way that may draw.  */
+static bool
+is_settled (const struct ds_budget_keeper *keeper)
+{
+  return keeper->state == CALL_NONE && !keeper->unresolved
+         && !any_news (keeper);
+}
+
 /* Returns all that is free, and what running requests leave over as they
    end.  */
 void
 ds_budget_keeper_close (struct ds_budget_keeper *keeper)
 {
   keeper->closing = true;
-  keeper->closed = !any_news (keeper) && !keeper->unresolved;
+  keeper->closed = is_settled (keeper);
 }
 
 /* True once the ledger has all that this host can tell it.  */
 bool
 ds_budget_keeper_is_closed (const struct ds_budget_keeper *keeper)
 {
-  return keeper->closed && !any_news (keeper);
+  return keeper->closed && is_settled (keeper);
 }
 
 /* Another host asks for TOKENS.  */
