Run all timeouts of the entry host on the steady clock

Cause: timers of tevent run on the time of day; a step back holds up timeouts, gossip and the ledger for as long (listed as not proved so far).

--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -1,5 +1,6 @@
 #include "entry/caller.h"
 #include "io/tcp.h"
+#include "io/timer.h"
 #include "platform/caller_codec.h"
 
 #include <stdio.h>
@@ -21,7 +22,7 @@
   struct ds_caller_group *group;
   struct ds_tcp *tcp;
   struct ds_http_reader *reader;
-  struct tevent_timer *timer;
+  struct ds_timer *timer;
   struct ds_http_head head;
   struct ds_byte_buffer body;
   struct ds_byte_buffer stash;
@@ -37,14 +38,10 @@
 static void read_stash (struct ds_caller *caller);
 
 static void
-on_timeout (struct tevent_context *ev, struct tevent_timer *timer,
-            struct timeval now, void *user_data)
+on_timeout (void *user_data)
 {
   struct ds_caller *caller = user_data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   caller->timer = NULL;
   if (!ds_http_reader_is_idle (caller->reader))
     {
@@ -66,10 +63,8 @@
 {
   TALLOC_FREE (caller->timer);
   if (after_ms > 0)
-    caller->timer = tevent_add_timer (
-        caller->group->ev, caller,
-        tevent_timeval_current_ofs (after_ms / 1000, after_ms % 1000 * 1000),
-        on_timeout, caller);
+    caller->timer = ds_timer_add (caller->group->ev, caller, after_ms,
+                                  on_timeout, caller);
 }
 
 static void
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,6 +12,7 @@
 #include "io/clock.h"
 #include "io/event_context.h"
 #include "io/tcp.h"
+#include "io/timer.h"
 #include "platform/caller_codec.h"
 #include "platform/config_codec.h"
 #include "platform/names.h"
@@ -689,17 +690,12 @@
 }
 
 static void
-on_tick (struct tevent_context *ev, struct tevent_timer *timer,
-         struct timeval now, void *user_data)
+on_tick (void *user_data)
 {
   struct ds_entry *entry = user_data;
   uint64_t now_ms = ds_clock_ms ();
 
-  (void)timer;
-  (void)now;
-  (void)tevent_add_timer (ev, entry,
-                          tevent_timeval_current_ofs (0, TICK_MS * 1000),
-                          on_tick, entry);
+  (void)ds_timer_add (entry->ev, entry, TICK_MS, on_tick, entry);
   ds_replica_set_sweep (entry->replicas, now_ms);
   ds_replica_pool_sweep (entry->exchanges.pool, now_ms);
   ds_fleet_view_tick (entry->fleet, now_ms);
@@ -972,7 +968,7 @@
   (void)tevent_add_signal (entry->ev, entry, SIGINT, 0, on_term, entry);
   (void)tevent_add_signal (entry->ev, entry, SIGHUP, 0, on_hup, entry);
   register_host (entry);
-  on_tick (entry->ev, NULL, tevent_timeval_zero (), entry);
+  on_tick (entry);
   while (!entry->stopped)
     if (tevent_loop_once (entry->ev) != 0)
       return DS_EIO;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -3,6 +3,7 @@
 #include "daisystep/metrics.h"
 #include "entry/event_stream.h"
 #include "io/clock.h"
+#include "io/timer.h"
 #include "platform/caller_codec.h"
 
 #include <string.h>
@@ -52,7 +53,7 @@
   uint64_t arrived_ms;
   uint64_t until_ms;         /* no answer is wanted after it */
   uint64_t attempt_until_ms; /* of the first attempt; later ones keep to it */
-  struct tevent_timer *timer;
+  struct ds_timer *timer;
 
   struct ds_budget_wait *wait;
   uint64_t reserved;
@@ -230,14 +231,10 @@
 }
 
 static void
-on_timer (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval now, void *user_data)
+on_timer (void *user_data)
 {
   struct ds_exchange *x = user_data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   x->timer = NULL;
   give_up (x, 504, "time limit");
 }
@@ -245,13 +242,8 @@
 static void
 arm (struct ds_exchange *x, uint64_t now_ms)
 {
-  uint64_t after_ms = time_left (x, now_ms);
-
-  x->timer = tevent_add_timer (
-      x->context->ev, x,
-      tevent_timeval_current_ofs ((uint32_t)(after_ms / 1000),
-                                  (uint32_t)(after_ms % 1000 * 1000)),
-      on_timer, x);
+  x->timer
+      = ds_timer_add (x->context->ev, x, time_left (x, now_ms), on_timer, x);
 }
 
 /* Whether another attempt may be made after one that may have run.  */
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -1,6 +1,7 @@
 #include "entry/follower.h"
 #include "base/decision_log.h"
 #include "io/clock.h"
+#include "io/timer.h"
 
 #include <stdlib.h>
 
@@ -36,12 +37,8 @@
 static void call (struct ds_follower *follower);
 
 static void
-on_retry (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval now, void *user_data)
+on_retry (void *user_data)
 {
-  (void)ev;
-  (void)timer;
-  (void)now;
   call (user_data);
 }
 
@@ -80,10 +77,7 @@
   /* Spread, so that the fleet does not come back at one moment.  */
   pause = follower->retry_ms / 2
           + (uint32_t)(random () % (follower->retry_ms / 2 + 1));
-  (void)tevent_add_timer (
-      follower->ev, follower,
-      tevent_timeval_current_ofs (pause / 1000, pause % 1000 * 1000), on_retry,
-      follower);
+  (void)ds_timer_add (follower->ev, follower, pause, on_retry, follower);
 }
 
 static void
--- a/src/entry/store_link.c
+++ b/src/entry/store_link.c
@@ -1,6 +1,7 @@
 #include "entry/store_link.h"
 #include "daisystep/metrics.h"
 #include "io/http_connection.h"
+#include "io/timer.h"
 
 /* The store accepts a connection within milliseconds.  A lost opening packet
    is sent again by a new attempt sooner than by the system, after one second.
@@ -38,7 +39,7 @@
 {
   struct ds_store_link *link;
   struct channel *channel;
-  struct tevent_timer *timer;
+  struct ds_timer *timer;
   struct ds_byte_buffer body;
   ds_store_done_fn *on_done;
   void *user_data;
@@ -224,14 +225,10 @@
 }
 
 static void
-on_timeout (struct tevent_context *ev, struct tevent_timer *timer,
-            struct timeval now, void *user_data)
+on_timeout (void *user_data)
 {
   struct ds_store_pending *pending = user_data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   pending->timer = NULL;
   finish (pending, DS_STORE_UNKNOWN);
 }
@@ -310,10 +307,8 @@
                      ? DS_METRIC_PLATFORM_READS
                      : DS_METRIC_PLATFORM_WRITES,
                  1);
-  pending->timer = tevent_add_timer (
-      link->ev, pending,
-      tevent_timeval_current_ofs (timeout_ms / 1000, timeout_ms % 1000 * 1000),
-      on_timeout, pending);
+  pending->timer
+      = ds_timer_add (link->ev, pending, timeout_ms, on_timeout, pending);
   ds_http_connection_handle (pending->channel->connection, &handlers);
   /* A write that fails is reported by the connection.  */
   (void)ds_http_connection_send (pending->channel->connection, head, body,
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -1,5 +1,6 @@
 #include "io/tcp.h"
 #include "io/byte_buffer.h"
+#include "io/timer.h"
 
 #include <errno.h>
 #include <netinet/in.h>
@@ -23,7 +24,7 @@
   struct tevent_context *ev;
   struct tevent_fd *watch;
   struct tevent_immediate *later;
-  struct tevent_timer *connect_timer;
+  struct ds_timer *connect_timer;
   struct ds_tcp_handlers handlers;
   struct ds_byte_buffer out;
   uint64_t sent;
@@ -245,14 +246,10 @@
 }
 
 static void
-on_connect_timeout (struct tevent_context *ev, struct tevent_timer *timer,
-                    struct timeval now, void *user_data)
+on_connect_timeout (void *user_data)
 {
   struct ds_tcp *tcp = user_data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   tcp->connect_timer = NULL;
   end (tcp, DS_TCP_END_REFUSED);
 }
@@ -285,11 +282,8 @@
       return status;
     }
   if (options->connect_ms > 0)
-    (*out)->connect_timer = tevent_add_timer (
-        options->ev, *out,
-        tevent_timeval_current_ofs (options->connect_ms / 1000,
-                                    options->connect_ms % 1000 * 1000),
-        on_connect_timeout, *out);
+    (*out)->connect_timer = ds_timer_add (
+        options->ev, *out, options->connect_ms, on_connect_timeout, *out);
   return 0;
 }
 
--- /dev/null
+++ b/src/io/timer.c
@@ -0,0 +1,185 @@
+#include "io/timer.h"
+#include "io/clock.h"
+
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+/* The timers of one event context, the earliest first.  */
+struct queue
+{
+  struct queue *next;
+  struct tevent_context *ev;
+  struct tevent_fd *watch;
+  struct ds_timer *first;
+  struct ds_timer *last;
+  uint64_t armed_ms; /* 0 while nothing is due */
+  int fd;
+};
+
+struct ds_timer
+{
+  struct queue *queue;
+  struct ds_timer *earlier;
+  struct ds_timer *later;
+  uint64_t due_ms;
+  ds_timer_fn *on_time;
+  void *user_data;
+};
+
+/* Of this thread; a process has one or two event contexts a thread.  */
+static __thread struct queue *queues;
+
+static void
+arm (struct queue *queue)
+{
+  uint64_t due_ms = queue->first != NULL ? queue->first->due_ms : 0;
+  struct itimerspec when = {
+    .it_value = { .tv_sec = (time_t)(due_ms / 1000),
+                  .tv_nsec = (long)(due_ms % 1000) * 1000000L },
+  };
+
+  if (due_ms == queue->armed_ms)
+    return;
+  queue->armed_ms = due_ms;
+  (void)timerfd_settime (queue->fd, TFD_TIMER_ABSTIME, &when, NULL);
+}
+
+static void
+remove_timer (struct ds_timer *timer)
+{
+  struct queue *queue = timer->queue;
+
+  if (queue == NULL)
+    return;
+  if (timer->earlier != NULL)
+    timer->earlier->later = timer->later;
+  else
+    queue->first = timer->later;
+  if (timer->later != NULL)
+    timer->later->earlier = timer->earlier;
+  else
+    queue->last = timer->earlier;
+  timer->queue = NULL;
+}
+
+static int
+destroy_timer (struct ds_timer *timer)
+{
+  /* The descriptor stays armed: an early wake-up costs less than a system
+     call for each timer that is given up.  */
+  remove_timer (timer);
+  return 0;
+}
+
+static void
+on_due (struct tevent_context *ev, struct tevent_fd *watch, uint16_t flags,
+        void *user_data)
+{
+  struct queue *queue = user_data;
+  uint64_t now_ms = ds_clock_ms ();
+  uint64_t expirations;
+
+  (void)ev;
+  (void)watch;
+  (void)flags;
+  /* Resets the descriptor; how often it expired does not matter.  */
+  if (read (queue->fd, &expirations, sizeof expirations) < 0)
+    expirations = 0;
+  queue->armed_ms = 0;
+  while (queue->first != NULL && queue->first->due_ms <= now_ms)
+    {
+      struct ds_timer *timer = queue->first;
+      ds_timer_fn *on_time = timer->on_time;
+      void *data = timer->user_data;
+
+      remove_timer (timer);
+      talloc_free (timer);
+      on_time (data);
+    }
+  arm (queue);
+}
+
+static int
+destroy_queue (struct queue *queue)
+{
+  struct queue **at = &queues;
+
+  while (*at != NULL && *at != queue)
+    at = &(*at)->next;
+  if (*at == queue)
+    *at = queue->next;
+  while (queue->first != NULL)
+    remove_timer (queue->first);
+  TALLOC_FREE (queue->watch);
+  if (queue->fd >= 0)
+    (void)close (queue->fd);
+  return 0;
+}
+
+static struct queue *
+queue_of (struct tevent_context *ev)
+{
+  struct queue *queue = queues;
+
+  while (queue != NULL && queue->ev != ev)
+    queue = queue->next;
+  if (queue != NULL)
+    return queue;
+  queue = talloc_zero (ev, struct queue);
+  if (queue == NULL)
+    return NULL;
+  queue->ev = ev;
+  queue->fd = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  if (queue->fd >= 0)
+    queue->watch
+        = tevent_add_fd (ev, queue, queue->fd, TEVENT_FD_READ, on_due, queue);
+  if (queue->watch == NULL)
+    {
+      if (queue->fd >= 0)
+        (void)close (queue->fd);
+      talloc_free (queue);
+      return NULL;
+    }
+  queue->next = queues;
+  queues = queue;
+  talloc_set_destructor (queue, destroy_queue);
+  return queue;
+}
+
+/* Calls ON_TIME once, AFTER_MS from now.  The timer is freed before that call;
+   freeing it earlier, by itself or with OWNER, gives it up.  Null when memory
+   or descriptors are short.  */
+struct ds_timer *
+ds_timer_add (struct tevent_context *ev, TALLOC_CTX *owner, uint64_t after_ms,
+              ds_timer_fn *on_time, void *user_data)
+{
+  struct queue *queue = queue_of (ev);
+  struct ds_timer *timer
+      = queue != NULL ? talloc_zero (owner, struct ds_timer) : NULL;
+  struct ds_timer *before;
+
+  if (timer == NULL)
+    return NULL;
+  timer->queue = queue;
+  timer->due_ms = ds_clock_ms () + after_ms;
+  timer->on_time = on_time;
+  timer->user_data = user_data;
+  /* Most timers are later than all that wait.  */
+  before = queue->last;
+  while (before != NULL && before->due_ms > timer->due_ms)
+    before = before->earlier;
+  timer->earlier = before;
+  timer->later = before != NULL ? before->later : queue->first;
+  if (timer->later != NULL)
+    timer->later->earlier = timer;
+  else
+    queue->last = timer;
+  if (before != NULL)
+    before->later = timer;
+  else
+    queue->first = timer;
+  talloc_set_destructor (timer, destroy_timer);
+  if (queue->armed_ms == 0 || timer->due_ms < queue->armed_ms)
+    arm (queue);
+  return timer;
+}
