Give engines the rank of the tenant and the route

Cause: all requests went with the middle rank, although tenants and routes have priorities that the platform states. Change: rank = three times the tenant's priority and the route's, at most 9.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -26,6 +26,10 @@
 /* Answers of replicas that did not run the request which one request may meet;
    more would keep the caller waiting without a prospect.  */
 #define REJECTIONS_MAX 2
+/* Engines know ranks 0 to 9; a step of the tenant's priority outweighs the
+   routes' priorities, which are 0 to 2.  */
+#define ENGINE_PRIORITY_LAST 9
+#define ENGINE_TENANT_STEP 3
 /* Time left below which no further attempt is made.  */
 #define LEAST_ATTEMPT_MS 30
 
@@ -610,6 +614,19 @@
   attempt_failed (x, failure_name (failure));
 }
 
+/* The rank at an engine.  The tenant's comes before the route's; engines admit
+   a smaller number first.
+
+   Load: engines that hold more prompts than they can read in time.  Urgent
+   routes shall not wait behind long answers to patient ones.  */
+static uint32_t
+engine_priority (const struct ds_exchange *x)
+{
+  uint32_t rank = ENGINE_TENANT_STEP * x->tenant_priority + x->route->priority;
+
+  return rank > ENGINE_PRIORITY_LAST ? ENGINE_PRIORITY_LAST : rank;
+}
+
 /* Sends the request to the replica of PLACEMENT.  */
 static int
 dispatch (struct ds_exchange *x, const struct ds_placement *placement,
@@ -631,7 +648,7 @@
     .last_event_id
     = x->events.has_id ? x->events.last_id : x->request.last_event_id,
     .resumes = x->request.resumes || x->events.has_id,
-    .priority = 5,
+    .priority = engine_priority (x),
     .body_length = x->body.length,
   };
   struct ds_byte_buffer out = { .data = NULL };
@@ -796,7 +813,10 @@
       return false;
     }
   if (*tenant != NULL && !x->route->is_public)
-    x->tenant = (*tenant)->name;
+    {
+      x->tenant = (*tenant)->name;
+      x->tenant_priority = (*tenant)->priority;
+    }
   return true;
 }
 
