Split addresses and registration off the entry host

Histograms stood in the exposition of serve, which has none; its format test refused them. Change: address_service and registration with interfaces of their own; histograms have an exposition of their own.

--- a/include/daisystep/metrics.h
+++ b/include/daisystep/metrics.h
@@ -52,5 +52,6 @@
 void ds_metric_add (enum ds_metric metric, int64_t amount);
 int64_t ds_metric_get (enum ds_metric metric);
 char *ds_metrics_exposition (TALLOC_CTX *owner);
+char *ds_histograms_exposition (TALLOC_CTX *owner);
 
 #endif
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -198,6 +198,15 @@
           metric->type == GAUGE ? "gauge" : "counter", metric->name,
           ds_metric_get ((enum ds_metric)i));
     }
+  return text;
+}
+
+/* All histograms in the same format.  Null when memory is short.  */
+char *
+ds_histograms_exposition (TALLOC_CTX *owner)
+{
+  char *text = talloc_strdup (owner, "");
+
   for (int i = 0; i < DS_HISTOGRAM_COUNT && text != NULL; i++)
     text = append_histogram (text, (enum ds_histogram)i);
   return text;
--- /dev/null
+++ b/src/entry/address_service.h
@@ -0,0 +1,30 @@
+#ifndef DS_ENTRY_ADDRESS_SERVICE_H
+#define DS_ENTRY_ADDRESS_SERVICE_H
+
+#include "entry/caller.h"
+#include "entry/fleet_view.h"
+
+/* What the answers to readiness and address questions are made of.  READY:
+   this host takes work and may be handed out.  TTL_S is how long callers keep
+   an answer.  */
+struct ds_address_service
+{
+  const struct ds_fleet_view *fleet;
+  struct ds_str zone;
+  struct ds_str region;
+  struct ds_str caller_address;
+  double ttl_s;
+  bool ready;
+};
+
+void ds_address_service_readiness (struct ds_caller *caller,
+                                   const struct ds_http_head *head,
+                                   struct ds_str body, void *user_data);
+void ds_address_service_addresses (struct ds_caller *caller,
+                                   const struct ds_http_head *head,
+                                   struct ds_str body, void *user_data);
+void ds_address_service_metrics (struct ds_caller *caller,
+                                 const struct ds_http_head *head,
+                                 struct ds_str body, void *user_data);
+
+#endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,24 +1,22 @@
 #include "entry/entry.h"
 #include "base/decision_log.h"
-#include "core/address_choice.h"
 #include "daisystep/log.h"
-#include "daisystep/metrics.h"
+#include "entry/address_service.h"
 #include "entry/budget_keeper.h"
 #include "entry/caller.h"
 #include "entry/entry_settings.h"
 #include "entry/exchange.h"
 #include "entry/fleet_view.h"
 #include "entry/follower.h"
+#include "entry/registration.h"
 #include "io/clock.h"
 #include "io/event_context.h"
 #include "io/tcp.h"
 #include "io/timer.h"
-#include "platform/caller_codec.h"
 #include "platform/config_codec.h"
 #include "platform/names.h"
 
 #include <inttypes.h>
-#include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,9 +35,6 @@
 #define LAPSE_SEEN_MS 2500
 /* Hosts that were heard within this time share budgets and retries.  */
 #define SHARING_MS 30000
-/* Pause before this host's own entry in the store is tried again.  */
-#define REGISTER_PAUSE_MS 500
-#define CALL_TIMEOUT_MS 1000
 /* Time after SIGTERM for which new requests are taken: callers ask for
    addresses again within a few seconds.  A request that is taken later may not
    end within the grace period.  */
@@ -48,14 +43,6 @@
    may take.  */
 #define LAST_UPDATE_MS 600
 
-enum registration
-{
-  REGISTER_CREATE,
-  REGISTER_REPLACE,
-  REGISTER_LIST,
-  REGISTERED
-};
-
 struct ds_entry
 {
   struct tevent_context *ev;
@@ -69,9 +56,7 @@
   struct ds_store_link *store;
   struct ds_follower *config_follower;
   struct ds_follower *replica_follower;
-  enum registration registration;
-  uint64_t register_at_ms;
-  struct ds_store_pending *register_call;
+  struct ds_registration *registration;
 
   struct ds_replica_set *replicas;
   struct ds_crash_guard *crashes;
@@ -79,6 +64,7 @@
   struct ds_budget_keeper *budgets;
   struct ds_exchange_context exchanges;
 
+  struct ds_address_service addresses;
   struct ds_caller_group callers;
   struct ds_caller_group readiness;
   struct ds_caller_group directory;
@@ -89,161 +75,14 @@
   bool stopped;
 };
 
-static bool
-is_ready (const struct ds_entry *entry)
-{
-  return entry->exchanges.config != NULL && entry->stopping_ms == 0;
-}
-
-/* Answers a request of a port that this host answers by itself.  */
-static void
-reply (struct ds_caller *caller, unsigned status, struct ds_str body)
-{
-  struct ds_byte_buffer out = { .data = NULL };
-
-  if (ds_wire_write_refusal (caller, &out, status, DS_STR_EMPTY, 0, body,
-                             ds_caller_closes (caller))
-      == 0)
-    ds_caller_write (caller, ds_byte_buffer_content (&out));
-  ds_byte_buffer_release (&out);
-  ds_caller_finish (caller);
-}
-
-static bool
-has_path (const struct ds_http_head *head, const char *path)
-{
-  size_t length = strlen (path);
-
-  return head->target.length >= length
-         && memcmp (head->target.data, path, length) == 0
-         && (head->target.length == length
-             || head->target.data[length] == '?');
-}
-
+/* Tells callers and the other hosts whether this one takes work.  */
 static void
-on_readiness (struct ds_caller *caller, const struct ds_http_head *head,
-              struct ds_str body, void *user_data)
+tell_state (struct ds_entry *entry)
 {
-  const struct ds_entry *entry = user_data;
-
-  (void)body;
-  if (!has_path (head, DS_PATH_READINESS))
-    reply (caller, 404, DS_STR ("{\"error\":\"no such path\"}"));
-  else if (is_ready (entry))
-    reply (caller, 200, DS_STR ("{\"ready\":true}"));
-  else
-    reply (caller, 503, DS_STR ("{\"ready\":false}"));
-}
-
-/* The value of KEY in the query of TARGET; empty when it is missing.  */
-static struct ds_str
-query_value (struct ds_str target, const char *key)
-{
-  size_t key_length = strlen (key);
-  const char *at = memchr (target.data, '?', target.length);
-  const char *end = target.data + target.length;
-
-  while (at != NULL)
-    {
-      const char *item = at + 1;
-      const char *next = memchr (item, '&', (size_t)(end - item));
-      const char *stop = next != NULL ? next : end;
-
-      if ((size_t)(stop - item) > key_length
-          && memcmp (item, key, key_length) == 0 && item[key_length] == '=')
-        return (struct ds_str){ .data = item + key_length + 1,
-                                .length
-                                = (size_t)(stop - item) - key_length - 1 };
-      at = next;
-    }
-  return DS_STR_EMPTY;
-}
-
-static size_t
-list_candidates (struct ds_entry *entry, TALLOC_CTX *owner,
-                 struct ds_address_candidate **out)
-{
-  size_t members = ds_fleet_view_count (entry->fleet);
-  uint64_t now_ms = ds_clock_ms ();
-  size_t count = 0;
-
-  *out = talloc_array (owner, struct ds_address_candidate,
-                       (unsigned)members + 1);
-  if (*out == NULL)
-    return 0;
-  if (is_ready (entry))
-    (*out)[count++] = (struct ds_address_candidate){
-      .zone = entry->settings->zone,
-      .region = entry->settings->region,
-      .address = entry->settings->caller_address,
-    };
-  for (size_t i = 0; i < members; i++)
-    {
-      const struct ds_fleet_member *member
-          = ds_fleet_view_at (entry->fleet, i);
-
-      if (ds_fleet_member_is_alive (member, now_ms) && member->ready
-          && !member->draining)
-        (*out)[count++] = (struct ds_address_candidate){
-          .zone = member->zone,
-          .region = member->region,
-          .address = member->caller_address,
-        };
-    }
-  return count;
-}
-
-static void
-on_directory (struct ds_caller *caller, const struct ds_http_head *head,
-              struct ds_str body, void *user_data)
-{
-  struct ds_entry *entry = user_data;
-  TALLOC_CTX *scratch = talloc_new (NULL);
-  struct ds_address_candidate *candidates;
-  struct ds_str addresses[DS_ADDRESSES_MAX];
-  size_t count;
-  char *text;
-
-  (void)body;
-  if (!has_path (head, DS_PATH_ADDRESSES))
-    {
-      reply (caller, 404, DS_STR ("{\"error\":\"no such path\"}"));
-      talloc_free (scratch);
-      return;
-    }
-  count = list_candidates (entry, scratch, &candidates);
-  count = count == 0 ? 0
-                     : ds_address_choose (addresses, candidates, count,
-                                          query_value (head->target, "zone"),
-                                          query_value (head->target, "region"),
-                                          (size_t)random () % count);
-  if (count == 0)
-    {
-      reply (caller, 503, DS_STR ("{\"error\":\"no host is ready\"}"));
-      talloc_free (scratch);
-      return;
-    }
-  text = talloc_strdup (scratch, "{\"addresses\":[");
-  for (size_t i = 0; i < count; i++)
-    text = talloc_asprintf_append (text, "%s\"%.*s\"", i > 0 ? "," : "",
-                                   DS_STR_ARG (addresses[i]));
-  text = talloc_asprintf_append (text, "],\"ttl_s\":%g}",
-                                 entry->settings->address_ttl_s);
-  reply (caller, 200, ds_str_from_c (text != NULL ? text : "{}"));
-  talloc_free (scratch);
-}
-
-static void
-on_metrics (struct ds_caller *caller, const struct ds_http_head *head,
-            struct ds_str body, void *user_data)
-{
-  char *text = ds_metrics_exposition (NULL);
-
-  (void)head;
-  (void)body;
-  (void)user_data;
-  reply (caller, 200, ds_str_from_c (text != NULL ? text : ""));
-  talloc_free (text);
+  entry->addresses.ready
+      = entry->exchanges.config != NULL && entry->stopping_ms == 0;
+  ds_fleet_view_set_state (entry->fleet, entry->addresses.ready,
+                           entry->stopping_ms > 0);
 }
 
 static void
@@ -318,8 +157,7 @@
   entry->exchanges.config = config;
   entry->callers.limits = config->limits;
   ds_budget_keeper_configure (entry->budgets, config);
-  ds_fleet_view_set_state (entry->fleet, is_ready (entry),
-                           entry->stopping_ms > 0);
+  tell_state (entry);
 }
 
 static void
@@ -502,109 +340,6 @@
   return used;
 }
 
-static void register_host (struct ds_entry *entry);
-
-static void
-add_hosts (struct ds_entry *entry, struct ds_str body)
-{
-  struct ds_error error = DS_ERROR_NONE;
-  struct ds_store_page *page;
-
-  if (ds_store_page_decode (&page, entry, body, false, &error) != 0)
-    {
-      ds_log_error (&error, NULL);
-      return;
-    }
-  for (size_t i = 0; i < page->count; i++)
-    {
-      const json_t *address
-          = json_object_get (page->objects[i].spec, "gossip_address");
-
-      if (json_is_string (address))
-        ds_fleet_view_add (entry->fleet, page->objects[i].name,
-                           ds_str_from_c (json_string_value (address)));
-    }
-  talloc_free (page);
-  ds_fleet_view_tick (entry->fleet, ds_clock_ms ());
-}
-
-static void
-on_registered (const struct ds_store_result *result, void *user_data)
-{
-  struct ds_entry *entry = user_data;
-
-  entry->register_call = NULL;
-  entry->register_at_ms = 0;
-  switch (entry->registration)
-    {
-    case REGISTER_CREATE:
-      if (result->outcome == DS_STORE_CONFLICT)
-        entry->registration = REGISTER_REPLACE;
-      else if (result->outcome == DS_STORE_DONE)
-        entry->registration = REGISTER_LIST;
-      else
-        entry->register_at_ms = ds_clock_ms () + REGISTER_PAUSE_MS;
-      break;
-    case REGISTER_REPLACE:
-      if (result->outcome == DS_STORE_DONE)
-        entry->registration = REGISTER_LIST;
-      else if (result->outcome == DS_STORE_MISSING)
-        entry->registration = REGISTER_CREATE;
-      else
-        entry->register_at_ms = ds_clock_ms () + REGISTER_PAUSE_MS;
-      break;
-    default:
-      if (result->outcome == DS_STORE_DONE)
-        {
-          add_hosts (entry, result->body);
-          entry->registration = REGISTERED;
-        }
-      else
-        entry->register_at_ms = ds_clock_ms () + REGISTER_PAUSE_MS;
-      break;
-    }
-  if (entry->register_at_ms == 0)
-    register_host (entry);
-}
-
-/* Enters this host in the store, then reads who else is there.  Of two hosts
-   that start together the second one to list sees the first.  */
-static void
-register_host (struct ds_entry *entry)
-{
-  struct ds_store_call call = {
-    .kind = DS_KIND_HOSTS,
-    .name = entry->settings->host,
-  };
-  json_t *spec = NULL;
-
-  switch (entry->registration)
-    {
-    case REGISTERED:
-      return;
-    case REGISTER_LIST:
-      call.verb = DS_STORE_LIST;
-      call.after = DS_STR_EMPTY;
-      break;
-    default:
-      call.verb = entry->registration == REGISTER_CREATE ? DS_STORE_CREATE
-                                                         : DS_STORE_REPLACE;
-      spec = json_pack ("{s:s%, s:s%, s:I}", "gossip_address",
-                        entry->settings->gossip_address.data,
-                        entry->settings->gossip_address.length, "zone",
-                        entry->settings->zone.data,
-                        entry->settings->zone.length, "incarnation",
-                        (json_int_t)entry->incarnation);
-      call.spec = spec;
-      break;
-    }
-  if (ds_store_link_call (&entry->register_call, entry->store, &call,
-                          CALL_TIMEOUT_MS, on_registered, entry)
-      != 0)
-    entry->register_at_ms = ds_clock_ms () + REGISTER_PAUSE_MS;
-  json_decref (spec);
-}
-
 static void
 count_hosts (struct ds_entry *entry, uint64_t now_ms)
 {
@@ -638,7 +373,7 @@
   /* Addresses and names hold for the life of the process; what may change
      between starts is how much is kept, logged and waited for.  */
   entry->settings->grace_s = loaded->grace_s;
-  entry->settings->address_ttl_s = loaded->address_ttl_s;
+  entry->addresses.ttl_s = loaded->address_ttl_s;
   entry->settings->budget = loaded->budget;
   ds_entry_settings_free (loaded);
   line = ds_decision_begin ("reload", DS_STR_EMPTY);
@@ -702,11 +437,6 @@
   count_hosts (entry, now_ms);
   ds_budget_keeper_tick (entry->budgets, now_ms);
   look_at_settings (entry, now_ms);
-  if (entry->register_at_ms != 0 && entry->register_at_ms <= now_ms)
-    {
-      entry->register_at_ms = 0;
-      register_host (entry);
-    }
   if (entry->stopping_ms > 0)
     follow_stop (entry, now_ms);
   ds_decision_log_flush ();
@@ -728,7 +458,7 @@
     return;
   entry->stopping_ms = ds_clock_ms ();
   entry->callers.closing = true;
-  ds_fleet_view_set_state (entry->fleet, false, true);
+  tell_state (entry);
   line = ds_decision_begin ("stop", DS_STR_EMPTY);
   ds_decision_number (&line, "answering", (int64_t)entry->callers.answering);
   ds_decision_number (&line, "connections",
@@ -748,11 +478,12 @@
   apply_settings (user_data);
 }
 
-static int
-open_fleet (struct ds_entry *entry, struct ds_error *error)
+static struct ds_fleet_self
+self_of (const struct ds_entry *entry)
 {
   const struct ds_entry_settings *settings = entry->settings;
-  struct ds_fleet_self self = {
+
+  return (struct ds_fleet_self){
     .host = settings->host,
     .incarnation = entry->incarnation,
     .zone = settings->zone,
@@ -760,6 +491,12 @@
     .caller_address = settings->caller_address,
     .gossip_address = settings->gossip_address,
   };
+}
+
+static int
+open_fleet (struct ds_entry *entry, struct ds_error *error)
+{
+  struct ds_fleet_self self = self_of (entry);
   struct ds_fleet_handlers handlers = {
     .holdings = list_holdings,
     .give = give_tokens,
@@ -772,6 +509,13 @@
       != 0)
     return error->code;
   entry->exchanges.fleet = entry->fleet;
+  entry->addresses = (struct ds_address_service){
+    .fleet = entry->fleet,
+    .zone = self.zone,
+    .region = self.region,
+    .caller_address = self.caller_address,
+    .ttl_s = entry->settings->address_ttl_s,
+  };
   return 0;
 }
 
@@ -847,7 +591,8 @@
 static struct ds_caller_group
 group_of (struct ds_entry *entry,
           void (*handler) (struct ds_caller *, const struct ds_http_head *,
-                           struct ds_str, void *))
+                           struct ds_str, void *),
+          void *user_data)
 {
   return (struct ds_caller_group){
     .ev = entry->ev,
@@ -855,7 +600,7 @@
       .on_request = handler,
       .on_gone = handler == on_request ? on_gone : ignore_gone,
       .on_drained = handler == on_request ? on_drained : NULL,
-      .user_data = entry,
+      .user_data = user_data,
     },
     .limits = DS_CALLER_LIMITS_DEFAULT,
   };
@@ -868,10 +613,13 @@
   struct ds_tcp_listener *listener;
   int status;
 
-  entry->callers = group_of (entry, on_request);
-  entry->readiness = group_of (entry, on_readiness);
-  entry->directory = group_of (entry, on_directory);
-  entry->metrics = group_of (entry, on_metrics);
+  entry->callers = group_of (entry, on_request, entry);
+  entry->readiness
+      = group_of (entry, ds_address_service_readiness, &entry->addresses);
+  entry->directory
+      = group_of (entry, ds_address_service_addresses, &entry->addresses);
+  entry->metrics
+      = group_of (entry, ds_address_service_metrics, &entry->addresses);
   status = ds_tcp_listen (&entry->caller_listener, entry, entry->ev,
                           settings->caller_address, on_accept, &entry->callers,
                           error);
@@ -956,6 +704,7 @@
 int
 ds_entry_run (struct ds_entry *entry)
 {
+  struct ds_fleet_self self = self_of (entry);
   struct ds_decision line;
 
   ds_decision_log_open (entry->settings->host.data,
@@ -967,7 +716,10 @@
   (void)tevent_add_signal (entry->ev, entry, SIGTERM, 0, on_term, entry);
   (void)tevent_add_signal (entry->ev, entry, SIGINT, 0, on_term, entry);
   (void)tevent_add_signal (entry->ev, entry, SIGHUP, 0, on_hup, entry);
-  register_host (entry);
+  if (ds_registration_start (&entry->registration, entry, entry->ev,
+                             entry->store, entry->fleet, &self)
+      != 0)
+    return DS_ENOMEM;
   on_tick (entry);
   while (!entry->stopped)
     if (tevent_loop_once (entry->ev) != 0)
--- /dev/null
+++ b/src/entry/registration.c
@@ -0,0 +1,179 @@
+#include "entry/registration.h"
+#include "daisystep/log.h"
+#include "io/clock.h"
+#include "io/timer.h"
+#include "platform/names.h"
+
+#include <jansson.h>
+
+/* Pause before this host's own entry in the store is tried again.  */
+#define REGISTER_PAUSE_MS 500
+#define CALL_TIMEOUT_MS 1000
+
+enum step
+{
+  REGISTER_CREATE,
+  REGISTER_REPLACE,
+  REGISTER_LIST,
+  REGISTERED
+};
+
+struct ds_registration
+{
+  struct tevent_context *ev;
+  struct ds_store_link *link;
+  struct ds_fleet_view *fleet;
+  struct ds_str host;
+  struct ds_str zone;
+  struct ds_str gossip_address;
+  uint64_t incarnation;
+  struct ds_store_pending *pending;
+  enum step step;
+  bool waits; /* for the next try */
+};
+
+static void call (struct ds_registration *registration);
+
+static void
+on_retry (void *user_data)
+{
+  struct ds_registration *registration = user_data;
+
+  registration->waits = false;
+  call (registration);
+}
+
+static void
+retry_later (struct ds_registration *registration)
+{
+  registration->waits = true;
+  (void)ds_timer_add (registration->ev, registration, REGISTER_PAUSE_MS,
+                      on_retry, registration);
+}
+
+static void
+add_hosts (struct ds_registration *registration, struct ds_str body)
+{
+  struct ds_error error = DS_ERROR_NONE;
+  struct ds_store_page *page;
+
+  if (ds_store_page_decode (&page, registration, body, false, &error) != 0)
+    {
+      ds_log_error (&error, NULL);
+      return;
+    }
+  for (size_t i = 0; i < page->count; i++)
+    {
+      const json_t *address
+          = json_object_get (page->objects[i].spec, "gossip_address");
+
+      if (json_is_string (address))
+        ds_fleet_view_add (registration->fleet, page->objects[i].name,
+                           ds_str_from_c (json_string_value (address)));
+    }
+  talloc_free (page);
+  ds_fleet_view_tick (registration->fleet, ds_clock_ms ());
+}
+
+static void
+on_registered (const struct ds_store_result *result, void *user_data)
+{
+  struct ds_registration *registration = user_data;
+
+  registration->pending = NULL;
+  registration->waits = false;
+  switch (registration->step)
+    {
+    case REGISTER_CREATE:
+      if (result->outcome == DS_STORE_CONFLICT)
+        registration->step = REGISTER_REPLACE;
+      else if (result->outcome == DS_STORE_DONE)
+        registration->step = REGISTER_LIST;
+      else
+        retry_later (registration);
+      break;
+    case REGISTER_REPLACE:
+      if (result->outcome == DS_STORE_DONE)
+        registration->step = REGISTER_LIST;
+      else if (result->outcome == DS_STORE_MISSING)
+        registration->step = REGISTER_CREATE;
+      else
+        retry_later (registration);
+      break;
+    default:
+      if (result->outcome == DS_STORE_DONE)
+        {
+          add_hosts (registration, result->body);
+          registration->step = REGISTERED;
+        }
+      else
+        retry_later (registration);
+      break;
+    }
+  if (!registration->waits)
+    call (registration);
+}
+
+/* Enters this host in the store, then reads who else is there.  Of two hosts
+   that start together the second one to list sees the first.  */
+static void
+call (struct ds_registration *registration)
+{
+  struct ds_store_call store_call = {
+    .kind = DS_KIND_HOSTS,
+    .name = registration->host,
+  };
+  json_t *spec = NULL;
+
+  switch (registration->step)
+    {
+    case REGISTERED:
+      return;
+    case REGISTER_LIST:
+      store_call.verb = DS_STORE_LIST;
+      store_call.after = DS_STR_EMPTY;
+      break;
+    default:
+      store_call.verb = registration->step == REGISTER_CREATE
+                            ? DS_STORE_CREATE
+                            : DS_STORE_REPLACE;
+      spec = json_pack ("{s:s%, s:s%, s:I}", "gossip_address",
+                        registration->gossip_address.data,
+                        registration->gossip_address.length, "zone",
+                        registration->zone.data, registration->zone.length,
+                        "incarnation", (json_int_t)registration->incarnation);
+      store_call.spec = spec;
+      break;
+    }
+  if (ds_store_link_call (&registration->pending, registration->link,
+                          &store_call, CALL_TIMEOUT_MS, on_registered,
+                          registration)
+      != 0)
+    retry_later (registration);
+  json_decref (spec);
+}
+
+/* Enters the host that SELF names and tells FLEET who else is there; tries
+   until it has succeeded.  */
+int
+ds_registration_start (struct ds_registration **out, TALLOC_CTX *owner,
+                       struct tevent_context *ev, struct ds_store_link *link,
+                       struct ds_fleet_view *fleet,
+                       const struct ds_fleet_self *self)
+{
+  struct ds_registration *registration
+      = talloc_zero (owner, struct ds_registration);
+
+  if (registration == NULL)
+    return DS_ENOMEM;
+  registration->ev = ev;
+  registration->link = link;
+  registration->fleet = fleet;
+  registration->host = self->host;
+  registration->zone = self->zone;
+  registration->gossip_address = self->gossip_address;
+  registration->incarnation = self->incarnation;
+  call (registration);
+  *out = registration;
+  return 0;
+}
