Keep the wire form of addresses in platform/; test the translation

Cause: address_service wrote the platform's field names itself. Change: address_codec; test_wire covers heads, answers, store pages and calls.

--- a/src/entry/address_service.c
+++ b/src/entry/address_service.c
@@ -2,8 +2,8 @@
 #include "core/address_choice.h"
 #include "daisystep/metrics.h"
 #include "io/clock.h"
+#include "platform/address_codec.h"
 #include "platform/caller_codec.h"
-#include "platform/names.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -22,17 +22,6 @@
   ds_caller_finish (caller);
 }
 
-static bool
-has_path (const struct ds_http_head *head, const char *path)
-{
-  size_t length = strlen (path);
-
-  return head->target.length >= length
-         && memcmp (head->target.data, path, length) == 0
-         && (head->target.length == length
-             || head->target.data[length] == '?');
-}
-
 /* Answers whether this host may be handed out to callers.  */
 void
 ds_address_service_readiness (struct ds_caller *caller,
@@ -42,7 +31,7 @@
   const struct ds_address_service *service = user_data;
 
   (void)body;
-  if (!has_path (head, DS_PATH_READINESS))
+  if (!ds_wire_is_readiness_question (head))
     reply (caller, 404, DS_STR ("{\"error\":\"no such path\"}"));
   else if (service->ready)
     reply (caller, 200, DS_STR ("{\"ready\":true}"));
@@ -50,30 +39,6 @@
     reply (caller, 503, DS_STR ("{\"ready\":false}"));
 }
 
-/* The value of KEY in the query of TARGET; empty when it is missing.  */
-static struct ds_str
-query_value (struct ds_str target, const char *key)
-{
-  size_t key_length = strlen (key);
-  const char *at = memchr (target.data, '?', target.length);
-  const char *end = target.data + target.length;
-
-  while (at != NULL)
-    {
-      const char *item = at + 1;
-      const char *next = memchr (item, '&', (size_t)(end - item));
-      const char *stop = next != NULL ? next : end;
-
-      if ((size_t)(stop - item) > key_length
-          && memcmp (item, key, key_length) == 0 && item[key_length] == '=')
-        return (struct ds_str){ .data = item + key_length + 1,
-                                .length
-                                = (size_t)(stop - item) - key_length - 1 };
-      at = next;
-    }
-  return DS_STR_EMPTY;
-}
-
 static size_t
 list_candidates (const struct ds_address_service *service, TALLOC_CTX *owner,
                  struct ds_address_candidate **out)
@@ -117,34 +82,30 @@
   const struct ds_address_service *service = user_data;
   TALLOC_CTX *scratch = talloc_new (NULL);
   struct ds_address_candidate *candidates;
+  struct ds_address_question question;
   struct ds_str addresses[DS_ADDRESSES_MAX];
   size_t count;
   char *text;
 
   (void)body;
-  if (!has_path (head, DS_PATH_ADDRESSES))
+  if (!ds_wire_read_address_question (&question, head))
     {
       reply (caller, 404, DS_STR ("{\"error\":\"no such path\"}"));
       talloc_free (scratch);
       return;
     }
   count = list_candidates (service, scratch, &candidates);
-  count = count == 0 ? 0
-                     : ds_address_choose (addresses, candidates, count,
-                                          query_value (head->target, "zone"),
-                                          query_value (head->target, "region"),
-                                          (size_t)random () % count);
+  count = count == 0
+              ? 0
+              : ds_address_choose (addresses, candidates, count, question.zone,
+                                   question.region, (size_t)random () % count);
   if (count == 0)
     {
       reply (caller, 503, DS_STR ("{\"error\":\"no host is ready\"}"));
       talloc_free (scratch);
       return;
     }
-  text = talloc_strdup (scratch, "{\"addresses\":[");
-  for (size_t i = 0; i < count; i++)
-    text = talloc_asprintf_append (text, "%s\"%.*s\"", i > 0 ? "," : "",
-                                   DS_STR_ARG (addresses[i]));
-  text = talloc_asprintf_append (text, "],\"ttl_s\":%g}", service->ttl_s);
+  text = ds_wire_write_addresses (scratch, addresses, count, service->ttl_s);
   reply (caller, 200, ds_str_from_c (text != NULL ? text : "{}"));
   talloc_free (scratch);
 }
--- /dev/null
+++ b/tests/test_wire.c
@@ -0,0 +1,233 @@
+#include "platform/address_codec.h"
+#include "platform/caller_codec.h"
+#include "platform/store_codec.h"
+
+#include <check.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+static TALLOC_CTX *owner;
+
+static void
+set_up (void)
+{
+  owner = talloc_new (NULL);
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (owner);
+}
+
+static struct ds_http_line lines[] = {
+  { DS_STR ("Host"), DS_STR ("ficu95.example") },
+  { DS_STR ("Request-Id"), DS_STR ("9c41") },
+  { DS_STR ("Token-Count"), DS_STR ("1460, 80") },
+  { DS_STR ("Prompt-Prefix"), DS_STR ("5c1e:800,91bd:410,e440:250") },
+  { DS_STR ("Deadline-Ms"), DS_STR ("10000") },
+  { DS_STR ("authorization"), DS_STR ("Bearer secret-key") },
+  { DS_STR ("Tenant"), DS_STR ("forged") },
+  { DS_STR ("Hold"), DS_STR ("h1") },
+  { DS_STR ("Kv-From"), DS_STR ("1.2.3.4:5/x") },
+  { DS_STR ("Pin-Ms"), DS_STR ("4000") },
+  { DS_STR ("X-Note"), DS_STR ("kept") },
+  { DS_STR ("Connection"), DS_STR ("X-Hop") },
+  { DS_STR ("X-Hop"), DS_STR ("dropped") },
+};
+
+static const struct ds_http_head head = {
+  .method = { .data = "POST", .length = 4 },
+  .target = { .data = "/lohu930/2f?q=1", .length = 15 },
+  .lines = lines,
+  .line_count = sizeof lines / sizeof lines[0],
+};
+
+START_TEST (a_request_is_read_into_its_types)
+{
+  struct ds_caller_request request;
+
+  ck_assert_int_eq (ds_wire_read_request (&request, &head), 0);
+  ck_assert (ds_str_equal (request.path, DS_STR ("/lohu930/2f")));
+  ck_assert (ds_str_equal (request.key, DS_STR ("secret-key")));
+  ck_assert (request.has_tokens && request.prompt_tokens == 1460
+             && request.output_tokens == 80);
+  ck_assert_uint_eq (request.part_count, 3);
+  ck_assert_uint_eq (request.parts[1].tokens, 410);
+  ck_assert_uint_eq (request.deadline_ms, 10000);
+  ck_assert (!request.resumes);
+}
+END_TEST
+
+/* Guards against passing on a key, a forged tenant, or lines that only this
+   system may set.  */
+START_TEST (an_attempt_has_no_line_that_the_caller_may_not_set)
+{
+  struct ds_caller_request request;
+  struct ds_byte_buffer out = { .data = NULL };
+  struct ds_attempt_head attempt = {
+    .request = &request,
+    .head = &head,
+    .replica_id = DS_STR ("i-1"),
+    .tenant = DS_STR ("hule930"),
+    .deadline_ms = 900,
+    .body_length = 5,
+  };
+  char *text;
+
+  ck_assert_int_eq (ds_wire_read_request (&request, &head), 0);
+  ck_assert_int_eq (ds_wire_write_attempt (owner, &out, &attempt), 0);
+  text = talloc_strndup (owner, out.data + out.start, out.end - out.start);
+  ck_assert (strncmp (text, "POST /lohu930/2f?q=1 HTTP/1.1\r\n", 31) == 0);
+  ck_assert_ptr_nonnull (strstr (text, "\r\nTenant: hule930\r\n"));
+  ck_assert_ptr_nonnull (strstr (text, "\r\nDeadline-Ms: 900\r\n"));
+  ck_assert_ptr_nonnull (strstr (text, "\r\nExpect-Instance: i-1\r\n"));
+  ck_assert_ptr_nonnull (strstr (text, "\r\nX-Note: kept\r\n"));
+  ck_assert_ptr_nonnull (strstr (text, "\r\nContent-Length: 5\r\n"));
+  ck_assert_ptr_nonnull (strstr (text, "\r\nToken-Count: 1460, 80\r\n"));
+  ck_assert_ptr_null (strstr (text, "secret-key"));
+  ck_assert_ptr_null (strstr (text, "forged"));
+  ck_assert_ptr_null (strstr (text, "Hold"));
+  ck_assert_ptr_null (strstr (text, "Kv-From"));
+  ck_assert_ptr_null (strstr (text, "Pin-Ms"));
+  ck_assert_ptr_null (strstr (text, "X-Hop"));
+}
+END_TEST
+
+/* Guards against forwarding what two readers would understand differently.  */
+START_TEST (a_line_that_stands_twice_is_refused)
+{
+  struct ds_http_line twice[] = {
+    { DS_STR ("Host"), DS_STR ("a") },
+    { DS_STR ("Request-Id"), DS_STR ("1") },
+    { DS_STR ("request-id"), DS_STR ("2") },
+  };
+  struct ds_http_head bad = head;
+  struct ds_caller_request request;
+
+  bad.lines = twice;
+  bad.line_count = 3;
+  ck_assert_int_eq (ds_wire_read_request (&request, &bad), DS_EINVAL);
+  bad.line_count = 1;
+  ck_assert_int_eq (ds_wire_read_request (&request, &bad), DS_EINVAL);
+  bad.line_count = 2;
+  ck_assert_int_eq (ds_wire_read_request (&request, &bad), 0);
+  bad.target = DS_STR ("http://a/b");
+  ck_assert_int_eq (ds_wire_read_request (&request, &bad), DS_EINVAL);
+}
+END_TEST
+
+START_TEST (an_answer_is_read_into_its_types)
+{
+  struct ds_http_line answer_lines[] = {
+    { DS_STR ("Server-Seal"), DS_STR ("3e1b") },
+    { DS_STR ("Content-Type"), DS_STR ("text/event-stream; charset=utf-8") },
+    { DS_STR ("Keep-Alive"), DS_STR ("max=5, timeout=7") },
+    { DS_STR ("Content-Encoding"), DS_STR ("gzip") },
+  };
+  struct ds_http_head from = { .status = 200, .lines = answer_lines };
+  struct ds_upstream_answer answer;
+
+  from.line_count = 4;
+  ds_wire_read_answer (&answer, &from);
+  ck_assert (answer.has_mac && answer.is_stream && answer.encoded
+             && !answer.not_run && answer.keep_alive_s == 7);
+  from.status = 421;
+  ds_wire_read_answer (&answer, &from);
+  ck_assert (answer.not_run);
+}
+END_TEST
+
+START_TEST (address_questions_are_answered)
+{
+  struct ds_http_head question = { .line_count = 0 };
+  struct ds_address_question read;
+  const struct ds_str addresses[] = { DS_STR ("1:2"), DS_STR ("3:4") };
+
+  question.target = DS_STR ("/daisystep/resolve?name=a&region=sicilia&zone=x");
+  ck_assert (ds_wire_read_address_question (&read, &question));
+  ck_assert (ds_str_equal (read.zone, DS_STR ("x")));
+  ck_assert (ds_str_equal (read.region, DS_STR ("sicilia")));
+  question.target = DS_STR ("/daisystep/resolver");
+  ck_assert (!ds_wire_read_address_question (&read, &question));
+  ck_assert_str_eq (ds_wire_write_addresses (owner, addresses, 2, 2),
+                    "{\"addresses\":[\"1:2\",\"3:4\"],\"ttl_s\":2}");
+}
+END_TEST
+
+/* Guards against an entry of another writer that hides the others.  */
+START_TEST (objects_without_a_name_are_skipped)
+{
+  const char *text
+      = "{\"events\":[{\"tombstone\":false,\"object\":{\"spec\":{}}},"
+        "{\"tombstone\":true,\"object\":{\"metadata\":{\"name\":\"b\","
+        "\"revision\":9}}},7],\"current_rev\":12}";
+  struct ds_store_page *page;
+  struct ds_error error;
+
+  ck_assert_int_eq (
+      ds_store_page_decode (&page, owner, ds_str_from_c (text), true, &error),
+      0);
+  ck_assert_uint_eq (page->count, 1);
+  ck_assert (page->objects[0].deleted && page->objects[0].revision == 9);
+  ck_assert_uint_eq (page->revision, 12);
+  ck_assert_int_eq (ds_store_page_decode (&page, owner,
+                                          DS_STR ("{\"items\":[]}"), false,
+                                          &error),
+                    DS_EPROTOCOL);
+  ck_assert_int_eq (
+      ds_store_page_decode (&page, owner, DS_STR ("garbage"), false, &error),
+      DS_EPROTOCOL);
+}
+END_TEST
+
+START_TEST (a_conditional_write_names_its_revision)
+{
+  json_t *spec = json_pack ("{s:i}", "a", 1);
+  struct ds_store_call call = {
+    .verb = DS_STORE_REPLACE,
+    .kind = "k",
+    .name = DS_STR ("n"),
+    .revision = 412,
+    .conditional = true,
+    .spec = spec,
+  };
+  struct ds_str head_text;
+  struct ds_str body;
+
+  ck_assert_int_eq (ds_store_call_encode (&head_text, &body, owner, &call,
+                                          DS_STR ("10.0.0.1:5")),
+                    0);
+  ck_assert (
+      strncmp (head_text.data, "PUT /daisystep/objects/k/n HTTP/1.1", 35)
+      == 0);
+  ck_assert_ptr_nonnull (strstr (body.data, "\"revision\":412"));
+  json_decref (spec);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("wire");
+  TCase *test_case = tcase_create ("wire");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_add_test (test_case, a_request_is_read_into_its_types);
+  tcase_add_test (test_case,
+                  an_attempt_has_no_line_that_the_caller_may_not_set);
+  tcase_add_test (test_case, a_line_that_stands_twice_is_refused);
+  tcase_add_test (test_case, an_answer_is_read_into_its_types);
+  tcase_add_test (test_case, address_questions_are_answered);
+  tcase_add_test (test_case, objects_without_a_name_are_skipped);
+  tcase_add_test (test_case, a_conditional_write_names_its_revision);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
