--- a/scripts/run-checks.sh
+++ b/scripts/run-checks.sh
@@ -20,7 +20,7 @@
 run_program () {
   local name
   name=$(basename "$1")
-  CK_VERBOSITY=normal timeout 300 "$1" >"out/$2-$name.log" 2>&1
+  CK_VERBOSITY=normal timeout 900 "$1" >"out/$2-$name.log" 2>&1
   echo $? >"out/$2-$name.status"
 }
 export -f run_program
--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -5,11 +5,6 @@
    that follows peaks faster than lulls holds a quarter too much at all hosts
    together.  */
 #define DEMAND_WEIGHT 0.25
-/* Weight of the newest request in the mean size.  */
-#define SIZE_WEIGHT 0.1
-/* Mean requests that every host with demand wants to have at hand: with less
-   nearly every request of a large fleet has to ask the ledger.  */
-#define REQUESTS_AT_HAND 1.5
 /* Below this part of its target a share is refilled at once; regular updates
    of the ledger refill it in any case.  What lies over RETURN_ABOVE times the
    target is returned.  */
@@ -50,17 +45,6 @@
   return true;
 }
 
-/* A request asks for TOKENS; counted once, however long it waits.  */
-void
-ds_allotment_note_request (struct ds_allotment *allotment, uint64_t tokens)
-{
-  allotment->demanded += tokens;
-  if (allotment->mean_request <= 0)
-    allotment->mean_request = (double)tokens;
-  allotment->mean_request
-      += SIZE_WEIGHT * ((double)tokens - allotment->mean_request);
-}
-
 /* Ends a reservation: what was used is spent, the rest is free again.  */
 void
 ds_allotment_settle (struct ds_allotment *allotment, uint64_t reserved,
@@ -112,15 +96,6 @@
   if (fleet_demand > 0 && seconds > policy->part * left / fleet_demand)
     seconds = policy->part * left / fleet_demand;
   target = allotment->demand * seconds;
-  if (allotment->demand > 0)
-    {
-      double at_hand = REQUESTS_AT_HAND * allotment->mean_request;
-
-      if (at_hand > policy->part * left / hosts)
-        at_hand = policy->part * left / hosts;
-      if (target < at_hand)
-        target = at_hand;
-    }
   if (allotment->demand > 0 && target < (double)policy->minimum / hosts)
     target = (double)policy->minimum / hosts;
   /* The first requests of a tenant find tokens without asking the ledger.  */
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -53,7 +53,6 @@
   double demand;        /* tokens a second, of recent requests at their most */
   double demand_sum;    /* of weighted rates; DEMAND before its correction */
   double demand_weight; /* of the rates in DEMAND_SUM, up to 1 */
-  double mean_request;  /* tokens of a request at its most */
   uint64_t others_free; /* at other hosts, as they have told */
   double others_demand;
   uint64_t demanded;    /* since DEMAND was worked out last */
@@ -84,8 +83,6 @@
 
 void ds_allotment_set_limit (struct ds_allotment *allotment, uint64_t limit,
                              uint64_t version);
-void ds_allotment_note_request (struct ds_allotment *allotment,
-                                uint64_t tokens);
 bool ds_allotment_reserve (struct ds_allotment *allotment, uint64_t tokens,
                            uint64_t now_ms);
 void ds_allotment_settle (struct ds_allotment *allotment, uint64_t reserved,
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -736,7 +736,7 @@
 
   if (allotment == NULL)
     return DS_BUDGET_AWAY;
-  ds_allotment_note_request (allotment, tokens);
+  allotment->demanded += tokens;
   if (ds_allotment_reserve (allotment, tokens, now_ms))
     {
       if (is_urgent (keeper, now_ms))
