--- a/include/daisystep/routing_config.h
+++ b/include/daisystep/routing_config.h
@@ -53,7 +53,7 @@
 };
 
 /* The owner of keys and of a prepaid budget.  */
-struct ds_tenant
+struct ds_routing_workspace
 {
   struct ds_str name;
   struct ds_str *keys;
@@ -91,8 +91,8 @@
   size_t route_count;
   struct ds_service *services;
   size_t service_count;
-  struct ds_tenant *tenants;
-  size_t tenant_count;
+  struct ds_routing_workspace *workspaces;
+  size_t workspace_count;
   struct ds_caller_limits limits;
   struct ds_routing_index *index;
 };
@@ -101,9 +101,9 @@
 const struct ds_route *
 ds_routing_config_route (const struct ds_routing_config *config,
                          struct ds_str host, struct ds_str path);
-const struct ds_tenant *
-ds_routing_config_tenant (const struct ds_routing_config *config,
-                          struct ds_str key);
+const struct ds_routing_workspace *
+ds_routing_config_workspace (const struct ds_routing_config *config,
+                             struct ds_str key);
 const struct ds_service *
 ds_routing_config_service (const struct ds_routing_config *config,
                            struct ds_str name);
--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -78,10 +78,10 @@
 
 /* Tokens that this host wants to have free.
 
-   Load: all hosts lose the store for eight or nine seconds while a tenant
+   Load: all hosts lose the store for eight or nine seconds while a workspace
    sends several times its usual; a share has to last that long.  What lies in
-   the shares when all hosts die is lost to the tenant: with little left, less
-   is held.  */
+   the shares when all hosts die is lost to the workspace: with little left,
+   less is held.  */
 uint64_t
 ds_allotment_target (const struct ds_allotment *allotment,
                      const struct ds_allotment_policy *policy)
@@ -98,7 +98,8 @@
   target = allotment->demand * seconds;
   if (allotment->demand > 0 && target < (double)policy->minimum / hosts)
     target = (double)policy->minimum / hosts;
-  /* The first requests of a tenant find tokens without asking the ledger.  */
+  /* The first requests of a workspace find tokens without asking the ledger.
+   */
   if (fleet_demand <= 0)
     target = policy->start * (double)allotment->limit / hosts;
   return (uint64_t)target;
@@ -195,7 +196,7 @@
                     const struct ds_allotment_policy *policy, bool closing)
 {
   struct ds_ledger_account *account
-      = ds_ledger_page_account (page, allotment->tenant);
+      = ds_ledger_page_account (page, allotment->workspace);
   struct ds_allotment_update *update = &allotment->update;
   uint64_t target;
   uint64_t taken;
@@ -290,7 +291,7 @@
                       const struct ds_ledger_page *page)
 {
   const struct ds_ledger_account *account
-      = ds_ledger_page_find (page, allotment->tenant);
+      = ds_ledger_page_find (page, allotment->workspace);
   uint64_t taken;
 
   if (account == NULL)
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -13,7 +13,7 @@
 enum ds_budget_answer
 {
   DS_BUDGET_GRANTED,
-  DS_BUDGET_EXHAUSTED, /* the tenant's rest does not cover it */
+  DS_BUDGET_EXHAUSTED, /* the workspace's rest does not cover it */
   DS_BUDGET_AWAY,      /* nobody can tell now: the ledger cannot be reached */
   DS_BUDGET_WAITING    /* being asked for */
 };
@@ -36,12 +36,12 @@
   size_t borrowed_count;
 };
 
-/* This host's share of one tenant's prepaid budget.  All figures are tokens.
-   FREE may be reserved, RESERVED belongs to running requests, SPENT was used
-   and is not yet in the ledger.  */
+/* This host's share of one workspace's prepaid budget.  All figures are
+   tokens. FREE may be reserved, RESERVED belongs to running requests, SPENT
+   was used and is not yet in the ledger.  */
 struct ds_allotment
 {
-  struct ds_str tenant;
+  struct ds_str workspace;
   uint64_t limit;   /* prepaid, of the newest configuration seen */
   uint64_t version; /* of that configuration */
   uint64_t free;
@@ -67,14 +67,15 @@
 };
 
 /* How much a host keeps: HOLD_S seconds of its demand, which outlast a cut
-   from the store, while that is no more than PART of what the tenant has left.
+   from the store, while that is no more than PART of what the workspace has
+   left.
  */
 struct ds_allotment_policy
 {
   double hold_s;
   double part;
   double start;     /* part of the limit, for all hosts, before any request */
-  uint64_t minimum; /* tokens that all hosts keep of an active tenant */
+  uint64_t minimum; /* tokens that all hosts keep of an active workspace */
   size_t hosts;
 };
 
--- a/src/core/ledger_page.c
+++ b/src/core/ledger_page.c
@@ -16,11 +16,11 @@
 }
 
 static int
-read_account (struct ds_ledger_page *page, const char *tenant,
+read_account (struct ds_ledger_page *page, const char *workspace,
               const json_t *value)
 {
   struct ds_ledger_account *account
-      = ds_ledger_page_account (page, ds_str_from_c (tenant));
+      = ds_ledger_page_account (page, ds_str_from_c (workspace));
   json_t *grants = json_object_get (value, "grants");
   const char *writer;
   json_t *tokens;
@@ -131,8 +131,8 @@
           set_count (grants, account->grants[k].writer,
                      account->grants[k].tokens);
       (void)json_object_set_new (value, "grants", grants);
-      (void)json_object_setn_new_nocheck (accounts, account->tenant.data,
-                                          account->tenant.length, value);
+      (void)json_object_setn_new_nocheck (accounts, account->workspace.data,
+                                          account->workspace.length, value);
     }
   for (size_t i = 0; i < page->writer_count; i++)
     set_count (writers, page->writers[i].name, page->writers[i].number);
@@ -190,25 +190,26 @@
       }
 }
 
-/* The account of TENANT, or null.  */
+/* The account of WORKSPACE, or null.  */
 const struct ds_ledger_account *
-ds_ledger_page_find (const struct ds_ledger_page *page, struct ds_str tenant)
+ds_ledger_page_find (const struct ds_ledger_page *page,
+                     struct ds_str workspace)
 {
   for (size_t i = 0; i < page->account_count; i++)
-    if (ds_str_equal (page->accounts[i].tenant, tenant))
+    if (ds_str_equal (page->accounts[i].workspace, workspace))
       return &page->accounts[i];
   return NULL;
 }
 
-/* The account of TENANT, made when there is none; null when memory is
+/* The account of WORKSPACE, made when there is none; null when memory is
    short.  */
 struct ds_ledger_account *
-ds_ledger_page_account (struct ds_ledger_page *page, struct ds_str tenant)
+ds_ledger_page_account (struct ds_ledger_page *page, struct ds_str workspace)
 {
   struct ds_ledger_account *grown;
 
   for (size_t i = 0; i < page->account_count; i++)
-    if (ds_str_equal (page->accounts[i].tenant, tenant))
+    if (ds_str_equal (page->accounts[i].workspace, workspace))
       return &page->accounts[i];
   grown = talloc_realloc (page, page->accounts, struct ds_ledger_account,
                           (unsigned)page->account_count + 1);
@@ -216,7 +217,8 @@
     return NULL;
   page->accounts = grown;
   grown[page->account_count]
-      = (struct ds_ledger_account){ .tenant = ds_str_copy (page, tenant) };
+      = (struct ds_ledger_account){ .workspace
+                                    = ds_str_copy (page, workspace) };
   return &grown[page->account_count++];
 }
 
--- a/src/core/ledger_page.h
+++ b/src/core/ledger_page.h
@@ -12,7 +12,7 @@
 
 struct ds_ledger_account
 {
-  struct ds_str tenant;
+  struct ds_str workspace;
   uint64_t limit;
   uint64_t version; /* of the configuration that LIMIT is from */
   uint64_t settled;
@@ -36,9 +36,10 @@
 };
 
 struct ds_ledger_account *ds_ledger_page_account (struct ds_ledger_page *page,
-                                                  struct ds_str tenant);
+                                                  struct ds_str workspace);
 const struct ds_ledger_account *
-ds_ledger_page_find (const struct ds_ledger_page *page, struct ds_str tenant);
+ds_ledger_page_find (const struct ds_ledger_page *page,
+                     struct ds_str workspace);
 uint64_t *ds_ledger_account_grant (struct ds_ledger_page *page,
                                    struct ds_ledger_account *account,
                                    struct ds_str writer);
--- a/src/core/routing_config.c
+++ b/src/core/routing_config.c
@@ -8,7 +8,7 @@
 struct ds_routing_index
 {
   GHashTable *routes; /* of struct ds_route, by host and prefix */
-  GHashTable *keys;   /* of struct ds_tenant, by key */
+  GHashTable *keys;   /* of struct ds_routing_workspace, by key */
   GHashTable *services;
 };
 
@@ -75,10 +75,10 @@
   for (size_t i = 0; i < config->service_count; i++)
     g_hash_table_insert (index->services, &config->services[i].name,
                          &config->services[i]);
-  for (size_t i = 0; i < config->tenant_count; i++)
-    for (size_t k = 0; k < config->tenants[i].key_count; k++)
-      g_hash_table_insert (index->keys, &config->tenants[i].keys[k],
-                           &config->tenants[i]);
+  for (size_t i = 0; i < config->workspace_count; i++)
+    for (size_t k = 0; k < config->workspaces[i].key_count; k++)
+      g_hash_table_insert (index->keys, &config->workspaces[i].keys[k],
+                           &config->workspaces[i]);
   config->index = index;
   return 0;
 }
@@ -109,10 +109,10 @@
   return NULL;
 }
 
-/* The tenant that holds KEY, or null.  */
-const struct ds_tenant *
-ds_routing_config_tenant (const struct ds_routing_config *config,
-                          struct ds_str key)
+/* The workspace that holds KEY, or null.  */
+const struct ds_routing_workspace *
+ds_routing_config_workspace (const struct ds_routing_config *config,
+                             struct ds_str key)
 {
   return g_hash_table_lookup (config->index->keys, &key);
 }
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 
 /* All accounts of the two deployments fit one page; an update of one host
-   covers all tenants with one call.  */
+   covers all workspaces with one call.  */
 #define PAGE_NAME "page-0"
 /* An answer of the store takes 4 ms, 240 ms when it is slow.  */
 #define CALL_TIMEOUT_MS 1000
@@ -89,18 +89,18 @@
 static void serve_waits (struct ds_budget_keeper *keeper);
 
 static struct ds_allotment *
-find (const struct ds_budget_keeper *keeper, struct ds_str tenant)
+find (const struct ds_budget_keeper *keeper, struct ds_str workspace)
 {
   for (size_t i = 0; i < keeper->count; i++)
-    if (ds_str_equal (keeper->allotments[i]->tenant, tenant))
+    if (ds_str_equal (keeper->allotments[i]->workspace, workspace))
       return keeper->allotments[i];
   return NULL;
 }
 
 static struct ds_allotment *
-find_or_add (struct ds_budget_keeper *keeper, struct ds_str tenant)
+find_or_add (struct ds_budget_keeper *keeper, struct ds_str workspace)
 {
-  struct ds_allotment *allotment = find (keeper, tenant);
+  struct ds_allotment *allotment = find (keeper, workspace);
   struct ds_allotment **grown;
 
   if (allotment != NULL)
@@ -113,7 +113,7 @@
   allotment = talloc_zero (keeper, struct ds_allotment);
   if (allotment == NULL)
     return NULL;
-  allotment->tenant = ds_str_copy (allotment, tenant);
+  allotment->workspace = ds_str_copy (allotment, workspace);
   grown[keeper->count++] = allotment;
   return allotment;
 }
@@ -182,7 +182,7 @@
 {
   uint64_t demand;
 
-  keeper->options.held (allotment->tenant, &allotment->others_free, &demand,
+  keeper->options.held (allotment->workspace, &allotment->others_free, &demand,
                         keeper->options.user_data);
   allotment->others_demand = (double)demand;
 }
@@ -198,7 +198,7 @@
   if (now_ms - allotment->asked_ms < ASK_MS || allotment->free >= needed)
     return;
   allotment->asked_ms = now_ms;
-  keeper->options.ask (allotment->tenant, needed - allotment->free,
+  keeper->options.ask (allotment->workspace, needed - allotment->free,
                        keeper->options.user_data);
 }
 
@@ -530,16 +530,17 @@
 ds_budget_keeper_configure (struct ds_budget_keeper *keeper,
                             const struct ds_routing_config *config)
 {
-  for (size_t i = 0; i < config->tenant_count; i++)
+  for (size_t i = 0; i < config->workspace_count; i++)
     {
-      const struct ds_tenant *tenant = &config->tenants[i];
+      const struct ds_routing_workspace *workspace = &config->workspaces[i];
       struct ds_allotment *allotment;
 
-      if (!tenant->has_budget)
+      if (!workspace->has_budget)
         continue;
-      allotment = find_or_add (keeper, tenant->name);
+      allotment = find_or_add (keeper, workspace->name);
       if (allotment != NULL)
-        ds_allotment_set_limit (allotment, tenant->prepaid, config->version);
+        ds_allotment_set_limit (allotment, workspace->prepaid,
+                                config->version);
     }
   if (is_urgent (keeper, ds_clock_ms ()))
     start_call (keeper, ds_clock_ms ());
@@ -615,10 +616,10 @@
 
 /* Another host asks for TOKENS.  */
 uint64_t
-ds_budget_keeper_give (struct ds_budget_keeper *keeper, struct ds_str tenant,
-                       uint64_t tokens)
+ds_budget_keeper_give (struct ds_budget_keeper *keeper,
+                       struct ds_str workspace, uint64_t tokens)
 {
-  struct ds_allotment *allotment = find (keeper, tenant);
+  struct ds_allotment *allotment = find (keeper, workspace);
 
   return allotment != NULL ? ds_allotment_give (allotment, tokens,
                                                 keeper->closing ? 0 : KEEP_S)
@@ -627,10 +628,11 @@
 
 /* Another host has given TOKENS.  */
 void
-ds_budget_keeper_take (struct ds_budget_keeper *keeper, struct ds_str tenant,
-                       uint64_t tokens, struct ds_str giver)
+ds_budget_keeper_take (struct ds_budget_keeper *keeper,
+                       struct ds_str workspace, uint64_t tokens,
+                       struct ds_str giver)
 {
-  struct ds_allotment *allotment = find_or_add (keeper, tenant);
+  struct ds_allotment *allotment = find_or_add (keeper, workspace);
 
   if (allotment == NULL
       || ds_allotment_borrow (keeper, allotment, giver, tokens) != 0)
@@ -685,7 +687,7 @@
 }
 
 /* Serves the waiting reservations that can be decided, oldest first.  Those of
-   other tenants are not held up by one that cannot.  */
+   other workspaces are not held up by one that cannot.  */
 static void
 serve_waits (struct ds_budget_keeper *keeper)
 {
@@ -719,16 +721,16 @@
     }
 }
 
-/* Reserves TOKENS of TENANT for a request.  With DS_BUDGET_WAITING the outcome
-   is told to ON_DECIDED at UNTIL_MS at the latest, and *WAIT is valid until
-   then.  */
+/* Reserves TOKENS of WORKSPACE for a request.  With DS_BUDGET_WAITING the
+   outcome is told to ON_DECIDED at UNTIL_MS at the latest, and *WAIT is valid
+   until then.  */
 enum ds_budget_answer
 ds_budget_reserve (struct ds_budget_keeper *keeper,
-                   struct ds_budget_wait **wait, struct ds_str tenant,
+                   struct ds_budget_wait **wait, struct ds_str workspace,
                    uint64_t tokens, uint64_t until_ms,
                    ds_budget_decided_fn *on_decided, void *user_data)
 {
-  struct ds_allotment *allotment = find_or_add (keeper, tenant);
+  struct ds_allotment *allotment = find_or_add (keeper, workspace);
   uint64_t now_ms = ds_clock_ms ();
   struct ds_budget_wait **at = &keeper->waits;
   struct ds_budget_wait *added;
@@ -782,10 +784,10 @@
 
 /* The request has ended and used USED of the RESERVED tokens.  */
 void
-ds_budget_settle (struct ds_budget_keeper *keeper, struct ds_str tenant,
+ds_budget_settle (struct ds_budget_keeper *keeper, struct ds_str workspace,
                   uint64_t reserved, uint64_t used)
 {
-  struct ds_allotment *allotment = find (keeper, tenant);
+  struct ds_allotment *allotment = find (keeper, workspace);
 
   if (allotment == NULL)
     return;
@@ -795,12 +797,12 @@
     keeper->closed = false;
 }
 
-/* What this host holds of TENANT's budget, or null.  */
+/* What this host holds of WORKSPACE's budget, or null.  */
 const struct ds_allotment *
 ds_budget_keeper_find (const struct ds_budget_keeper *keeper,
-                       struct ds_str tenant)
+                       struct ds_str workspace)
 {
-  return find (keeper, tenant);
+  return find (keeper, workspace);
 }
 
 size_t
--- a/src/entry/budget_keeper.h
+++ b/src/entry/budget_keeper.h
@@ -23,8 +23,8 @@
   struct ds_str writer;
   struct ds_allotment_policy policy;
   uint32_t settle_ms;
-  void (*ask) (struct ds_str tenant, uint64_t tokens, void *user_data);
-  void (*held) (struct ds_str tenant, uint64_t *tokens, uint64_t *demand,
+  void (*ask) (struct ds_str workspace, uint64_t tokens, void *user_data);
+  void (*held) (struct ds_str workspace, uint64_t *tokens, uint64_t *demand,
                 void *user_data);
   void (*silent) (void *user_data);
   void *user_data;
@@ -40,25 +40,26 @@
 void ds_budget_keeper_close (struct ds_budget_keeper *keeper);
 bool ds_budget_keeper_is_closed (const struct ds_budget_keeper *keeper);
 uint64_t ds_budget_keeper_give (struct ds_budget_keeper *keeper,
-                                struct ds_str tenant, uint64_t tokens);
+                                struct ds_str workspace, uint64_t tokens);
 void ds_budget_keeper_take (struct ds_budget_keeper *keeper,
-                            struct ds_str tenant, uint64_t tokens,
+                            struct ds_str workspace, uint64_t tokens,
                             struct ds_str giver);
 
 enum ds_budget_answer ds_budget_reserve (struct ds_budget_keeper *keeper,
                                          struct ds_budget_wait **wait,
-                                         struct ds_str tenant, uint64_t tokens,
-                                         uint64_t until_ms,
+                                         struct ds_str workspace,
+                                         uint64_t tokens, uint64_t until_ms,
                                          ds_budget_decided_fn *on_decided,
                                          void *user_data);
 void ds_budget_cancel_wait (struct ds_budget_wait *wait);
-void ds_budget_settle (struct ds_budget_keeper *keeper, struct ds_str tenant,
-                       uint64_t reserved, uint64_t used);
+void ds_budget_settle (struct ds_budget_keeper *keeper,
+                       struct ds_str workspace, uint64_t reserved,
+                       uint64_t used);
 size_t ds_budget_keeper_count (const struct ds_budget_keeper *keeper);
 const struct ds_allotment *
 ds_budget_keeper_at (const struct ds_budget_keeper *keeper, size_t index);
 const struct ds_allotment *
 ds_budget_keeper_find (const struct ds_budget_keeper *keeper,
-                       struct ds_str tenant);
+                       struct ds_str workspace);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -150,7 +150,7 @@
   ds_decision_number (&line, "version", (int64_t)config->version);
   ds_decision_number (&line, "revision", (int64_t)object->revision);
   ds_decision_number (&line, "routes", (int64_t)config->route_count);
-  ds_decision_number (&line, "tenants", (int64_t)config->tenant_count);
+  ds_decision_number (&line, "workspaces", (int64_t)config->workspace_count);
   ds_decision_end (&line);
   if (entry->exchanges.config != NULL)
     talloc_unlink (entry, entry->exchanges.config);
@@ -239,13 +239,13 @@
 }
 
 static uint64_t
-give_tokens (struct ds_str tenant, uint64_t tokens, void *user_data)
+give_tokens (struct ds_str workspace, uint64_t tokens, void *user_data)
 {
   struct ds_entry *entry = user_data;
-  uint64_t given = ds_budget_keeper_give (entry->budgets, tenant, tokens);
+  uint64_t given = ds_budget_keeper_give (entry->budgets, workspace, tokens);
   struct ds_decision line = ds_decision_begin ("tokens_given", DS_STR_EMPTY);
 
-  ds_decision_text (&line, "tenant", tenant);
+  ds_decision_text (&line, "workspace", workspace);
   ds_decision_number (&line, "asked", (int64_t)tokens);
   ds_decision_number (&line, "given", (int64_t)given);
   ds_decision_end (&line);
@@ -253,37 +253,37 @@
 }
 
 static void
-take_tokens (struct ds_str tenant, uint64_t tokens, struct ds_str giver,
+take_tokens (struct ds_str workspace, uint64_t tokens, struct ds_str giver,
              void *user_data)
 {
   struct ds_entry *entry = user_data;
   struct ds_decision line = ds_decision_begin ("tokens_taken", DS_STR_EMPTY);
 
-  ds_decision_text (&line, "tenant", tenant);
+  ds_decision_text (&line, "workspace", workspace);
   ds_decision_text (&line, "giver", giver);
   ds_decision_number (&line, "tokens", (int64_t)tokens);
   ds_decision_end (&line);
-  ds_budget_keeper_take (entry->budgets, tenant, tokens, giver);
+  ds_budget_keeper_take (entry->budgets, workspace, tokens, giver);
 }
 
 static void
-ask_tokens (struct ds_str tenant, uint64_t tokens, void *user_data)
+ask_tokens (struct ds_str workspace, uint64_t tokens, void *user_data)
 {
   struct ds_entry *entry = user_data;
 
   if (entry->fleet != NULL)
-    ds_fleet_view_ask (entry->fleet, tenant, tokens);
+    ds_fleet_view_ask (entry->fleet, workspace, tokens);
 }
 
 static void
-held_by_others (struct ds_str tenant, uint64_t *tokens, uint64_t *demand,
+held_by_others (struct ds_str workspace, uint64_t *tokens, uint64_t *demand,
                 void *user_data)
 {
   const struct ds_entry *entry = user_data;
   struct ds_token_holding sum = { .tokens = 0 };
 
   if (entry->fleet != NULL)
-    sum = ds_fleet_view_held (entry->fleet, tenant);
+    sum = ds_fleet_view_held (entry->fleet, workspace);
   *tokens = sum.tokens;
   *demand = sum.demand;
 }
@@ -324,7 +324,7 @@
 
       if (a->free > 0 || a->demand >= 1)
         all[used++] = (struct ds_token_holding){
-          .tenant = ds_fleet_tenant_hash (a->tenant),
+          .workspace = ds_fleet_workspace_hash (a->workspace),
           .tokens = a->revoked ? 0 : a->free,
           .demand = (uint64_t)a->demand,
         };
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -26,10 +26,10 @@
 /* Answers of replicas that did not run the request which one request may meet;
    more would keep the caller waiting without a prospect.  */
 #define REJECTIONS_MAX 2
-/* Engines know ranks 0 to 9; a step of the tenant's priority outweighs the
+/* Engines know ranks 0 to 9; a step of the workspace's priority outweighs the
    routes' priorities, which are 0 to 2.  */
 #define ENGINE_PRIORITY_LAST 9
-#define ENGINE_TENANT_STEP 3
+#define ENGINE_WORKSPACE_STEP 3
 /* Time left below which no further attempt is made.  */
 #define LEAST_ATTEMPT_MS 30
 
@@ -49,8 +49,8 @@
   struct ds_routing_config *config; /* referenced */
   const struct ds_route *route;
   struct ds_caller_request request;
-  struct ds_str tenant;
-  uint32_t tenant_priority;
+  struct ds_str workspace;
+  uint32_t workspace_priority;
   struct ds_placement_request placing;
   enum phase phase;
   uint64_t digest;
@@ -163,7 +163,7 @@
   x->wait = NULL;
   drop_attempt (x);
   if (x->has_reservation)
-    ds_budget_settle (x->context->budgets, x->tenant, x->reserved,
+    ds_budget_settle (x->context->budgets, x->workspace, x->reserved,
                       tokens_used (x));
   line = ds_decision_begin ("request_end", x->request.id);
   ds_decision_text (&line, "outcome", ds_str_from_c (outcome));
@@ -614,15 +614,16 @@
   attempt_failed (x, failure_name (failure));
 }
 
-/* The rank at an engine.  The tenant's comes before the route's; engines admit
-   a smaller number first.
+/* The rank at an engine.  The workspace's comes before the route's; engines
+   admit a smaller number first.
 
    Load: engines that hold more prompts than they can read in time.  Urgent
    routes shall not wait behind long answers to patient ones.  */
 static uint32_t
 engine_priority (const struct ds_exchange *x)
 {
-  uint32_t rank = ENGINE_TENANT_STEP * x->tenant_priority + x->route->priority;
+  uint32_t rank
+      = ENGINE_WORKSPACE_STEP * x->workspace_priority + x->route->priority;
 
   return rank > ENGINE_PRIORITY_LAST ? ENGINE_PRIORITY_LAST : rank;
 }
@@ -643,7 +644,7 @@
     .request = &x->request,
     .head = x->head,
     .replica_id = placement->replica->record.id,
-    .tenant = x->tenant,
+    .workspace = x->workspace,
     .deadline_ms = time_left (x, now_ms),
     .last_event_id
     = x->events.has_id ? x->events.last_id : x->request.last_event_id,
@@ -751,10 +752,10 @@
 log_tokens (struct ds_exchange *x, enum ds_budget_answer answer)
 {
   const struct ds_allotment *a
-      = ds_budget_keeper_find (x->context->budgets, x->tenant);
+      = ds_budget_keeper_find (x->context->budgets, x->workspace);
   struct ds_decision line = ds_decision_begin ("tokens", x->request.id);
 
-  ds_decision_text (&line, "tenant", x->tenant);
+  ds_decision_text (&line, "workspace", x->workspace);
   ds_decision_text (&line, "outcome",
                     answer == DS_BUDGET_GRANTED     ? DS_STR ("granted")
                     : answer == DS_BUDGET_EXHAUSTED ? DS_STR ("exhausted")
@@ -781,7 +782,7 @@
   if (wait_ms > TOKEN_WAIT_MAX_MS)
     wait_ms = TOKEN_WAIT_MAX_MS;
   x->reserved = x->request.prompt_tokens + x->request.output_tokens;
-  answer = ds_budget_reserve (x->context->budgets, &x->wait, x->tenant,
+  answer = ds_budget_reserve (x->context->budgets, &x->wait, x->workspace,
                               x->reserved, now_ms + wait_ms, on_tokens, x);
   if (answer != DS_BUDGET_GRANTED)
     log_tokens (x, answer);
@@ -791,13 +792,13 @@
     on_tokens (answer, x);
 }
 
-/* Finds route and tenant; false when the request was refused.  */
+/* Finds route and workspace; false when the request was refused.  */
 static bool
-identify (struct ds_exchange *x, const struct ds_tenant **tenant)
+identify (struct ds_exchange *x, const struct ds_routing_workspace **workspace)
 {
   const struct ds_routing_config *config = x->config;
 
-  *tenant = NULL;
+  *workspace = NULL;
   x->route
       = ds_routing_config_route (config, x->request.host, x->request.path);
   if (x->route == NULL)
@@ -806,16 +807,17 @@
       return false;
     }
   if (x->request.key.length > 0)
-    *tenant = ds_routing_config_tenant (config, x->request.key);
-  if (*tenant == NULL && !x->route->is_public && config->tenant_count > 0)
+    *workspace = ds_routing_config_workspace (config, x->request.key);
+  if (*workspace == NULL && !x->route->is_public
+      && config->workspace_count > 0)
     {
       refuse (x, 401, 0, "unknown key");
       return false;
     }
-  if (*tenant != NULL && !x->route->is_public)
+  if (*workspace != NULL && !x->route->is_public)
     {
-      x->tenant = (*tenant)->name;
-      x->tenant_priority = (*tenant)->priority;
+      x->workspace = (*workspace)->name;
+      x->workspace_priority = (*workspace)->priority;
     }
   return true;
 }
@@ -838,7 +840,7 @@
 digest_of (const struct ds_exchange *x)
 {
   return ds_str_hash (
-      x->body, ds_str_hash (x->request.path, ds_str_hash (x->tenant, 3)));
+      x->body, ds_str_hash (x->request.path, ds_str_hash (x->workspace, 3)));
 }
 
 /* Serves one request of a caller.  HEAD and BODY are valid until the answer is
@@ -849,7 +851,7 @@
                    struct ds_str body)
 {
   struct ds_exchange *x = talloc_zero (context->ev, struct ds_exchange);
-  const struct ds_tenant *tenant;
+  const struct ds_routing_workspace *workspace;
   uint64_t now_ms = ds_clock_ms ();
   uint64_t wait_ms;
 
@@ -865,7 +867,7 @@
   x->head = head;
   x->body = body;
   x->arrived_ms = now_ms;
-  x->tenant = DS_STR_EMPTY;
+  x->workspace = DS_STR_EMPTY;
   ds_caller_set_data (caller, x);
   if (ds_wire_read_request (&x->request, head) != 0)
     {
@@ -883,7 +885,7 @@
       return;
     }
   x->config = talloc_reference (x, context->config);
-  if (!identify (x, &tenant))
+  if (!identify (x, &workspace))
     return;
   x->digest = digest_of (x);
   if (ds_crash_guard_refuses (context->crashes, x->digest, now_ms))
@@ -904,8 +906,8 @@
   ds_retry_allowance_note_request (context->retries, x->placing.service,
                                    now_ms);
   arm (x, now_ms);
-  if (tenant != NULL && tenant->has_budget && x->request.has_tokens
-      && x->tenant.length > 0)
+  if (workspace != NULL && workspace->has_budget && x->request.has_tokens
+      && x->workspace.length > 0)
     reserve (x, now_ms);
   else
     attempt (x);
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -47,7 +47,7 @@
 struct gift
 {
   uint64_t number;
-  struct ds_str tenant;
+  struct ds_str workspace;
   uint64_t tokens;
 };
 
@@ -158,11 +158,11 @@
   datagram->sequence = ++view->sequence;
 }
 
-/* The name of a tenant between hosts.  */
+/* The name of a workspace between hosts.  */
 uint64_t
-ds_fleet_tenant_hash (struct ds_str tenant)
+ds_fleet_workspace_hash (struct ds_str workspace)
 {
-  return ds_str_hash (tenant, 5);
+  return ds_str_hash (workspace, 5);
 }
 
 static void
@@ -180,7 +180,7 @@
           = talloc (owner, Daisystep__Gossip__TokenHolding);
 
       daisystep__gossip__token_holding__init (holding);
-      holding->tenant = holdings[i].tenant;
+      holding->workspace = holdings[i].workspace;
       holding->tokens = holdings[i].tokens;
       holding->demand = holdings[i].demand;
       datagram->holdings[datagram->n_holdings++] = holding;
@@ -302,7 +302,7 @@
 
       daisystep__gossip__token_gift__init (gift);
       gift->number = member->gifts[i].number;
-      gift->tenant = c_string (owner, member->gifts[i].tenant);
+      gift->workspace = c_string (owner, member->gifts[i].workspace);
       gift->tokens = member->gifts[i].tokens;
       datagram->gifts[datagram->n_gifts++] = gift;
     }
@@ -371,7 +371,7 @@
       if (seen)
         continue;
       member->seen[member->seen_count++ % GIFTS_SEEN] = gift->number;
-      view->handlers.take (ds_str_from_c (gift->tenant), gift->tokens,
+      view->handlers.take (ds_str_from_c (gift->workspace), gift->tokens,
                            ds_str_from_c (giver), view->handlers.user_data);
     }
   talloc_free (giver);
@@ -384,7 +384,7 @@
     for (size_t k = 0; k < member->gift_count; k++)
       if (member->gifts[k].number == datagram->gift_acks[i])
         {
-          talloc_free ((char *)member->gifts[k].tenant.data);
+          talloc_free ((char *)member->gifts[k].workspace.data);
           member->gifts[k] = member->gifts[--member->gift_count];
           break;
         }
@@ -398,18 +398,18 @@
 
   for (size_t i = 0; i < datagram->n_asks; i++)
     {
-      struct ds_str tenant = ds_str_from_c (datagram->asks[i]->tenant);
+      struct ds_str workspace = ds_str_from_c (datagram->asks[i]->workspace);
       uint64_t tokens;
 
       if (member->gift_count == GIFTS_MAX)
         break;
-      tokens = view->handlers.give (tenant, datagram->asks[i]->tokens,
+      tokens = view->handlers.give (workspace, datagram->asks[i]->tokens,
                                     view->handlers.user_data);
       if (tokens == 0)
         continue;
       member->gifts[member->gift_count++] = (struct gift){
         .number = ++view->gift_number,
-        .tenant = ds_str_copy (member, tenant),
+        .workspace = ds_str_copy (member, workspace),
         .tokens = tokens,
       };
       gave = true;
@@ -446,7 +446,7 @@
   member->holding_count = 0;
   for (size_t i = 0; i < datagram->n_holdings && i < DS_HOLDINGS_MAX; i++)
     member->holdings[member->holding_count++] = (struct ds_token_holding){
-      .tenant = datagram->holdings[i]->tenant,
+      .workspace = datagram->holdings[i]->workspace,
       .tokens = datagram->holdings[i]->tokens,
       .demand = datagram->holdings[i]->demand,
     };
@@ -717,28 +717,30 @@
         = (struct part_read){ .replica = replica->hash, .part = part };
 }
 
-/* What MEMBER has told of its tokens of a tenant.  */
+/* What MEMBER has told of its tokens of a workspace.  */
 static struct ds_token_holding
 held_by (const struct member *member, uint64_t hash)
 {
   for (size_t i = 0; i < member->holding_count; i++)
-    if (member->holdings[i].tenant == hash)
+    if (member->holdings[i].workspace == hash)
       return member->holdings[i];
-  return (struct ds_token_holding){ .tenant = hash };
+  return (struct ds_token_holding){ .workspace = hash };
 }
 
-/* What the hosts that are alive have told of TENANT, summed up, as of their
+/* What the hosts that are alive have told of WORKSPACE, summed up, as of their
    last datagrams.  */
 struct ds_token_holding
-ds_fleet_view_held (const struct ds_fleet_view *view, struct ds_str tenant)
+ds_fleet_view_held (const struct ds_fleet_view *view, struct ds_str workspace)
 {
   uint64_t now_ms = ds_clock_ms ();
-  struct ds_token_holding sum = { .tenant = ds_fleet_tenant_hash (tenant) };
+  struct ds_token_holding sum
+      = { .workspace = ds_fleet_workspace_hash (workspace) };
 
   for (size_t i = 0; i < view->count; i++)
     if (ds_fleet_member_is_alive (&view->members[i]->open, now_ms))
       {
-        struct ds_token_holding one = held_by (view->members[i], sum.tenant);
+        struct ds_token_holding one
+            = held_by (view->members[i], sum.workspace);
 
         sum.tokens += one.tokens;
         sum.demand += one.demand;
@@ -746,14 +748,14 @@
   return sum;
 }
 
-/* Asks the hosts that hold tokens of TENANT for TOKENS, each for a part as
+/* Asks the hosts that hold tokens of WORKSPACE for TOKENS, each for a part as
    large as its part of all that they hold.  */
 void
-ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str tenant,
+ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str workspace,
                    uint64_t tokens)
 {
-  uint64_t held = ds_fleet_view_held (view, tenant).tokens;
-  uint64_t hash = ds_fleet_tenant_hash (tenant);
+  uint64_t held = ds_fleet_view_held (view, workspace).tokens;
+  uint64_t hash = ds_fleet_workspace_hash (workspace);
   uint64_t now_ms = ds_clock_ms ();
   TALLOC_CTX *scratch;
   Daisystep__Gossip__Datagram datagram;
@@ -767,7 +769,7 @@
   fill_loads (view, scratch, &datagram);
   fill_holdings (view, scratch, &datagram);
   daisystep__gossip__token_ask__init (&ask);
-  ask.tenant = c_string (scratch, tenant);
+  ask.workspace = c_string (scratch, workspace);
   datagram.asks = asks;
   datagram.n_asks = 1;
   for (size_t i = 0; i < view->count; i++)
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -31,11 +31,11 @@
   bool ready;
 };
 
-/* Tokens of one tenant that a host has free, and its demand in tokens a
+/* Tokens of one workspace that a host has free, and its demand in tokens a
    second.  */
 struct ds_token_holding
 {
-  uint64_t tenant; /* a hash of its name */
+  uint64_t workspace; /* a hash of its name */
   uint64_t tokens;
   uint64_t demand;
 };
@@ -43,14 +43,14 @@
 /* Holdings that hosts tell each other; the largest come first.  */
 #define DS_HOLDINGS_MAX 32
 
-/* GIVE is asked for tokens of a tenant and returns how many it gives; TAKE
+/* GIVE is asked for tokens of a workspace and returns how many it gives; TAKE
    receives tokens from another host.  HOLDINGS writes up to DS_HOLDINGS_MAX of
    this host's holdings and returns how many.  */
 struct ds_fleet_handlers
 {
   size_t (*holdings) (struct ds_token_holding *out, void *user_data);
-  uint64_t (*give) (struct ds_str tenant, uint64_t tokens, void *user_data);
-  void (*take) (struct ds_str tenant, uint64_t tokens, struct ds_str giver,
+  uint64_t (*give) (struct ds_str workspace, uint64_t tokens, void *user_data);
+  void (*take) (struct ds_str workspace, uint64_t tokens, struct ds_str giver,
                 void *user_data);
   void *user_data;
 };
@@ -70,13 +70,13 @@
 void ds_fleet_view_tick (struct ds_fleet_view *view, uint64_t now_ms);
 void ds_fleet_view_set_state (struct ds_fleet_view *view, bool ready,
                               bool draining);
-void ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str tenant,
+void ds_fleet_view_ask (struct ds_fleet_view *view, struct ds_str workspace,
                         uint64_t tokens);
 void ds_fleet_view_note_read (struct ds_fleet_view *view,
                               const struct ds_replica *replica, uint64_t part);
-uint64_t ds_fleet_tenant_hash (struct ds_str tenant);
+uint64_t ds_fleet_workspace_hash (struct ds_str workspace);
 struct ds_token_holding ds_fleet_view_held (const struct ds_fleet_view *view,
-                                            struct ds_str tenant);
+                                            struct ds_str workspace);
 size_t ds_fleet_view_count (const struct ds_fleet_view *view);
 const struct ds_fleet_member *
 ds_fleet_view_at (const struct ds_fleet_view *view, size_t index);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -440,12 +440,12 @@
 static const ProtobufCFieldDescriptor daisystep__gossip__token_ask__field_descriptors[2] =
 {
   {
-    "tenant",
+    "workspace",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Daisystep__Gossip__TokenAsk, tenant),
+    offsetof(Daisystep__Gossip__TokenAsk, workspace),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -465,8 +465,8 @@
   },
 };
 static const unsigned daisystep__gossip__token_ask__field_indices_by_name[] = {
-  0,   /* field[0] = tenant */
   1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
 };
 static const ProtobufCIntRange daisystep__gossip__token_ask__number_ranges[1 + 1] =
 {
@@ -503,12 +503,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tenant",
+    "workspace",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Daisystep__Gossip__TokenGift, tenant),
+    offsetof(Daisystep__Gossip__TokenGift, workspace),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -529,8 +529,8 @@
 };
 static const unsigned daisystep__gossip__token_gift__field_indices_by_name[] = {
   0,   /* field[0] = number */
-  1,   /* field[1] = tenant */
   2,   /* field[2] = tokens */
+  1,   /* field[1] = workspace */
 };
 static const ProtobufCIntRange daisystep__gossip__token_gift__number_ranges[1 + 1] =
 {
@@ -555,12 +555,12 @@
 static const ProtobufCFieldDescriptor daisystep__gossip__token_holding__field_descriptors[3] =
 {
   {
-    "tenant",
+    "workspace",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Daisystep__Gossip__TokenHolding, tenant),
+    offsetof(Daisystep__Gossip__TokenHolding, workspace),
     NULL,
     NULL,
     0,             /* flags */
@@ -593,8 +593,8 @@
 };
 static const unsigned daisystep__gossip__token_holding__field_indices_by_name[] = {
   2,   /* field[2] = demand */
-  0,   /* field[0] = tenant */
   1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
 };
 static const ProtobufCIntRange daisystep__gossip__token_holding__number_ranges[1 + 1] =
 {
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -59,12 +59,12 @@
 
 
 /*
- * The sender lacks tokens of a tenant.
+ * The sender lacks tokens of a workspace.
  */
 struct  Daisystep__Gossip__TokenAsk
 {
   ProtobufCMessage base;
-  char *tenant;
+  char *workspace;
   uint64_t tokens;
 };
 #define DAISYSTEP__GOSSIP__TOKEN_ASK__INIT \
@@ -79,7 +79,7 @@
 {
   ProtobufCMessage base;
   uint64_t number;
-  char *tenant;
+  char *workspace;
   uint64_t tokens;
 };
 #define DAISYSTEP__GOSSIP__TOKEN_GIFT__INIT \
@@ -88,13 +88,13 @@
 
 
 /*
- * Tokens of a tenant that the sender has free, and how many its requests take
- * in a second. The tenant is named by a hash.
+ * Tokens of a workspace that the sender has free, and how many its requests take
+ * in a second. The workspace is named by a hash.
  */
 struct  Daisystep__Gossip__TokenHolding
 {
   ProtobufCMessage base;
-  uint64_t tenant;
+  uint64_t workspace;
   uint64_t tokens;
   uint64_t demand;
 };
--- a/tests/test_allotment.c
+++ b/tests/test_allotment.c
@@ -184,7 +184,7 @@
   srand (seed);
   for (int i = 0; i < HOSTS; i++)
     {
-      hosts[i].allotment.tenant = DS_STR ("north");
+      hosts[i].allotment.workspace = DS_STR ("north");
       (void)snprintf (hosts[i].name, sizeof hosts[i].name, "host-%d#1", i);
       ds_allotment_set_limit (&hosts[i].allotment, LIMIT, 1);
     }
@@ -240,7 +240,7 @@
   struct store store = { .revision = 1 };
   struct ds_ledger_page *page;
 
-  host.allotment.tenant = DS_STR ("north");
+  host.allotment.workspace = DS_STR ("north");
   ds_allotment_set_limit (&host.allotment, LIMIT, 1);
   host.allotment.wanted = 5000;
   update (&host, &store, 1);
@@ -261,7 +261,7 @@
   struct host host = { .name = "a#1" };
   struct store store = { .revision = 1 };
 
-  host.allotment.tenant = DS_STR ("north");
+  host.allotment.workspace = DS_STR ("north");
   ds_allotment_set_limit (&host.allotment, LIMIT, 1);
   host.allotment.wanted = 50000;
   update (&host, &store, 0);
@@ -277,7 +277,7 @@
 /* Guards against an older limit that comes later, from a stale answer.  */
 START_TEST (an_older_limit_is_ignored)
 {
-  struct ds_allotment allotment = { .tenant = DS_STR ("north") };
+  struct ds_allotment allotment = { .workspace = DS_STR ("north") };
 
   ds_allotment_set_limit (&allotment, 500, 9);
   ds_allotment_set_limit (&allotment, 900, 8);
@@ -285,14 +285,14 @@
 }
 END_TEST
 
-/* Load: a tenant asks 1,000 tokens a second of this host for ten seconds and
-   all hosts lose the store.  The share must cover most of nine seconds, and at
-   the end of a budget no more than its part may be stranded.  */
+/* Load: a workspace asks 1,000 tokens a second of this host for ten seconds
+   and all hosts lose the store.  The share must cover most of nine seconds,
+   and at the end of a budget no more than its part may be stranded.  */
 START_TEST (a_share_outlasts_a_cut_and_shrinks_with_the_budget)
 {
   struct ds_allotment_policy fleet = policy;
   struct ds_allotment allotment
-      = { .tenant = DS_STR ("north"), .limit = LIMIT, .known = true };
+      = { .workspace = DS_STR ("north"), .limit = LIMIT, .known = true };
 
   fleet.hold_s = 13;
   fleet.part = 0.35;
@@ -314,7 +314,7 @@
    a day may come five seconds after the first request.  */
 START_TEST (demand_is_right_from_the_first_seconds)
 {
-  struct ds_allotment allotment = { .tenant = DS_STR ("north") };
+  struct ds_allotment allotment = { .workspace = DS_STR ("north") };
 
   ds_allotment_tick (&allotment, 5);
   for (int i = 0; i < 10; i++)
@@ -330,7 +330,7 @@
  */
 START_TEST (borrowed_tokens_are_not_given_away)
 {
-  struct ds_allotment allotment = { .tenant = DS_STR ("north") };
+  struct ds_allotment allotment = { .workspace = DS_STR ("north") };
 
   ck_assert_int_eq (
       ds_allotment_borrow (owner, &allotment, DS_STR ("b#1"), 700), 0);
--- a/tests/test_routing_config.c
+++ b/tests/test_routing_config.c
@@ -104,19 +104,19 @@
 }
 END_TEST
 
-/* Guards against a key that opens another tenant's budget, and a budget for a
-   tenant that has none.  */
-START_TEST (keys_belong_to_their_tenant)
+/* Guards against a key that opens another workspace's budget, and a budget for
+   a workspace that has none.  */
+START_TEST (keys_belong_to_their_workspace)
 {
   struct ds_routing_config *config = load ();
-  const struct ds_tenant *tenant
-      = ds_routing_config_tenant (config, DS_STR ("k2"));
-
-  ck_assert (ds_str_equal (tenant->name, DS_STR ("hule930")));
-  ck_assert (tenant->has_budget && tenant->prepaid == 4958671);
-  ck_assert (!ds_routing_config_tenant (config, DS_STR ("k3"))->has_budget);
-  ck_assert_ptr_null (ds_routing_config_tenant (config, DS_STR ("k")));
-  ck_assert_ptr_null (ds_routing_config_tenant (config, DS_STR_EMPTY));
+  const struct ds_routing_workspace *workspace
+      = ds_routing_config_workspace (config, DS_STR ("k2"));
+
+  ck_assert (ds_str_equal (workspace->name, DS_STR ("hule930")));
+  ck_assert (workspace->has_budget && workspace->prepaid == 4958671);
+  ck_assert (!ds_routing_config_workspace (config, DS_STR ("k3"))->has_budget);
+  ck_assert_ptr_null (ds_routing_config_workspace (config, DS_STR ("k")));
+  ck_assert_ptr_null (ds_routing_config_workspace (config, DS_STR_EMPTY));
 }
 END_TEST
 
@@ -208,7 +208,7 @@
   tcase_add_test (test_case, the_longest_prefix_of_the_host_wins);
   tcase_add_test (test_case, an_unknown_kind_runs_once);
   tcase_add_test (test_case, fields_arrive_in_their_types);
-  tcase_add_test (test_case, keys_belong_to_their_tenant);
+  tcase_add_test (test_case, keys_belong_to_their_workspace);
   tcase_add_test (test_case, a_split_follows_its_weights);
   tcase_add_test (test_case,
                   a_configuration_without_version_or_routes_is_refused);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -60,7 +60,7 @@
 }
 END_TEST
 
-/* Guards against passing on a key, a forged tenant, or lines that only this
+/* Guards against passing on a key, a forged workspace, or lines that only this
    system may set.  */
 START_TEST (an_attempt_has_no_line_that_the_caller_may_not_set)
 {
@@ -70,7 +70,7 @@
     .request = &request,
     .head = &head,
     .replica_id = DS_STR ("i-1"),
-    .tenant = DS_STR ("hule930"),
+    .workspace = DS_STR ("hule930"),
     .deadline_ms = 900,
     .body_length = 5,
   };
