Keep prompt parts in sets, oldest out, and tell of them when a request is sent

Cause: the table of parts that a replica keeps had one place for each hash; the part that each request brings of its own overwrote shared ones, which were then read again elsewhere. And other hosts heard of a reading only at its first event, half a second later; until then they sent the same prompt to other replicas.

Ruled out: parts that yield in the engines' memory (1.2 M tokens of shared parts, 422,000 tokens of memory at each of 12 replicas).

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -16,6 +16,9 @@
 #define OTHER_ZONE_MS 4.0
 /* A part that was not used for so long may have yielded to others.  */
 #define RESIDENT_MS 60000
+/* Parts that may share a place in a replica's table; of two thousand parts in
+   use at a time hardly any set has more.  */
+#define RESIDENT_WAYS 8
 /* Weight of the time that reading shared parts anew takes beyond the reading
    itself: it delays the tokens of all requests there, and the copy pushes out
    others.  */
@@ -65,6 +68,30 @@
   return false;
 }
 
+/* The place of part ID in the table of PARTS, or of the part of the same set
+   that was used longest ago.
+
+   Load: each request brings a part of its own, some four a second and replica.
+   With one place for each hash they overwrote 5 % of the shared parts between
+   two uses, which were then read again elsewhere.  */
+static struct ds_resident_part *
+place_of (struct ds_resident_part *parts, uint64_t id)
+{
+  struct ds_resident_part *set
+      = &parts[mix (id) % (DS_RESIDENT_PARTS / RESIDENT_WAYS)
+               * RESIDENT_WAYS];
+  struct ds_resident_part *oldest = set;
+
+  for (size_t i = 0; i < RESIDENT_WAYS; i++)
+    {
+      if (set[i].id == id)
+        return &set[i];
+      if (set[i].used_ms < oldest->used_ms)
+        oldest = &set[i];
+    }
+  return oldest;
+}
+
 static bool
 keeps_part (const struct ds_replica *replica, uint64_t id, uint64_t now_ms)
 {
@@ -72,7 +99,7 @@
 
   if (replica->parts == NULL)
     return false;
-  part = &replica->parts[mix (id) % DS_RESIDENT_PARTS];
+  part = place_of (replica->parts, id);
   return part->id == id && now_ms - part->used_ms < RESIDENT_MS;
 }
 
@@ -227,7 +254,7 @@
                                         DS_RESIDENT_PARTS);
   if (replica->parts == NULL)
     return false;
-  place = &replica->parts[mix (part) % DS_RESIDENT_PARTS];
+  place = place_of (replica->parts, part);
   news = place->id != part || now_ms - place->used_ms > RESIDENT_MS / 2;
   *place = (struct ds_resident_part){ .id = part, .used_ms = now_ms };
   return news;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -421,10 +421,11 @@
   return true;
 }
 
-/* Tells the other hosts which parts the replica has read anew.  The last part
-   belongs to this request or its session alone.  */
+/* Tells the other hosts which parts the replica reads anew, so that their next
+   requests about them follow this one.  The last part belongs to this request
+   or its session alone.  */
 static void
-tell_parts (struct ds_exchange *x, uint64_t now_ms)
+tell_parts (struct ds_exchange *x)
 {
   if (x->placing.part_count < 2
       || x->unread_tokens
@@ -433,7 +434,6 @@
   for (size_t i = 0; i + 1 < x->placing.part_count; i++)
     ds_fleet_view_note_read (x->context->fleet, x->replica,
                              x->placing.parts[i].id);
-  ds_placement_note_read (x->replica, &x->placing, now_ms);
 }
 
 static void
@@ -447,7 +447,7 @@
       x->replica->own.prefill_tokens -= x->unread_tokens;
       x->unread_counted = false;
     }
-  tell_parts (x, now_ms);
+  ds_placement_note_read (x->replica, &x->placing, now_ms);
   ds_placement_note_first_event (x->replica, took, x->expected_ms);
   if (x->first_event_ms == 0)
     x->first_event_ms = now_ms;
@@ -671,6 +671,7 @@
   x->unread_counted = true;
   /* The next request about the same parts shall follow this one.  */
   ds_placement_note_read (x->replica, &x->placing, now_ms);
+  tell_parts (x);
   x->expected_ms = placement->expected_ms;
   x->attempt_ms = now_ms;
   if (x->runs + x->rejections > 0)
