--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -1,5 +1,6 @@
 #include "entry/fleet_view.h"
 #include "base/decision_log.h"
+#include "core/budget_home.h"
 #include "core/placement.h"
 #include "io/clock.h"
 #include "io/socket_address.h"
@@ -783,16 +784,6 @@
   view->ledger_near = near;
 }
 
-/* The weight with which a host stands for PAGE; the greatest keeps it.  */
-static uint64_t
-home_weight (struct ds_str host, uint32_t page)
-{
-  char seed[16];
-
-  (void)snprintf (seed, sizeof seed, "%" PRIu32, page);
-  return ds_str_hash (host, ds_str_hash (ds_str_from_c (seed), 13));
-}
-
 /* Finds the host that keeps the budgets of PAGE: highest random weight among
    those that are there and stay, so that all hosts agree without asking and
    few pages move when a host comes or goes.  *OUT is null for this host
@@ -815,7 +806,7 @@
           || !member->open.ready
           || now_ms - member->open.heard_ms >= HOME_SILENT_MS)
         continue;
-      weight = home_weight (member->open.host, page);
+      weight = ds_budget_home_weight (member->open.host, page);
       if (home != NULL && weight <= best)
         continue;
       best = weight;
@@ -823,7 +814,7 @@
     }
   if (view->ready && !view->draining
       && now_ms - view->started_ms >= HOME_START_MS
-      && (home == NULL || home_weight (view->self.host, page) > best))
+      && (home == NULL || ds_budget_home_weight (view->self.host, page) > best))
     return DS_HOME_SELF;
   *out = home;
   return home != NULL ? DS_HOME_OTHER : DS_HOME_UNKNOWN;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -1,5 +1,7 @@
 #include "core/placement.h"
 
+#include "core/budget_home.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -188,6 +190,65 @@
 }
 END_TEST
 
+/* Load: each request brings a part of its own; with one place a hash these
+   overwrote shared parts, which were then read again elsewhere.  */
+START_TEST (own_parts_do_not_push_out_shared_ones)
+{
+  struct ds_replica *replica = ds_replica_set_at (set, 0);
+  struct ds_placement_request request = history_request (77, 1);
+
+  /* Forty shared parts in use, and a hundred requests a replica between two
+     uses of one, each with a part of its own.  */
+  for (uint64_t shared = 0; shared < 40; shared++)
+    (void)ds_placement_note_part (replica, 70 + shared, 1000);
+  for (uint64_t own = 0; own < 100; own++)
+    (void)ds_placement_note_part (replica, 5000 + own * 977, 2000 + own);
+  for (uint64_t shared = 0; shared < 40; shared++)
+    {
+      request.parts[0].id = 70 + shared;
+      ck_assert_uint_eq (ds_placement_unread (replica, &request, 3000),
+                         OWN_TOKENS);
+    }
+}
+END_TEST
+
+/* Guards against a host that keeps most of the budgets, and against pages that
+   move between hosts which stay when another one goes.  */
+START_TEST (budget_homes_spread_and_stay)
+{
+  char names[9][16];
+  int kept[8] = { 0 };
+
+  for (int i = 0; i < 9; i++)
+    (void)snprintf (names[i], sizeof names[i], "front-%d", i);
+  for (uint32_t page = 0; page < 512; page++)
+    {
+      int best[2] = { 0, 0 };
+
+      for (int i = 1; i < 9; i++)
+        {
+          uint64_t weight
+              = ds_budget_home_weight (ds_str_from_c (names[i]), page);
+
+          if (weight > ds_budget_home_weight (ds_str_from_c (names[best[0]]),
+                                              page))
+            best[0] = i;
+          if (i < 8
+              && weight > ds_budget_home_weight (
+                     ds_str_from_c (names[best[1]]), page))
+            best[1] = i;
+        }
+      kept[best[1]]++;
+      /* The ninth host takes pages; none goes from one of the eight to
+         another.  */
+      if (best[0] != 8)
+        ck_assert_int_eq (best[0], best[1]);
+    }
+  for (int i = 0; i < 8; i++)
+    ck_assert (kept[i] > 32 && kept[i] < 128);
+}
+END_TEST
+
 /* Load: one of three engines is slower by a third.  Its slowness is learnt and
    moves work away from it.  */
 START_TEST (slowness_is_learnt)
@@ -218,6 +279,8 @@
   tcase_add_test (test_case, a_failing_replica_is_avoided);
   tcase_add_test (test_case, tried_replicas_are_left_out);
   tcase_add_test (test_case, a_gap_ends_what_is_kept);
+  tcase_add_test (test_case, own_parts_do_not_push_out_shared_ones);
+  tcase_add_test (test_case, budget_homes_spread_and_stay);
   tcase_add_test (test_case, slowness_is_learnt);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
