Gather changes of the store before the next watch

Cause: each answer of a watch is paid for and each host watches.

Change: after a change the next watch waits a sixth of the time in which a configuration must be in force, or a third of the drain time; the longest pause between tries of a lost store is 1 s instead of 0.6 s. A doubted watch that is not under way is no longer taken for a quiet one.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -78,8 +78,7 @@
 place_of (struct ds_resident_part *parts, uint64_t id)
 {
   struct ds_resident_part *set
-      = &parts[mix (id) % (DS_RESIDENT_PARTS / RESIDENT_WAYS)
-               * RESIDENT_WAYS];
+      = &parts[mix (id) % (DS_RESIDENT_PARTS / RESIDENT_WAYS) * RESIDENT_WAYS];
   struct ds_resident_part *oldest = set;
 
   for (size_t i = 0; i < RESIDENT_WAYS; i++)
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -33,6 +33,11 @@
 #define LAPSE_MS 2000
 /* A deletion this soon after the store's return may be such a lapse.  */
 #define LAPSE_SEEN_MS 2500
+/* Parts of the time in which a configuration must be in force, and in which a
+   leaving replica may get work, for which changes are gathered.  What remains
+   covers a slow answer and the reading of a large configuration.  */
+#define CONFIG_GATHER_PART 6
+#define DRAIN_GATHER_PART 3
 /* Hosts that were heard within this time share budgets and retries.  */
 #define SHARING_MS 30000
 /* Time after SIGTERM for which new requests are taken: callers ask for
@@ -616,12 +621,15 @@
     .on_object = on_config_object,
     .on_end = ignore_list,
     .user_data = entry,
+    .gather_ms
+    = (uint32_t)(entry->settings->config_apply_ms / CONFIG_GATHER_PART),
   };
   struct ds_follower_handlers replicas = {
     .on_begin = on_replicas_begin,
     .on_object = on_replica_object,
     .on_end = on_replicas_end,
     .user_data = entry,
+    .gather_ms = (uint32_t)(entry->settings->drain_ms / DRAIN_GATHER_PART),
   };
 
   if (ds_follower_new (&entry->config_follower, entry, entry->ev, entry->store,
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -58,6 +58,8 @@
   REQUIRED (store_address, DS_FIELD_ADDRESS),
   REAL (struct ds_entry_settings, grace_s, 1, 3600),
   REAL (struct ds_entry_settings, address_ttl_s, 0, 3600),
+  NUMBER (struct ds_entry_settings, config_apply_ms, 100, 600000, 2000),
+  NUMBER (struct ds_entry_settings, drain_ms, 100, 600000, 2000),
   NUMBER (struct ds_entry_settings, log_lines_per_s, 0, 100000, 200),
   OBJECT (retry, retry_fields),
   OBJECT (budget, budget_fields),
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -38,6 +38,8 @@
   struct ds_str store_address;
   double grace_s;
   double address_ttl_s;
+  uint64_t config_apply_ms;
+  uint64_t drain_ms;
   uint64_t log_lines_per_s;
   struct ds_retry_settings retry;
   struct ds_budget_settings budget;
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -814,7 +814,8 @@
     }
   if (view->ready && !view->draining
       && now_ms - view->started_ms >= HOME_START_MS
-      && (home == NULL || ds_budget_home_weight (view->self.host, page) > best))
+      && (home == NULL
+          || ds_budget_home_weight (view->self.host, page) > best))
     return DS_HOME_SELF;
   *out = home;
   return home != NULL ? DS_HOME_OTHER : DS_HOME_UNKNOWN;
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -14,7 +14,7 @@
 /* First pause after a failed call, and the longest: each call is paid for, and
    a change must be in force two seconds after the store took it.  */
 #define RETRY_MIN_MS 100
-#define RETRY_MAX_MS 600
+#define RETRY_MAX_MS 1000
 
 struct ds_follower
 {
@@ -32,6 +32,7 @@
   bool listing;
   bool in_touch;
   bool listed; /* once at least */
+  bool waits;  /* for the next call */
 };
 
 static void call (struct ds_follower *follower);
@@ -39,7 +40,17 @@
 static void
 on_retry (void *user_data)
 {
-  call (user_data);
+  struct ds_follower *follower = user_data;
+
+  follower->waits = false;
+  call (follower);
+}
+
+static void
+call_later (struct ds_follower *follower, uint32_t pause_ms)
+{
+  follower->waits = true;
+  (void)ds_timer_add (follower->ev, follower, pause_ms, on_retry, follower);
 }
 
 static void
@@ -77,7 +88,7 @@
   /* Spread, so that the fleet does not come back at one moment.  */
   pause = follower->retry_ms / 2
           + (uint32_t)(random () % (follower->retry_ms / 2 + 1));
-  (void)ds_timer_add (follower->ev, follower, pause, on_retry, follower);
+  call_later (follower, pause);
 }
 
 static void
@@ -117,6 +128,7 @@
   struct ds_follower *follower = user_data;
   struct ds_error error = DS_ERROR_NONE;
   struct ds_store_page *page = NULL;
+  bool changed;
 
   follower->pending = NULL;
   if (result->outcome == DS_STORE_GONE)
@@ -137,9 +149,14 @@
     }
   set_contact (follower, true, result->status);
   follower->retry_ms = 0;
+  /* A list is followed by a watch at once; a change by a pause.  */
+  changed = !follower->listing && page->count > 0;
   take_page (follower, page);
   talloc_free (page);
-  call (follower);
+  if (changed && follower->handlers.gather_ms > 0)
+    call_later (follower, follower->handlers.gather_ms);
+  else
+    call (follower);
 }
 
 static void
@@ -196,11 +213,13 @@
 void
 ds_follower_doubt (struct ds_follower *follower)
 {
-  if (!follower->in_touch || follower->pending == NULL)
+  if (!follower->in_touch)
+    return;
+  set_contact (follower, false, 0);
+  if (follower->waits)
     return;
   ds_store_pending_cancel (follower->pending);
   follower->pending = NULL;
-  set_contact (follower, false, 0);
   call (follower);
 }
 
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -14,6 +14,7 @@
   void (*on_end) (void *user_data);
   void (*on_contact) (bool in_touch, void *user_data);
   void *user_data;
+  uint32_t gather_ms;
 };
 
 struct ds_follower;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -230,8 +230,8 @@
           uint64_t weight
               = ds_budget_home_weight (ds_str_from_c (names[i]), page);
 
-          if (weight > ds_budget_home_weight (ds_str_from_c (names[best[0]]),
-                                              page))
+          if (weight
+              > ds_budget_home_weight (ds_str_from_c (names[best[0]]), page))
             best[0] = i;
           if (i < 8
               && weight > ds_budget_home_weight (
