Keep the minimum of a budget that is nearly used up whole

The log of a reservation now also tells what others hold, who the home is and how old the look at the ledger is.

--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -106,13 +106,11 @@
   if (fleet_demand <= 0)
     target = policy->start * (double)allotment->limit;
   else
-    {
-      target = fleet_demand * policy->hold_s;
-      if (target < (double)policy->minimum)
-        target = (double)policy->minimum;
-    }
+    target = fleet_demand * policy->hold_s;
   if (target > policy->part * left)
     target = policy->part * left;
+  if (fleet_demand > 0 && target < (double)policy->minimum)
+    target = (double)policy->minimum;
   target -= (double)allotment->others_free;
   return target > 0 ? (uint64_t)target : 0;
 }
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -769,6 +769,13 @@
       ds_decision_number (&line, "limit", (int64_t)a->limit);
       ds_decision_number (&line, "settled", (int64_t)a->ledger_settled);
       ds_decision_number (&line, "rest", (int64_t)a->ledger_rest);
+      ds_decision_number (&line, "age_ms",
+                          (int64_t)(ds_clock_ms () - a->ledger_seen_ms));
+      ds_decision_number (&line, "others_free", (int64_t)a->others_free);
+      ds_decision_text (&line, "home",
+                        a->home == DS_HOME_SELF    ? DS_STR ("this host")
+                        : a->home == DS_HOME_OTHER ? DS_STR ("another host")
+                                                   : DS_STR ("unknown"));
     }
   ds_decision_end (&line);
 }
--- a/tests/test_allotment.c
+++ b/tests/test_allotment.c
@@ -320,6 +320,9 @@
   allotment.ledger_rest = 30000;
   ck_assert_uint_le (ds_allotment_target (&allotment, &fleet),
                      (uint64_t)(0.35 * 30000) + 1);
+  /* Requests that still fit must not wait for one refill each.  */
+  allotment.ledger_rest = 4000;
+  ck_assert_uint_eq (ds_allotment_target (&allotment, &fleet), fleet.minimum);
 }
 END_TEST
 
