Make the number of ledger pages a part of the stored form

With another number of pages in the settings of one host, or after a change, an account would be looked for in a page without it, and its whole budget handed out again. And a reload did not pass budget settings to the keeper, although the page says it does.

Change: 64 pages are a constant beside the format; a reload sets the policy. No change of behaviour with the settings of the deploy file.

--- a/src/core/ledger_page.c
+++ b/src/core/ledger_page.c
@@ -4,6 +4,8 @@
 
 /* Version of the form in which pages are stored.  */
 #define FORMAT 2
+/* Seed of the hash that spreads workspaces over pages.  */
+#define INDEX_SEED 11
 
 /* Reads a count of tokens; DS_EPROTOCOL for anything else.  */
 static int
@@ -35,6 +37,13 @@
   return 0;
 }
 
+/* The number of the page that has WORKSPACE's account.  */
+uint32_t
+ds_ledger_page_index (struct ds_str workspace)
+{
+  return (uint32_t)(ds_str_hash (workspace, INDEX_SEED) % DS_LEDGER_PAGES);
+}
+
 /* Makes a page without accounts.  */
 int
 ds_ledger_page_new (struct ds_ledger_page **out, TALLOC_CTX *owner)
--- a/src/core/ledger_page.h
+++ b/src/core/ledger_page.h
@@ -3,6 +3,12 @@
 
 #include "core/allotment.h"
 
+/* Pages of a ledger: enough to spread the workspaces of some hundred hosts,
+   few enough to be read by one host at its start.  A part of the stored form:
+   with another number an account would be looked for in a page that does not
+   have it, and its budget handed out twice.  */
+#define DS_LEDGER_PAGES 64
+
 /* The account of one workspace.  GRANTED are tokens that hosts hold: handed
    out and neither settled nor returned.  Which host holds them is not
    recorded: hosts pass tokens on among themselves, and SETTLED + GRANTED,
@@ -31,6 +37,7 @@
   size_t writer_count;
 };
 
+uint32_t ds_ledger_page_index (struct ds_str workspace);
 struct ds_ledger_account *ds_ledger_page_account (struct ds_ledger_page *page,
                                                   struct ds_str workspace);
 const struct ds_ledger_account *
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -1,4 +1,5 @@
 #include "entry/budget_keeper.h"
+#include "core/ledger_page.h"
 #include "daisystep/metrics.h"
 #include "entry/ledger_link.h"
 #include "io/clock.h"
@@ -64,12 +65,6 @@
 
 static void serve_waits (struct ds_budget_keeper *keeper);
 
-static uint32_t
-page_index (const struct ds_budget_keeper *keeper, struct ds_str workspace)
-{
-  return (uint32_t)(ds_str_hash (workspace, 11) % keeper->options.pages);
-}
-
 static struct ds_allotment *
 find (const struct ds_budget_keeper *keeper, struct ds_str workspace)
 {
@@ -82,7 +77,7 @@
 static struct kept_page *
 page_of (struct ds_budget_keeper *keeper, struct ds_str workspace)
 {
-  uint32_t index = page_index (keeper, workspace);
+  uint32_t index = ds_ledger_page_index (workspace);
 
   for (size_t i = 0; i < keeper->page_count; i++)
     if (ds_ledger_link_index (keeper->pages[i].link) == index)
@@ -219,7 +214,7 @@
   if (allotment != NULL)
     return allotment;
   if (page == NULL)
-    page = add_page (keeper, page_index (keeper, workspace));
+    page = add_page (keeper, ds_ledger_page_index (workspace));
   if (page == NULL)
     return NULL;
   all = talloc_realloc (keeper, keeper->allotments, struct ds_allotment *,
@@ -252,7 +247,7 @@
 {
   const struct ds_budget_peers *peers = &keeper->options.peers;
   struct ds_budget_others others
-      = peers->others (page_index (keeper, allotment->workspace),
+      = peers->others (ds_ledger_page_index (allotment->workspace),
                        allotment->workspace, peers->user_data);
 
   allotment->others_free = others.free;
@@ -282,9 +277,9 @@
   if (now_ms - allotment->asked_ms < ASK_MS || lacking == 0)
     return;
   allotment->asked_ms = now_ms;
-  peers->ask (page_index (keeper, allotment->workspace), allotment->workspace,
-              home_only ? lacking + cushion : lacking, home_only ? lacking : 0,
-              peers->user_data);
+  peers->ask (ds_ledger_page_index (allotment->workspace),
+              allotment->workspace, home_only ? lacking + cushion : lacking,
+              home_only ? lacking : 0, peers->user_data);
 }
 
 /* Makes a keeper without any tokens.  */
@@ -304,6 +299,16 @@
   return 0;
 }
 
+/* Takes new settings; they apply from the next update on.  */
+void
+ds_budget_keeper_set_policy (struct ds_budget_keeper *keeper,
+                             const struct ds_allotment_policy *policy,
+                             uint32_t settle_ms)
+{
+  keeper->options.policy = *policy;
+  keeper->options.settle_ms = settle_ms;
+}
+
 /* Finds out who keeps each page's budgets now.  */
 static void
 find_homes (struct ds_budget_keeper *keeper)
@@ -380,7 +385,7 @@
       if (!ds_allotment_hand_over (allotment, &transfer,
                                    &keeper->options.policy, keeper->closing))
         continue;
-      if (peers->transfer (page_index (keeper, allotment->workspace),
+      if (peers->transfer (ds_ledger_page_index (allotment->workspace),
                            allotment->workspace, &transfer, peers->user_data))
         allotment->handed_over_ms = now_ms;
       else
@@ -518,7 +523,7 @@
          + allotment->update.settled;
   if (allotment->known && used + tokens > allotment->limit)
     return DS_BUDGET_EXHAUSTED;
-  others = peers->others (page_index (keeper, allotment->workspace),
+  others = peers->others (ds_ledger_page_index (allotment->workspace),
                           allotment->workspace, peers->user_data);
   if (allotment->home == DS_HOME_OTHER && waited_ms < HOME_PATIENCE_MS
       && others.home_heard_ms > 0
--- a/src/entry/budget_keeper.h
+++ b/src/entry/budget_keeper.h
@@ -31,9 +31,8 @@
   void *user_data;
 };
 
-/* WRITER names this life of the host in the ledger, which has PAGES pages.
-   SETTLE_MS is the longest time that spent tokens stay out of the ledger while
-   the store answers.  */
+/* WRITER names this life of the host in the ledger.  SETTLE_MS is the longest
+   time that spent tokens stay out of the ledger while the store answers.  */
 struct ds_budget_keeper_options
 {
   struct tevent_context *ev;
@@ -41,7 +40,6 @@
   struct ds_str writer;
   struct ds_allotment_policy policy;
   uint32_t settle_ms;
-  uint32_t pages;
   struct ds_budget_peers peers;
 };
 
@@ -49,6 +47,9 @@
                           const struct ds_budget_keeper_options *options);
 void ds_budget_keeper_configure (struct ds_budget_keeper *keeper,
                                  const struct ds_routing_config *config);
+void ds_budget_keeper_set_policy (struct ds_budget_keeper *keeper,
+                                  const struct ds_allotment_policy *policy,
+                                  uint32_t settle_ms);
 void ds_budget_keeper_tick (struct ds_budget_keeper *keeper, uint64_t now_ms);
 void ds_budget_keeper_close (struct ds_budget_keeper *keeper);
 bool ds_budget_keeper_is_closed (const struct ds_budget_keeper *keeper);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -400,10 +400,23 @@
   entry->exchanges.hosts = hosts;
 }
 
+static struct ds_allotment_policy
+policy_of (const struct ds_budget_settings *budget)
+{
+  return (struct ds_allotment_policy){
+    .hold_s = (double)budget->hold_ms / 1000,
+    .part = (double)budget->part_percent / 100,
+    .minimum = budget->minimum_tokens,
+    .start = (double)budget->start_percent / 100,
+    .cushion_s = (double)budget->cushion_ms / 1000,
+  };
+}
+
 static void
 apply_settings (struct ds_entry *entry)
 {
   struct ds_entry_settings *loaded;
+  struct ds_allotment_policy policy;
   struct ds_error error = DS_ERROR_NONE;
   struct ds_decision line;
 
@@ -418,6 +431,9 @@
   entry->settings->grace_s = loaded->grace_s;
   entry->addresses.ttl_s = loaded->address_ttl_s;
   entry->settings->budget = loaded->budget;
+  policy = policy_of (&loaded->budget);
+  ds_budget_keeper_set_policy (entry->budgets, &policy,
+                               (uint32_t)loaded->budget.settle_ms);
   ds_entry_settings_free (loaded);
   line = ds_decision_begin ("reload", DS_STR_EMPTY);
   ds_decision_text (&line, "file", ds_str_from_c (entry->settings_path));
@@ -579,14 +595,7 @@
     .link = entry->store,
     .writer = ds_str_from_c (entry->writer),
     .settle_ms = (uint32_t)settings->budget.settle_ms,
-    .policy = {
-      .hold_s = (double)settings->budget.hold_ms / 1000,
-      .part = (double)settings->budget.part_percent / 100,
-      .minimum = settings->budget.minimum_tokens,
-      .start = (double)settings->budget.start_percent / 100,
-      .cushion_s = (double)settings->budget.cushion_ms / 1000,
-    },
-    .pages = (uint32_t)settings->budget.pages,
+    .policy = policy_of (&settings->budget),
     .peers = {
       .home = home_of,
       .ask = ask_tokens,
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -43,7 +43,6 @@
   NUMBER (struct ds_budget_settings, start_percent, 0, 100, 8),
   NUMBER (struct ds_budget_settings, minimum_tokens, 0, 10000000, 20000),
   NUMBER (struct ds_budget_settings, cushion_ms, 0, 60000, 1000),
-  NUMBER (struct ds_budget_settings, pages, 1, 4096, 64),
 };
 
 static const struct ds_field settings_fields[] = {
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -20,7 +20,6 @@
   uint64_t start_percent;
   uint64_t minimum_tokens;
   uint64_t cushion_ms;
-  uint64_t pages;
 };
 
 /* Settings of a host on the users' platform.  The strings belong to the
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -1,3 +1,4 @@
+#include "core/ledger_page.h"
 #include "support/http.h"
 #include "support/process.h"
 
@@ -63,6 +64,17 @@
   return reply->status;
 }
 
+/* The path of the ledger page with the tenant's account.  */
+static const char *
+ledger_path (void)
+{
+  static char path[64];
+
+  (void)snprintf (path, sizeof path, OBJECTS "daisystep-ledger/page-%u",
+                  (unsigned)ds_ledger_page_index (DS_STR ("north")));
+  return path;
+}
+
 /* Writes the configuration with PREPAID tokens for the tenant.  */
 static void
 put_config (long prepaid)
@@ -135,8 +147,7 @@
       "\"metrics_address\":\"%s\",\"store_address\":\"%s\",\"grace_s\":8,"
       "\"address_ttl_s\":2,\"retry\":{\"ratio\":0.2,\"slack\":50,"
       "\"window_s\":10},\"budget\":{\"settle_ms\":200,\"hold_ms\":13000,"
-      "\"part_percent\":35,\"start_percent\":20,\"minimum_tokens\":2000,"
-      "\"pages\":1}}",
+      "\"part_percent\":35,\"start_percent\":20,\"minimum_tokens\":2000}}",
       name, callers[i], ready[i], directory[i], gossip, metrics,
       store->address);
   file = test_file_write (name, text);
@@ -403,8 +414,7 @@
 static long
 settled (void)
 {
-  json_t *page
-      = test_get_json (store->address, OBJECTS "daisystep-ledger/page-0");
+  json_t *page = test_get_json (store->address, ledger_path ());
   json_t *value = test_json_at (page, "spec/accounts/north/settled");
   long tokens = (long)json_integer_value (value);
 
@@ -472,8 +482,7 @@
   put_config (150000);
   for (int waited = 0; waited < PATIENCE_MS; waited += POLL_MS)
     {
-      json_t *page
-          = test_get_json (store->address, OBJECTS "daisystep-ledger/page-0");
+      json_t *page = test_get_json (store->address, ledger_path ());
       bool known = json_integer_value (
                        test_json_at (page, "spec/accounts/north/limit"))
                    == 150000;
@@ -528,7 +537,7 @@
      the last, the ledger has everything back.  */
   (void)test_process_signal (hosts[1], SIGTERM);
   ck_assert (test_process_wait (hosts[1], PATIENCE_MS));
-  page = test_get_json (store->address, OBJECTS "daisystep-ledger/page-0");
+  page = test_get_json (store->address, ledger_path ());
   granted = test_json_at (page, "spec/accounts/north/granted");
   ck_assert_ptr_nonnull (granted);
   ck_assert_int_eq (json_integer_value (granted), 0);
@@ -567,8 +576,7 @@
   ck_assert_msg (asked <= HOSTS * 5, "%ld watches for one burst", asked);
   for (int waited = 0; waited < 2000; waited += POLL_MS)
     {
-      json_t *page
-          = test_get_json (store->address, OBJECTS "daisystep-ledger/page-0");
+      json_t *page = test_get_json (store->address, ledger_path ());
       long limit = (long)json_integer_value (
           test_json_at (page, "spec/accounts/north/limit"));
 
@@ -601,7 +609,7 @@
        waited += POLL_MS)
     pause_ms (POLL_MS);
   ck_assert_int_eq (settled (), 20 * 524);
-  page = test_get_json (store->address, OBJECTS "daisystep-ledger/page-0");
+  page = test_get_json (store->address, ledger_path ());
   ck_assert_uint_eq (json_object_size (test_json_at (page, "spec/writers")),
                      1);
   json_decref (page);
