Count silence by the size of the fleet, and tell all hosts what was read

Cause: a host tells 16 others a tick. With 73 hosts each was heard once in 0.9 to 1 s and counted as silent after 1 s: it left the address answer, its loads were not counted, and one lost datagram moved the homes of its pages.

Change: 24 hosts a tick; silence is two turns and a tick, 1 s at least; a reading is told for as many ticks as a turn has; loads count while their host is heard.

--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -17,12 +17,15 @@
 /* A datagram that fits a frame of Ethernet.  */
 #define DATAGRAM_BYTES_MAX 1400
 #define DATAGRAM_BYTES_READ 65536
-/* Hosts that one tick is told to; a larger fleet hears each host now and
-   then.  */
-#define TARGETS_MAX 16
+/* Hosts that one tick is told to; a larger fleet is told in turns.  */
+#define TARGETS_MAX 24
+/* Distance of the ticks.  */
+#define TICK_MS 200
 /* Without a datagram for so long a host is not handed out to callers; four
-   ticks, so that three lost datagrams do not matter.  */
+   ticks, so that three lost datagrams do not matter.  Of a host that is heard
+   in turns, one datagram may be lost.  */
 #define SILENT_MS 1000
+#define SILENT_TURNS 2
 /* Loads in one datagram; the busiest replicas of this host.  */
 #define LOADS_MAX 32
 /* Crashes that are told in one tick, and how often each is repeated.  */
@@ -36,14 +39,12 @@
 #define TRANSFERS_MAX 64
 /* Numbers of a host's transfers that are remembered against repetition.  */
 #define TRANSFERS_SEEN 256
-/* A host that was not heard for so long keeps no budgets; longer than
-   SILENT_MS, since a change of the home moves tokens.  */
-#define HOME_SILENT_MS 1500
+/* A host that was not heard for so much longer keeps no budgets: a change of
+   the home moves tokens.  */
+#define HOME_SILENT_MS 500
 /* A host that has just started keeps no budgets: it does not know yet which
    others there are.  Two ticks of the others.  */
 #define HOME_START_MS 400
-/* Loads of a host that was not heard for so long are not counted.  */
-#define LOAD_MS 1000
 
 struct load
 {
@@ -63,6 +64,7 @@
 {
   uint64_t replica;
   uint64_t part;
+  size_t turns; /* ticks in which it is still told */
 };
 
 struct member
@@ -261,13 +263,23 @@
   datagram->crashes = crashes;
 }
 
-/* Fills in what was read since the last tick.  A fleet of more than
-   TARGETS_MAX hosts hears of it in parts; the rest find out by reading.  */
+/* Ticks until all hosts have been told once.  */
+static size_t
+turns_of (const struct ds_fleet_view *view)
+{
+  return (view->count + TARGETS_MAX - 1) / TARGETS_MAX;
+}
+
+/* Fills in what was read since all hosts were told last.
+
+   Load: 73 hosts send prompts about 200 shared parts.  What one turn of hosts
+   alone was told, the others sent to further replicas to be read again.  */
 static void
 fill_reads (struct ds_fleet_view *view, TALLOC_CTX *owner,
             Daisystep__Gossip__Datagram *datagram)
 {
   size_t count = view->read_count < READS_MAX ? view->read_count : READS_MAX;
+  size_t kept = 0;
 
   datagram->reads
       = talloc_array (owner, Daisystep__Gossip__PartRead *, READS_MAX);
@@ -281,9 +293,16 @@
       read->part = view->reads[i].part;
       datagram->reads[datagram->n_reads++] = read;
     }
-  view->read_count -= count;
-  memmove (view->reads, view->reads + count,
-           view->read_count * sizeof view->reads[0]);
+  for (size_t i = 0; i < view->read_count; i++)
+    {
+      if (i < count && view->reads[i].turns <= 1)
+        continue;
+      view->reads[kept] = view->reads[i];
+      if (i < count)
+        view->reads[kept].turns--;
+      kept++;
+    }
+  view->read_count = kept;
 }
 
 static void
@@ -348,6 +367,7 @@
   member->open.zone = DS_STR_EMPTY;
   member->open.region = DS_STR_EMPTY;
   member->open.caller_address = DS_STR_EMPTY;
+  member->open.silent_ms = SILENT_MS;
   grown[view->count++] = member;
   return member;
 }
@@ -681,7 +701,7 @@
     {
       const struct member *member = view->members[i];
 
-      if (member->open.heard_ms + LOAD_MS < now_ms)
+      if (!ds_fleet_member_is_alive (&member->open, now_ms))
         continue;
       for (size_t k = 0; k < member->load_count; k++)
         {
@@ -713,6 +733,18 @@
   ds_decision_end (&line);
 }
 
+/* Works out after how long a host counts as silent in a fleet of this size. */
+static void
+set_silence (struct ds_fleet_view *view)
+{
+  uint64_t silent_ms = turns_of (view) * TICK_MS * SILENT_TURNS + TICK_MS;
+
+  if (silent_ms < SILENT_MS)
+    silent_ms = SILENT_MS;
+  for (size_t i = 0; i < view->count; i++)
+    view->members[i]->open.silent_ms = silent_ms;
+}
+
 /* Tells up to TARGETS_MAX hosts the state of this one, and takes stock of what
    they told.  Call it several times a second.  */
 void
@@ -739,6 +771,7 @@
       send_member (view, view->members[i], &datagram, scratch);
   age_crashes (view);
   talloc_free (scratch);
+  set_silence (view);
   spread_loads (view, now_ms);
   for (size_t i = 0; i < view->count; i++)
     if (view->members[i]->open.heard_ms > 0)
@@ -763,8 +796,9 @@
                          const struct ds_replica *replica, uint64_t part)
 {
   if (view->read_count < READS_WAITING)
-    view->reads[view->read_count++]
-        = (struct part_read){ .replica = replica->hash, .part = part };
+    view->reads[view->read_count++] = (struct part_read){
+      .replica = replica->hash, .part = part, .turns = turns_of (view)
+    };
 }
 
 /* What MEMBER has told of its tokens of a workspace.  */
@@ -804,7 +838,8 @@
 
       if (member->open.heard_ms == 0 || member->open.draining
           || !member->open.ready
-          || now_ms - member->open.heard_ms >= HOME_SILENT_MS)
+          || now_ms - member->open.heard_ms
+                 >= member->open.silent_ms + HOME_SILENT_MS)
         continue;
       weight = ds_budget_home_weight (member->open.host, page);
       if (home != NULL && weight <= best)
@@ -948,7 +983,7 @@
 ds_fleet_member_is_alive (const struct ds_fleet_member *member,
                           uint64_t now_ms)
 {
-  return member->heard_ms > 0 && now_ms - member->heard_ms < SILENT_MS;
+  return member->heard_ms > 0 && now_ms - member->heard_ms < member->silent_ms;
 }
 
 /* The other hosts that are alive.  */
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -27,7 +27,8 @@
   struct ds_str zone;
   struct ds_str region;
   struct ds_str caller_address;
-  uint64_t heard_ms; /* 0: never */
+  uint64_t heard_ms;  /* 0: never */
+  uint64_t silent_ms; /* without a datagram for so long it is not there */
   bool draining;
   bool ready;
 };
