--- /dev/null
+++ b/src/core/gossip_pace.h
@@ -0,0 +1,15 @@
+#ifndef DS_CORE_GOSSIP_PACE_H
+#define DS_CORE_GOSSIP_PACE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* Distance of the ticks in which a host tells others of itself.  */
+#define DS_GOSSIP_TICK_MS 200
+/* Hosts that one tick is told to; a larger fleet is told in turns.  */
+#define DS_GOSSIP_TARGETS 24
+
+size_t ds_gossip_turns (size_t others);
+uint64_t ds_gossip_silent_ms (size_t others);
+
+#endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,5 +1,6 @@
 #include "entry/entry.h"
 #include "base/decision_log.h"
+#include "core/gossip_pace.h"
 #include "daisystep/log.h"
 #include "entry/address_service.h"
 #include "entry/budget_keeper.h"
@@ -23,8 +24,6 @@
 #include <sys/stat.h>
 #include <time.h>
 
-/* Distance of the regular work: gossip, budgets, sweeps.  */
-#define TICK_MS 200
 /* Distance of looks at the settings file, which may change without a
    signal.  */
 #define SETTINGS_LOOK_MS 2000
@@ -489,7 +488,7 @@
   struct ds_entry *entry = user_data;
   uint64_t now_ms = ds_clock_ms ();
 
-  (void)ds_timer_add (entry->ev, entry, TICK_MS, on_tick, entry);
+  (void)ds_timer_add (entry->ev, entry, DS_GOSSIP_TICK_MS, on_tick, entry);
   ds_replica_set_sweep (entry->replicas, now_ms);
   ds_replica_pool_sweep (entry->exchanges.pool, now_ms);
   count_hosts (entry, now_ms);
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -1,6 +1,7 @@
 #include "entry/fleet_view.h"
 #include "base/decision_log.h"
 #include "core/budget_home.h"
+#include "core/gossip_pace.h"
 #include "core/placement.h"
 #include "io/clock.h"
 #include "io/socket_address.h"
@@ -17,15 +18,6 @@
 /* A datagram that fits a frame of Ethernet.  */
 #define DATAGRAM_BYTES_MAX 1400
 #define DATAGRAM_BYTES_READ 65536
-/* Hosts that one tick is told to; a larger fleet is told in turns.  */
-#define TARGETS_MAX 24
-/* Distance of the ticks.  */
-#define TICK_MS 200
-/* Without a datagram for so long a host is not handed out to callers; four
-   ticks, so that three lost datagrams do not matter.  Of a host that is heard
-   in turns, one datagram may be lost.  */
-#define SILENT_MS 1000
-#define SILENT_TURNS 2
 /* Loads in one datagram; the busiest replicas of this host.  */
 #define LOADS_MAX 32
 /* Crashes that are told in one tick, and how often each is repeated.  */
@@ -263,13 +255,6 @@
   datagram->crashes = crashes;
 }
 
-/* Ticks until all hosts have been told once.  */
-static size_t
-turns_of (const struct ds_fleet_view *view)
-{
-  return (view->count + TARGETS_MAX - 1) / TARGETS_MAX;
-}
-
 /* Fills in what was read since all hosts were told last.
 
    Load: 73 hosts send prompts about 200 shared parts.  What one turn of hosts
@@ -367,7 +352,7 @@
   member->open.zone = DS_STR_EMPTY;
   member->open.region = DS_STR_EMPTY;
   member->open.caller_address = DS_STR_EMPTY;
-  member->open.silent_ms = SILENT_MS;
+  member->open.silent_ms = ds_gossip_silent_ms (view->count);
   grown[view->count++] = member;
   return member;
 }
@@ -587,7 +572,7 @@
   (void)ev;
   (void)watch;
   (void)flags;
-  for (int i = 0; i < TARGETS_MAX; i++)
+  for (int i = 0; i < DS_GOSSIP_TARGETS; i++)
     {
       ssize_t count = recv (view->fd, bytes, sizeof bytes, MSG_DONTWAIT);
       Daisystep__Gossip__Datagram *datagram;
@@ -733,26 +718,22 @@
   ds_decision_end (&line);
 }
 
-/* Works out after how long a host counts as silent in a fleet of this size. */
 static void
 set_silence (struct ds_fleet_view *view)
 {
-  uint64_t silent_ms = turns_of (view) * TICK_MS * SILENT_TURNS + TICK_MS;
-
-  if (silent_ms < SILENT_MS)
-    silent_ms = SILENT_MS;
   for (size_t i = 0; i < view->count; i++)
-    view->members[i]->open.silent_ms = silent_ms;
+    view->members[i]->open.silent_ms = ds_gossip_silent_ms (view->count);
 }
 
-/* Tells up to TARGETS_MAX hosts the state of this one, and takes stock of what
-   they told.  Call it several times a second.  */
+/* Tells up to DS_GOSSIP_TARGETS hosts the state of this one, and takes stock
+   of what they told.  Call it several times a second.  */
 void
 ds_fleet_view_tick (struct ds_fleet_view *view, uint64_t now_ms)
 {
   TALLOC_CTX *scratch = talloc_new (NULL);
   Daisystep__Gossip__Datagram datagram;
-  size_t targets = view->count < TARGETS_MAX ? view->count : TARGETS_MAX;
+  size_t targets
+      = view->count < DS_GOSSIP_TARGETS ? view->count : DS_GOSSIP_TARGETS;
 
   fill_self (view, scratch, &datagram);
   fill_loads (view, scratch, &datagram);
@@ -796,9 +777,10 @@
                          const struct ds_replica *replica, uint64_t part)
 {
   if (view->read_count < READS_WAITING)
-    view->reads[view->read_count++] = (struct part_read){
-      .replica = replica->hash, .part = part, .turns = turns_of (view)
-    };
+    view->reads[view->read_count++]
+        = (struct part_read){ .replica = replica->hash,
+                              .part = part,
+                              .turns = ds_gossip_turns (view->count) };
 }
 
 /* What MEMBER has told of its tokens of a workspace.  */
