Let one follower try a lost store for both

Cause: while the store cannot be reached the two followers of each host tried it independently; tries are paid for also then.

Change: the follower of replicas leaves the tries to that of the configuration for up to three seconds and looks every 100 ms whether it is back.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -642,10 +642,13 @@
 
   if (ds_follower_new (&entry->config_follower, entry, entry->ev, entry->store,
                        DS_KIND_CONFIG, &config)
-          != 0
-      || ds_follower_new (&entry->replica_follower, entry, entry->ev,
-                          entry->store, DS_KIND_REPLICAS, &replicas)
-             != 0)
+      != 0)
+    return ds_error_set (error, DS_ENOMEM, "follow the store", "store",
+                         "out of memory");
+  replicas.lead = entry->config_follower;
+  if (ds_follower_new (&entry->replica_follower, entry, entry->ev,
+                       entry->store, DS_KIND_REPLICAS, &replicas)
+      != 0)
     return ds_error_set (error, DS_ENOMEM, "follow the store", "store",
                          "out of memory");
   return 0;
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -15,6 +15,11 @@
    a change must be in force two seconds after the store took it.  */
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 1000
+/* Distance of the looks at a lead that is out of touch, which cost no call,
+   and how many there are before a try of its own: what keeps the lead away may
+   concern its kind alone.  */
+#define LEAD_LOOK_MS 100
+#define LEAD_LOOKS 30
 
 struct ds_follower
 {
@@ -29,6 +34,7 @@
   uint64_t lost_ms;
   uint64_t regained_ms;
   uint32_t retry_ms;
+  uint32_t lead_looks; /* since the last call */
   bool listing;
   bool in_touch;
   bool listed; /* once at least */
@@ -37,22 +43,33 @@
 
 static void call (struct ds_follower *follower);
 
+static void on_retry (void *user_data);
+
+static void
+call_later (struct ds_follower *follower, uint32_t pause_ms)
+{
+  follower->waits = true;
+  (void)ds_timer_add (follower->ev, follower, pause_ms, on_retry, follower);
+}
+
 static void
 on_retry (void *user_data)
 {
   struct ds_follower *follower = user_data;
+  const struct ds_follower *lead = follower->handlers.lead;
 
   follower->waits = false;
+  if (!follower->in_touch && follower->listed && lead != NULL
+      && !lead->in_touch && follower->lead_looks < LEAD_LOOKS)
+    {
+      follower->lead_looks++;
+      call_later (follower, LEAD_LOOK_MS);
+      return;
+    }
+  follower->lead_looks = 0;
   call (follower);
 }
 
-static void
-call_later (struct ds_follower *follower, uint32_t pause_ms)
-{
-  follower->waits = true;
-  (void)ds_timer_add (follower->ev, follower, pause_ms, on_retry, follower);
-}
-
 static void
 set_contact (struct ds_follower *follower, bool in_touch, unsigned status)
 {
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -3,6 +3,8 @@
 
 #include "entry/store_link.h"
 
+struct ds_follower;
+
 /* ON_OBJECT is called for each object of a list, which ON_BEGIN and ON_END
    surround, and for each change between lists.  REGAINED_MS is when the store
    was last back after a disturbance, 0 if there was none.  ON_CONTACT tells
@@ -15,10 +17,9 @@
   void (*on_contact) (bool in_touch, void *user_data);
   void *user_data;
   uint32_t gather_ms;
+  const struct ds_follower *lead;
 };
 
-struct ds_follower;
-
 int ds_follower_new (struct ds_follower **out, TALLOC_CTX *owner,
                      struct tevent_context *ev, struct ds_store_link *link,
                      const char *kind,
