--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -541,7 +541,7 @@
   granted = test_json_at (page, "spec/accounts/north/granted");
   ck_assert_ptr_nonnull (granted);
   ck_assert_int_eq (json_integer_value (granted), 0);
-  ck_assert_int_eq (settled (), SERVED * 1024);
+  ck_assert_int_eq (settled (), SERVED * 1024L);
   json_decref (page);
 }
 END_TEST
@@ -573,7 +573,7 @@
     }
   pause_ms (700);
   asked = count_of ("watches") - before;
-  ck_assert_msg (asked <= HOSTS * 5, "%ld watches for one burst", asked);
+  ck_assert_msg (asked <= HOSTS * 5L, "%ld watches for one burst", asked);
   for (int waited = 0; waited < 2000; waited += POLL_MS)
     {
       json_t *page = test_get_json (store->address, ledger_path ());
@@ -605,10 +605,10 @@
           request (i % HOSTS, "POST", "/stream/1", id, "500,24")->status, 200);
       pause_ms (50);
     }
-  for (int waited = 0; waited < PATIENCE_MS && settled () < 20 * 524;
+  for (int waited = 0; waited < PATIENCE_MS && settled () < 20 * 524L;
        waited += POLL_MS)
     pause_ms (POLL_MS);
-  ck_assert_int_eq (settled (), 20 * 524);
+  ck_assert_int_eq (settled (), 20 * 524L);
   page = test_get_json (store->address, ledger_path ());
   ck_assert_uint_eq (json_object_size (test_json_at (page, "spec/writers")),
                      1);
