--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -43,10 +43,8 @@
 /* Reserves TOKENS, the most that a request can use; false when this host's
    share does not cover it.  */
 bool
-ds_allotment_reserve (struct ds_allotment *allotment, uint64_t tokens,
-                      uint64_t now_ms)
+ds_allotment_reserve (struct ds_allotment *allotment, uint64_t tokens)
 {
-  allotment->last_request_ms = now_ms;
   if (allotment->revoked || tokens > allotment->free)
     return false;
   allotment->free -= tokens;
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -84,8 +84,7 @@
   uint64_t asked;       /* by other hosts, more than was free */
   uint64_t ledger_rest; /* limit less what is granted and settled */
   uint64_t ledger_settled;
-  uint64_t ledger_seen_ms; /* age of the two figures above */
-  uint64_t last_request_ms;
+  uint64_t ledger_seen_ms;  /* age of the two figures above */
   uint64_t asked_ms;        /* when other hosts were last asked for tokens */
   uint64_t handed_over_ms;  /* when the home was last told */
   uint64_t others_asked_ms; /* when ASKED last grew */
@@ -113,8 +112,7 @@
 
 void ds_allotment_set_limit (struct ds_allotment *allotment, uint64_t limit,
                              uint64_t version);
-bool ds_allotment_reserve (struct ds_allotment *allotment, uint64_t tokens,
-                           uint64_t now_ms);
+bool ds_allotment_reserve (struct ds_allotment *allotment, uint64_t tokens);
 void ds_allotment_settle (struct ds_allotment *allotment, uint64_t reserved,
                           uint64_t used);
 void ds_allotment_tick (struct ds_allotment *allotment, double seconds);
--- a/src/entry/budget_keeper.c
+++ b/src/entry/budget_keeper.c
@@ -570,7 +570,7 @@
       struct ds_allotment *allotment = wait->allotment;
       enum ds_budget_answer answer;
 
-      if (ds_allotment_reserve (allotment, wait->tokens, now_ms))
+      if (ds_allotment_reserve (allotment, wait->tokens))
         {
           decide (wait, DS_BUDGET_GRANTED);
           /* The callback may have added or ended waits.  */
@@ -649,7 +649,7 @@
   if (allotment == NULL || page == NULL)
     return DS_BUDGET_AWAY;
   allotment->demanded += tokens;
-  if (ds_allotment_reserve (allotment, tokens, now_ms))
+  if (ds_allotment_reserve (allotment, tokens))
     {
       update_if_urgent (keeper, page, now_ms);
       return DS_BUDGET_GRANTED;
--- /dev/null
+++ b/src/entry/fleet_tokens.c
@@ -0,0 +1,197 @@
+#include "core/budget_home.h"
+#include "entry/fleet_view_internal.h"
+#include "io/clock.h"
+
+/* A host that was not heard for so much longer keeps no budgets: a change of
+   the home moves tokens.  */
+#define HOME_SILENT_MS 500
+/* A host that has just started keeps no budgets: it does not know yet which
+   others there are.  Two ticks of the others.  */
+#define HOME_START_MS 400
+
+/* What MEMBER has told of its tokens of a workspace.  */
+static struct ds_token_holding
+held_by (const struct ds_fleet_peer *member, uint64_t hash)
+{
+  for (size_t i = 0; i < member->holding_count; i++)
+    if (member->holdings[i].workspace == hash)
+      return member->holdings[i];
+  return (struct ds_token_holding){ .workspace = hash };
+}
+
+/* Adds a transfer to what MEMBER is told until it acknowledges; false when too
+   many wait.  */
+bool
+ds_fleet_add_transfer (struct ds_fleet_view *view,
+                       struct ds_fleet_peer *member, struct ds_str workspace,
+                       const struct ds_token_transfer *content)
+{
+  struct ds_str name;
+
+  if (member->transfer_count == TRANSFERS_MAX)
+    return false;
+  name = ds_str_copy (member, workspace);
+  if (name.data == NULL)
+    return false;
+  member->transfers[member->transfer_count++] = (struct ds_fleet_transfer){
+    .number = ++view->transfer_number,
+    .workspace = name,
+    .content = *content,
+  };
+  return true;
+}
+
+/* Whether the ledger answers this host, for the others to know.  */
+void
+ds_fleet_view_set_ledger_near (struct ds_fleet_view *view, bool near)
+{
+  view->ledger_near = near;
+}
+
+/* Finds the host that keeps the budgets of PAGE: highest random weight among
+   those that are there and stay, so that all hosts agree without asking and
+   few pages move when a host comes or goes.  *OUT is null for this host
+   itself.  */
+static enum ds_allotment_home
+find_home (const struct ds_fleet_view *view, uint32_t page,
+           struct ds_fleet_peer **out)
+{
+  uint64_t now_ms = ds_clock_ms ();
+  uint64_t best = 0;
+  struct ds_fleet_peer *home = NULL;
+
+  *out = NULL;
+  for (size_t i = 0; i < view->count; i++)
+    {
+      struct ds_fleet_peer *member = view->members[i];
+      uint64_t weight;
+
+      if (member->open.heard_ms == 0 || member->open.draining
+          || !member->open.ready
+          || now_ms - member->open.heard_ms
+                 >= member->open.silent_ms + HOME_SILENT_MS)
+        continue;
+      weight = ds_budget_home_weight (member->open.host, page);
+      if (home != NULL && weight <= best)
+        continue;
+      best = weight;
+      home = member;
+    }
+  if (view->ready && !view->draining
+      && now_ms - view->started_ms >= HOME_START_MS
+      && (home == NULL
+          || ds_budget_home_weight (view->self.host, page) > best))
+    return DS_HOME_SELF;
+  *out = home;
+  return home != NULL ? DS_HOME_OTHER : DS_HOME_UNKNOWN;
+}
+
+/* Who keeps the budgets of PAGE.  */
+enum ds_allotment_home
+ds_fleet_view_home (const struct ds_fleet_view *view, uint32_t page)
+{
+  struct ds_fleet_peer *home;
+
+  return find_home (view, page, &home);
+}
+
+/* What the hosts that are alive have told of WORKSPACE, as of their last
+   datagrams.  */
+struct ds_budget_others
+ds_fleet_view_others (const struct ds_fleet_view *view, uint32_t page,
+                      struct ds_str workspace)
+{
+  uint64_t now_ms = ds_clock_ms ();
+  uint64_t hash = ds_fleet_workspace_hash (workspace);
+  struct ds_budget_others others = { .free = 0 };
+  struct ds_fleet_peer *home;
+
+  (void)find_home (view, page, &home);
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct ds_fleet_peer *member = view->members[i];
+      struct ds_token_holding one;
+
+      if (!ds_fleet_member_is_alive (&member->open, now_ms))
+        continue;
+      one = held_by (member, hash);
+      others.free += one.tokens;
+      others.demand += one.demand;
+      if (member != home)
+        continue;
+      others.home_free = one.tokens;
+      others.home_known = one.known;
+      others.home_rest = one.rest;
+      others.home_settled = one.settled;
+      others.home_near = member->ledger_near;
+      others.home_heard_ms = member->open.heard_ms;
+    }
+  return others;
+}
+
+/* Asks for TOKENS of WORKSPACE.  With NEEDED above 0 the home is asked alone;
+   else all hosts that hold some, each for a part as large as its part of all
+   that they hold.  */
+void
+ds_fleet_view_ask (struct ds_fleet_view *view, uint32_t page,
+                   struct ds_str workspace, uint64_t tokens, uint64_t needed)
+{
+  uint64_t held = ds_fleet_view_others (view, page, workspace).free;
+  uint64_t hash = ds_fleet_workspace_hash (workspace);
+  uint64_t now_ms = ds_clock_ms ();
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__TokenAsk ask;
+  Daisystep__Gossip__TokenAsk *asks[1] = { &ask };
+  struct ds_fleet_peer *home;
+
+  (void)find_home (view, page, &home);
+  ds_fleet_fill_self (view, scratch, &datagram);
+  datagram.partial = true;
+  daisystep__gossip__token_ask__init (&ask);
+  ask.workspace = talloc_strndup (scratch, workspace.data, workspace.length);
+  ask.tokens = tokens;
+  ask.needed = needed;
+  datagram.asks = asks;
+  datagram.n_asks = 1;
+  if (needed > 0 && home != NULL)
+    ds_fleet_send (view, home, &datagram, scratch);
+  for (size_t i = 0; i < view->count && needed == 0; i++)
+    {
+      struct ds_fleet_peer *member = view->members[i];
+      uint64_t own = held_by (member, hash).tokens;
+
+      if (own == 0 || !ds_fleet_member_is_alive (&member->open, now_ms))
+        continue;
+      ask.tokens = (uint64_t)((double)tokens * (double)own / (double)held) + 1;
+      ask.needed = ask.tokens < own ? ask.tokens : own;
+      ds_fleet_send (view, member, &datagram, scratch);
+    }
+  talloc_free (scratch);
+}
+
+/* Passes CONTENT to the host that keeps PAGE; false when there is none or too
+   much waits for it.  */
+bool
+ds_fleet_view_transfer (struct ds_fleet_view *view, uint32_t page,
+                        struct ds_str workspace,
+                        const struct ds_token_transfer *content)
+{
+  struct ds_fleet_peer *home;
+
+  return find_home (view, page, &home) == DS_HOME_OTHER
+         && ds_fleet_add_transfer (view, home, workspace, content);
+}
+
+/* Transfers that living hosts have not acknowledged.  */
+size_t
+ds_fleet_view_pending (const struct ds_fleet_view *view)
+{
+  uint64_t now_ms = ds_clock_ms ();
+  size_t pending = 0;
+
+  for (size_t i = 0; i < view->count; i++)
+    if (ds_fleet_member_is_alive (&view->members[i]->open, now_ms))
+      pending += view->members[i]->transfer_count;
+  return pending;
+}
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -1,11 +1,8 @@
-#include "entry/fleet_view.h"
 #include "base/decision_log.h"
-#include "core/budget_home.h"
 #include "core/gossip_pace.h"
 #include "core/placement.h"
+#include "entry/fleet_view_internal.h"
 #include "io/clock.h"
-#include "io/socket_address.h"
-#include "proto/gossip.pb-c.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -18,96 +15,9 @@
 /* A datagram that fits a frame of Ethernet.  */
 #define DATAGRAM_BYTES_MAX 1400
 #define DATAGRAM_BYTES_READ 65536
-/* Loads in one datagram; the busiest replicas of this host.  */
-#define LOADS_MAX 32
-/* Crashes that are told in one tick, and how often each is repeated.  */
-#define CRASHES_MAX 8
-#define CRASH_REPEATS 3
 /* Prompt parts in one datagram; the oldest of what waits are told first.  */
 #define READS_MAX 24
-#define READS_WAITING 128
-/* Transfers to a host that wait for their acknowledgement; beyond, none is
-   added.  */
-#define TRANSFERS_MAX 64
-/* Numbers of a host's transfers that are remembered against repetition.  */
-#define TRANSFERS_SEEN 256
-/* A host that was not heard for so much longer keeps no budgets: a change of
-   the home moves tokens.  */
-#define HOME_SILENT_MS 500
-/* A host that has just started keeps no budgets: it does not know yet which
-   others there are.  Two ticks of the others.  */
-#define HOME_START_MS 400
-
-struct load
-{
-  uint64_t replica;
-  uint32_t running;
-  uint64_t prefill_tokens;
-};
-
-struct transfer
-{
-  uint64_t number;
-  struct ds_str workspace;
-  struct ds_token_transfer content;
-};
-
-struct part_read
-{
-  uint64_t replica;
-  uint64_t part;
-  size_t turns; /* ticks in which it is still told */
-};
-
-struct member
-{
-  struct ds_fleet_member open;
-  struct ds_socket_address address;
-  struct load loads[LOADS_MAX];
-  size_t load_count;
-  struct ds_token_holding holdings[DS_HOLDINGS_MAX];
-  size_t holding_count;
-  struct transfer transfers[TRANSFERS_MAX]; /* to it, not acknowledged */
-  size_t transfer_count;
-  uint64_t acks[TRANSFERS_MAX]; /* for the next datagram to this member */
-  size_t ack_count;
-  uint64_t seen[TRANSFERS_SEEN]; /* numbers of transfers from this member */
-  size_t seen_count;
-  bool ledger_near;
-  bool silent_told;
-};
-
-struct told_crash
-{
-  Daisystep__Gossip__Crash message;
-  int repeats;
-};
-
-struct ds_fleet_view
-{
-  struct tevent_context *ev;
-  struct tevent_fd *watch;
-  struct ds_fleet_self self;
-  struct ds_replica_set *replicas;
-  struct ds_crash_guard *crashes;
-  struct ds_fleet_handlers handlers;
-  struct member **members;
-  size_t count;
-  struct told_crash told[CRASHES_MAX];
-  size_t told_count;
-  struct part_read reads[READS_WAITING]; /* not told yet */
-  size_t read_count;
-  uint64_t sequence;
-  uint64_t transfer_number;
-  uint64_t started_ms;
-  size_t next_target;
-  int fd;
-  bool ledger_near;
-  bool ready;
-  bool draining;
-};
-
-static struct member *
+static struct ds_fleet_peer *
 find (const struct ds_fleet_view *view, struct ds_str host)
 {
   for (size_t i = 0; i < view->count; i++)
@@ -123,7 +33,7 @@
 }
 
 static void
-send_to (struct ds_fleet_view *view, struct member *member,
+send_to (struct ds_fleet_view *view, struct ds_fleet_peer *member,
          Daisystep__Gossip__Datagram *datagram)
 {
   uint8_t bytes[4 * DATAGRAM_BYTES_MAX];
@@ -139,9 +49,9 @@
 }
 
 /* Fills what every datagram says.  */
-static void
-fill_self (struct ds_fleet_view *view, TALLOC_CTX *owner,
-           Daisystep__Gossip__Datagram *datagram)
+void
+ds_fleet_fill_self (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                    Daisystep__Gossip__Datagram *datagram)
 {
   daisystep__gossip__datagram__init (datagram);
   datagram->host = c_string (owner, view->self.host);
@@ -243,7 +153,7 @@
   while (view->told_count < CRASHES_MAX
          && ds_crash_guard_take_news (view->crashes, &digest, &replica))
     {
-      struct told_crash *told = &view->told[view->told_count++];
+      struct ds_fleet_crash *told = &view->told[view->told_count++];
 
       daisystep__gossip__crash__init (&told->message);
       told->message.digest = digest;
@@ -300,7 +210,7 @@
 
 /* Adds the transfers and acknowledgements for one member.  */
 static void
-fill_member (struct member *member, TALLOC_CTX *owner,
+fill_member (struct ds_fleet_peer *member, TALLOC_CTX *owner,
              Daisystep__Gossip__Datagram *datagram)
 {
   datagram->n_transfers = 0;
@@ -309,7 +219,7 @@
   for (size_t i = 0; i < member->transfer_count && datagram->transfers != NULL;
        i++)
     {
-      const struct transfer *pending = &member->transfers[i];
+      const struct ds_fleet_transfer *pending = &member->transfers[i];
       Daisystep__Gossip__TokenTransfer *transfer
           = talloc (owner, Daisystep__Gossip__TokenTransfer);
 
@@ -326,26 +236,28 @@
   datagram->n_transfer_acks = member->ack_count;
 }
 
-static void
-send_member (struct ds_fleet_view *view, struct member *member,
-             Daisystep__Gossip__Datagram *datagram, TALLOC_CTX *owner)
+/* Sends DATAGRAM to MEMBER with the transfers and acknowledgements that are for
+   it.  */
+void
+ds_fleet_send (struct ds_fleet_view *view, struct ds_fleet_peer *member,
+               Daisystep__Gossip__Datagram *datagram, TALLOC_CTX *owner)
 {
   fill_member (member, owner, datagram);
   send_to (view, member, datagram);
   member->ack_count = 0;
 }
 
-static struct member *
+static struct ds_fleet_peer *
 add_member (struct ds_fleet_view *view, struct ds_str host)
 {
-  struct member **grown = talloc_realloc (view, view->members, struct member *,
-                                          (unsigned)view->count + 1);
-  struct member *member;
+  struct ds_fleet_peer **grown = talloc_realloc (
+      view, view->members, struct ds_fleet_peer *, (unsigned)view->count + 1);
+  struct ds_fleet_peer *member;
 
   if (grown == NULL)
     return NULL;
   view->members = grown;
-  member = talloc_zero (view, struct member);
+  member = talloc_zero (view, struct ds_fleet_peer);
   if (member == NULL)
     return NULL;
   member->open.host = ds_str_copy (member, host);
@@ -372,7 +284,7 @@
 /* Takes the transfers that were not taken before.  One that cannot be
    acknowledged now is left for its repetition.  */
 static void
-take_transfers (struct ds_fleet_view *view, struct member *member,
+take_transfers (struct ds_fleet_view *view, struct ds_fleet_peer *member,
                 const Daisystep__Gossip__Datagram *datagram)
 {
   for (size_t i = 0; i < datagram->n_transfers; i++)
@@ -399,7 +311,8 @@
 }
 
 static void
-take_acks (struct member *member, const Daisystep__Gossip__Datagram *datagram)
+take_acks (struct ds_fleet_peer *member,
+           const Daisystep__Gossip__Datagram *datagram)
 {
   for (size_t i = 0; i < datagram->n_transfer_acks; i++)
     for (size_t k = 0; k < member->transfer_count; k++)
@@ -411,31 +324,10 @@
         }
 }
 
-/* Adds a transfer to what MEMBER is told until it acknowledges; false when too
-   many wait.  */
-static bool
-add_transfer (struct ds_fleet_view *view, struct member *member,
-              struct ds_str workspace, const struct ds_token_transfer *content)
-{
-  struct ds_str name;
-
-  if (member->transfer_count == TRANSFERS_MAX)
-    return false;
-  name = ds_str_copy (member, workspace);
-  if (name.data == NULL)
-    return false;
-  member->transfers[member->transfer_count++] = (struct transfer){
-    .number = ++view->transfer_number,
-    .workspace = name,
-    .content = *content,
-  };
-  return true;
-}
-
 /* Answers the questions of MEMBER with tokens, and in any case with what this
    host holds.  */
 static void
-answer_asks (struct ds_fleet_view *view, struct member *member,
+answer_asks (struct ds_fleet_view *view, struct ds_fleet_peer *member,
              const Daisystep__Gossip__Datagram *datagram)
 {
   TALLOC_CTX *scratch;
@@ -452,28 +344,29 @@
       content.tokens = view->handlers.give (
           workspace, ask->tokens, ask->needed, view->handlers.user_data);
       if (content.tokens > 0)
-        (void)add_transfer (view, member, workspace, &content);
+        (void)ds_fleet_add_transfer (view, member, workspace, &content);
     }
   if (datagram->n_asks == 0 && member->ack_count == 0)
     return;
   scratch = talloc_new (NULL);
-  fill_self (view, scratch, &reply);
+  ds_fleet_fill_self (view, scratch, &reply);
   if (datagram->n_asks > 0)
     {
       fill_loads (view, scratch, &reply);
       fill_holdings (view, scratch, &reply);
     }
   reply.partial = datagram->n_asks == 0;
-  send_member (view, member, &reply, scratch);
+  ds_fleet_send (view, member, &reply, scratch);
   talloc_free (scratch);
 }
 
 static void
-take_loads (struct member *member, const Daisystep__Gossip__Datagram *datagram)
+take_loads (struct ds_fleet_peer *member,
+            const Daisystep__Gossip__Datagram *datagram)
 {
   member->load_count = 0;
   for (size_t i = 0; i < datagram->n_loads && i < LOADS_MAX; i++)
-    member->loads[member->load_count++] = (struct load){
+    member->loads[member->load_count++] = (struct ds_fleet_load){
       .replica = datagram->loads[i]->replica,
       .running = datagram->loads[i]->running,
       .prefill_tokens = datagram->loads[i]->prefill_tokens,
@@ -481,7 +374,7 @@
 }
 
 static void
-take_holdings (struct member *member,
+take_holdings (struct ds_fleet_peer *member,
                const Daisystep__Gossip__Datagram *datagram)
 {
   member->holding_count = 0;
@@ -517,7 +410,7 @@
 {
   struct ds_str host = ds_str_from_c (datagram->host);
   struct ds_socket_address address;
-  struct member *member;
+  struct ds_fleet_peer *member;
   uint64_t now_ms = ds_clock_ms ();
 
   if (ds_str_equal (host, view->self.host) || host.length == 0
@@ -650,7 +543,7 @@
                    struct ds_str gossip_address)
 {
   struct ds_socket_address address;
-  struct member *member;
+  struct ds_fleet_peer *member;
 
   if (ds_str_equal (host, view->self.host)
       || ds_socket_address_parse (&address, gossip_address) != 0)
@@ -684,7 +577,7 @@
         = (struct ds_replica_load){ .running = 0 };
   for (size_t i = 0; i < view->count; i++)
     {
-      const struct member *member = view->members[i];
+      const struct ds_fleet_peer *member = view->members[i];
 
       if (!ds_fleet_member_is_alive (&member->open, now_ms))
         continue;
@@ -702,7 +595,7 @@
 }
 
 static void
-note_silence (struct member *member, uint64_t now_ms)
+note_silence (struct ds_fleet_peer *member, uint64_t now_ms)
 {
   bool alive = ds_fleet_member_is_alive (&member->open, now_ms);
   struct ds_decision line;
@@ -735,21 +628,22 @@
   size_t targets
       = view->count < DS_GOSSIP_TARGETS ? view->count : DS_GOSSIP_TARGETS;
 
-  fill_self (view, scratch, &datagram);
+  ds_fleet_fill_self (view, scratch, &datagram);
   fill_loads (view, scratch, &datagram);
   fill_holdings (view, scratch, &datagram);
   fill_crashes (view, scratch, &datagram);
   fill_reads (view, scratch, &datagram);
   for (size_t i = 0; i < targets; i++)
     {
-      struct member *member = view->members[view->next_target++ % view->count];
+      struct ds_fleet_peer *member
+          = view->members[view->next_target++ % view->count];
 
-      send_member (view, member, &datagram, scratch);
+      ds_fleet_send (view, member, &datagram, scratch);
     }
   /* What moves tokens does not wait for a host's turn.  */
   for (size_t i = 0; i < view->count && targets < view->count; i++)
     if (view->members[i]->transfer_count > 0)
-      send_member (view, view->members[i], &datagram, scratch);
+      ds_fleet_send (view, view->members[i], &datagram, scratch);
   age_crashes (view);
   talloc_free (scratch);
   set_silence (view);
@@ -778,174 +672,10 @@
 {
   if (view->read_count < READS_WAITING)
     view->reads[view->read_count++]
-        = (struct part_read){ .replica = replica->hash,
-                              .part = part,
-                              .turns = ds_gossip_turns (view->count) };
-}
-
-/* What MEMBER has told of its tokens of a workspace.  */
-static struct ds_token_holding
-held_by (const struct member *member, uint64_t hash)
-{
-  for (size_t i = 0; i < member->holding_count; i++)
-    if (member->holdings[i].workspace == hash)
-      return member->holdings[i];
-  return (struct ds_token_holding){ .workspace = hash };
-}
-
-/* Whether the ledger answers this host, for the others to know.  */
-void
-ds_fleet_view_set_ledger_near (struct ds_fleet_view *view, bool near)
-{
-  view->ledger_near = near;
-}
-
-/* Finds the host that keeps the budgets of PAGE: highest random weight among
-   those that are there and stay, so that all hosts agree without asking and
-   few pages move when a host comes or goes.  *OUT is null for this host
-   itself.  */
-static enum ds_allotment_home
-find_home (const struct ds_fleet_view *view, uint32_t page,
-           struct member **out)
-{
-  uint64_t now_ms = ds_clock_ms ();
-  uint64_t best = 0;
-  struct member *home = NULL;
-
-  *out = NULL;
-  for (size_t i = 0; i < view->count; i++)
-    {
-      struct member *member = view->members[i];
-      uint64_t weight;
-
-      if (member->open.heard_ms == 0 || member->open.draining
-          || !member->open.ready
-          || now_ms - member->open.heard_ms
-                 >= member->open.silent_ms + HOME_SILENT_MS)
-        continue;
-      weight = ds_budget_home_weight (member->open.host, page);
-      if (home != NULL && weight <= best)
-        continue;
-      best = weight;
-      home = member;
-    }
-  if (view->ready && !view->draining
-      && now_ms - view->started_ms >= HOME_START_MS
-      && (home == NULL
-          || ds_budget_home_weight (view->self.host, page) > best))
-    return DS_HOME_SELF;
-  *out = home;
-  return home != NULL ? DS_HOME_OTHER : DS_HOME_UNKNOWN;
-}
-
-/* Who keeps the budgets of PAGE.  */
-enum ds_allotment_home
-ds_fleet_view_home (const struct ds_fleet_view *view, uint32_t page)
-{
-  struct member *home;
-
-  return find_home (view, page, &home);
-}
-
-/* What the hosts that are alive have told of WORKSPACE, as of their last
-   datagrams.  */
-struct ds_budget_others
-ds_fleet_view_others (const struct ds_fleet_view *view, uint32_t page,
-                      struct ds_str workspace)
-{
-  uint64_t now_ms = ds_clock_ms ();
-  uint64_t hash = ds_fleet_workspace_hash (workspace);
-  struct ds_budget_others others = { .free = 0 };
-  struct member *home;
-
-  (void)find_home (view, page, &home);
-  for (size_t i = 0; i < view->count; i++)
-    {
-      const struct member *member = view->members[i];
-      struct ds_token_holding one;
-
-      if (!ds_fleet_member_is_alive (&member->open, now_ms))
-        continue;
-      one = held_by (member, hash);
-      others.free += one.tokens;
-      others.demand += one.demand;
-      if (member != home)
-        continue;
-      others.home_free = one.tokens;
-      others.home_known = one.known;
-      others.home_rest = one.rest;
-      others.home_settled = one.settled;
-      others.home_near = member->ledger_near;
-      others.home_heard_ms = member->open.heard_ms;
-    }
-  return others;
-}
-
-/* Asks for TOKENS of WORKSPACE.  With NEEDED above 0 the home is asked alone;
-   else all hosts that hold some, each for a part as large as its part of all
-   that they hold.  */
-void
-ds_fleet_view_ask (struct ds_fleet_view *view, uint32_t page,
-                   struct ds_str workspace, uint64_t tokens, uint64_t needed)
-{
-  uint64_t held = ds_fleet_view_others (view, page, workspace).free;
-  uint64_t hash = ds_fleet_workspace_hash (workspace);
-  uint64_t now_ms = ds_clock_ms ();
-  TALLOC_CTX *scratch = talloc_new (NULL);
-  Daisystep__Gossip__Datagram datagram;
-  Daisystep__Gossip__TokenAsk ask;
-  Daisystep__Gossip__TokenAsk *asks[1] = { &ask };
-  struct member *home;
-
-  (void)find_home (view, page, &home);
-  fill_self (view, scratch, &datagram);
-  datagram.partial = true;
-  daisystep__gossip__token_ask__init (&ask);
-  ask.workspace = c_string (scratch, workspace);
-  ask.tokens = tokens;
-  ask.needed = needed;
-  datagram.asks = asks;
-  datagram.n_asks = 1;
-  if (needed > 0 && home != NULL)
-    send_member (view, home, &datagram, scratch);
-  for (size_t i = 0; i < view->count && needed == 0; i++)
-    {
-      struct member *member = view->members[i];
-      uint64_t own = held_by (member, hash).tokens;
-
-      if (own == 0 || !ds_fleet_member_is_alive (&member->open, now_ms))
-        continue;
-      ask.tokens = (uint64_t)((double)tokens * (double)own / (double)held) + 1;
-      ask.needed = ask.tokens < own ? ask.tokens : own;
-      send_member (view, member, &datagram, scratch);
-    }
-  talloc_free (scratch);
-}
-
-/* Passes CONTENT to the host that keeps PAGE; false when there is none or too
-   much waits for it.  */
-bool
-ds_fleet_view_transfer (struct ds_fleet_view *view, uint32_t page,
-                        struct ds_str workspace,
-                        const struct ds_token_transfer *content)
-{
-  struct member *home;
-
-  return find_home (view, page, &home) == DS_HOME_OTHER
-         && add_transfer (view, home, workspace, content);
-}
-
-/* Transfers that living hosts have not acknowledged.  */
-size_t
-ds_fleet_view_pending (const struct ds_fleet_view *view)
-{
-  uint64_t now_ms = ds_clock_ms ();
-  size_t pending = 0;
-
-  for (size_t i = 0; i < view->count; i++)
-    if (ds_fleet_member_is_alive (&view->members[i]->open, now_ms))
-      pending += view->members[i]->transfer_count;
-  return pending;
+        = (struct ds_fleet_part_read){ .replica = replica->hash,
+                                       .part = part,
+                                       .turns
+                                       = ds_gossip_turns (view->count) };
 }
 
 size_t
--- /dev/null
+++ b/src/entry/fleet_view_internal.h
@@ -0,0 +1,100 @@
+#ifndef DS_ENTRY_FLEET_VIEW_INTERNAL_H
+#define DS_ENTRY_FLEET_VIEW_INTERNAL_H
+
+#include "entry/fleet_view.h"
+#include "io/socket_address.h"
+#include "proto/gossip.pb-c.h"
+
+/* Loads in one datagram; the busiest replicas of this host.  */
+#define LOADS_MAX 32
+/* Crashes that are told in one tick, and how often each is repeated.  */
+#define CRASHES_MAX 8
+#define CRASH_REPEATS 3
+/* Prompt parts that wait to be told; newer ones are left out beyond.  */
+#define READS_WAITING 128
+/* Transfers to a host that wait for their acknowledgement; beyond, none is
+   added.  */
+#define TRANSFERS_MAX 64
+/* Numbers of a host's transfers that are remembered against repetition.  */
+#define TRANSFERS_SEEN 256
+
+struct ds_fleet_load
+{
+  uint64_t replica;
+  uint32_t running;
+  uint64_t prefill_tokens;
+};
+
+struct ds_fleet_transfer
+{
+  uint64_t number;
+  struct ds_str workspace;
+  struct ds_token_transfer content;
+};
+
+struct ds_fleet_part_read
+{
+  uint64_t replica;
+  uint64_t part;
+  size_t turns; /* ticks in which it is still told */
+};
+
+struct ds_fleet_peer
+{
+  struct ds_fleet_member open;
+  struct ds_socket_address address;
+  struct ds_fleet_load loads[LOADS_MAX];
+  size_t load_count;
+  struct ds_token_holding holdings[DS_HOLDINGS_MAX];
+  size_t holding_count;
+  struct ds_fleet_transfer
+      transfers[TRANSFERS_MAX]; /* to it, not acknowledged */
+  size_t transfer_count;
+  uint64_t acks[TRANSFERS_MAX]; /* for the next datagram to this member */
+  size_t ack_count;
+  uint64_t seen[TRANSFERS_SEEN]; /* numbers of transfers from this member */
+  size_t seen_count;
+  bool ledger_near;
+  bool silent_told;
+};
+
+struct ds_fleet_crash
+{
+  Daisystep__Gossip__Crash message;
+  int repeats;
+};
+
+struct ds_fleet_view
+{
+  struct tevent_context *ev;
+  struct tevent_fd *watch;
+  struct ds_fleet_self self;
+  struct ds_replica_set *replicas;
+  struct ds_crash_guard *crashes;
+  struct ds_fleet_handlers handlers;
+  struct ds_fleet_peer **members;
+  size_t count;
+  struct ds_fleet_crash told[CRASHES_MAX];
+  size_t told_count;
+  struct ds_fleet_part_read reads[READS_WAITING]; /* not told yet */
+  size_t read_count;
+  uint64_t sequence;
+  uint64_t transfer_number;
+  uint64_t started_ms;
+  size_t next_target;
+  int fd;
+  bool ledger_near;
+  bool ready;
+  bool draining;
+};
+
+void ds_fleet_fill_self (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                         Daisystep__Gossip__Datagram *datagram);
+void ds_fleet_send (struct ds_fleet_view *view, struct ds_fleet_peer *member,
+                    Daisystep__Gossip__Datagram *datagram, TALLOC_CTX *owner);
+bool ds_fleet_add_transfer (struct ds_fleet_view *view,
+                            struct ds_fleet_peer *member,
+                            struct ds_str workspace,
+                            const struct ds_token_transfer *content);
+
+#endif
--- a/tests/test_allotment.c
+++ b/tests/test_allotment.c
@@ -129,11 +129,11 @@
 }
 
 static void
-start_request (struct host *host, uint64_t tokens, uint64_t now_ms)
+start_request (struct host *host, uint64_t tokens)
 {
   host->allotment.demanded += tokens;
   if (host->running_count < 64
-      && ds_allotment_reserve (&host->allotment, tokens, now_ms))
+      && ds_allotment_reserve (&host->allotment, tokens))
     host->running[host->running_count++] = tokens;
 }
 
@@ -202,7 +202,7 @@
       if (host->dead)
         continue;
       if (draw < 45)
-        start_request (host, 20 + (uint64_t)rand () % 2000, (uint64_t)step);
+        start_request (host, 20 + (uint64_t)rand () % 2000);
       else if (draw < 70 && host->running_count > 0)
         delivered += end_request (host);
       else if (draw < 88)
@@ -276,9 +276,9 @@
   host.allotment.wanted = 50000;
   update (&host, &store, 0);
   host.allotment.wanted = 0;
-  ck_assert (ds_allotment_reserve (&host.allotment, 100, 1));
+  ck_assert (ds_allotment_reserve (&host.allotment, 100));
   ds_allotment_set_limit (&host.allotment, 1000, 2);
-  ck_assert (!ds_allotment_reserve (&host.allotment, 100, 1));
+  ck_assert (!ds_allotment_reserve (&host.allotment, 100));
   update (&host, &store, 0);
   ck_assert_uint_le (host.allotment.free + host.allotment.reserved, 1000);
 }
@@ -394,7 +394,7 @@
   ds_allotment_set_limit (&allotment, 1000, 2);
   ds_allotment_confirm (&allotment);
   ck_assert_uint_ge (allotment.free, 50000);
-  ck_assert (!ds_allotment_reserve (&allotment, 100, 1));
+  ck_assert (!ds_allotment_reserve (&allotment, 100));
 }
 END_TEST
 
@@ -417,7 +417,7 @@
   ck_assert_uint_eq (sender.free, 0);
   ds_allotment_receive (&receiver, &transfer);
   ck_assert_uint_eq (receiver.free, 5000);
-  ck_assert (!ds_allotment_reserve (&receiver, 100, 1));
+  ck_assert (!ds_allotment_reserve (&receiver, 100));
 }
 END_TEST
 
