--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -236,8 +236,8 @@
   datagram->n_transfer_acks = member->ack_count;
 }
 
-/* Sends DATAGRAM to MEMBER with the transfers and acknowledgements that are for
-   it.  */
+/* Sends DATAGRAM to MEMBER with the transfers and acknowledgements that are
+   for it.  */
 void
 ds_fleet_send (struct ds_fleet_view *view, struct ds_fleet_peer *member,
                Daisystep__Gossip__Datagram *datagram, TALLOC_CTX *owner)
