Go on at once after the first answer of a store that is back

Ruled out: a silent connection (the log has store_regained at 27.8 s), the wait for the other follower (regained 0.2 s before).

Change: the pause is left out after an answer that ends a loss of contact.

--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -145,6 +145,7 @@
   struct ds_follower *follower = user_data;
   struct ds_error error = DS_ERROR_NONE;
   struct ds_store_page *page = NULL;
+  bool was_in_touch = follower->in_touch;
   bool changed;
 
   follower->pending = NULL;
@@ -166,8 +167,10 @@
     }
   set_contact (follower, true, result->status);
   follower->retry_ms = 0;
-  /* A list is followed by a watch at once; a change by a pause.  */
-  changed = !follower->listing && page->count > 0;
+  /* A list is followed by a watch at once, and so is the first answer after
+     the store was lost, which may hold a part only of what has changed
+     meanwhile.  */
+  changed = was_in_touch && !follower->listing && page->count > 0;
   take_page (follower, page);
   talloc_free (page);
   if (changed && follower->handlers.gather_ms > 0)
