Accept fractional bounds; be ready only with a list of replicas

Cause: a site played at a part of its size has a retry slack of 37.24, and hosts that wanted a whole number ended at once.

Change: slack, config_apply_ms and drain_ms are read as real numbers; a host is ready once it has a configuration and has listed the replicas.

--- a/include/daisystep/fields.h
+++ b/include/daisystep/fields.h
@@ -44,7 +44,7 @@
 {
   DS_FIELD_BOOL,      /* bool */
   DS_FIELD_NUMBER,    /* uint64_t */
-  DS_FIELD_REAL,      /* double, MINIMUM..MAXIMUM; defaults to 0 */
+  DS_FIELD_REAL,      /* double, MINIMUM..MAXIMUM */
   DS_FIELD_CHOICE,    /* unsigned int, index into CHOICES */
   DS_FIELD_NAME,      /* struct ds_str, MINIMUM..63 of [a-z0-9.-] */
   DS_FIELD_TEXT,      /* struct ds_str, MINIMUM..MAXIMUM bytes of UTF-8 */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -79,12 +79,15 @@
   bool stopped;
 };
 
-/* Publishes whether this host takes requests.  */
+/* Publishes whether this host takes requests.  Before the first list of
+   replicas, it would refuse them all.  */
 static void
 publish_state (struct ds_entry *entry)
 {
   entry->addresses.ready
-      = entry->exchanges.config != NULL && entry->stopping_ms == 0;
+      = entry->exchanges.config != NULL
+        && ds_store_watcher_has_listed (entry->replica_watcher)
+        && entry->stopping_ms == 0;
   ds_fleet_view_set_state (entry->fleet, entry->addresses.ready,
                            entry->stopping_ms > 0);
 }
@@ -214,6 +217,7 @@
   struct ds_entry *entry = user_data;
 
   ds_replica_set_end_list (entry->replicas, removal_time (entry));
+  publish_state (entry);
 }
 
 static void
@@ -599,7 +603,7 @@
   const struct ds_entry_settings *settings = entry->settings;
   struct ds_retry_limit retry_limit = {
     .ratio = settings->retry.ratio,
-    .slack = (double)settings->retry.slack,
+    .slack = settings->retry.slack,
     .window_ms = (uint64_t)(settings->retry.window_s * 1000),
   };
   struct ds_budget_manager_options budgets = {
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -17,6 +17,12 @@
     .offset = offsetof (object, member), .required = true, .minimum = (low),  \
     .maximum = (high),                                                        \
   }
+#define OPTIONAL_REAL(object, member, low, high, fallback)                    \
+  {                                                                           \
+    .name = #member, .type = DS_FIELD_REAL,                                   \
+    .offset = offsetof (object, member), .minimum = (low), .maximum = (high), \
+    .number = (fallback),                                                     \
+  }
 #define REQUIRED(member, kind)                                                \
   {                                                                           \
     .name = #member, .type = (kind),                                          \
@@ -32,7 +38,7 @@
 
 static const struct ds_field retry_fields[] = {
   REAL (struct ds_retry_settings, ratio, 0, 10),
-  NUMBER (struct ds_retry_settings, slack, 0, 1000000, 0),
+  OPTIONAL_REAL (struct ds_retry_settings, slack, 0, 1000000, 0),
   REAL (struct ds_retry_settings, window_s, 1, 3600),
 };
 
@@ -57,8 +63,8 @@
   REQUIRED (store_address, DS_FIELD_ADDRESS),
   REAL (struct ds_entry_settings, grace_s, 1, 3600),
   REAL (struct ds_entry_settings, address_ttl_s, 0, 3600),
-  NUMBER (struct ds_entry_settings, config_apply_ms, 100, 600000, 2000),
-  NUMBER (struct ds_entry_settings, drain_ms, 100, 600000, 2000),
+  OPTIONAL_REAL (struct ds_entry_settings, config_apply_ms, 100, 600000, 2000),
+  OPTIONAL_REAL (struct ds_entry_settings, drain_ms, 100, 600000, 2000),
   NUMBER (struct ds_entry_settings, log_lines_per_s, 0, 100000, 200),
   OBJECT (retry, retry_fields),
   OBJECT (budget, budget_fields),
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -7,7 +7,7 @@
 struct ds_retry_settings
 {
   double ratio;
-  uint64_t slack;
+  double slack;
   double window_s;
 };
 
@@ -36,8 +36,8 @@
   struct ds_str store_address;
   double grace_s;
   double address_ttl_s;
-  uint64_t config_apply_ms;
-  uint64_t drain_ms;
+  double config_apply_ms;
+  double drain_ms;
   uint64_t log_lines_per_s;
   struct ds_retry_settings retry;
   struct ds_budget_settings budget;
--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -254,6 +254,13 @@
   return watcher->connected;
 }
 
+/* True once all objects of the kind have been listed.  */
+bool
+ds_store_watcher_has_listed (const struct ds_store_watcher *watcher)
+{
+  return watcher->listed;
+}
+
 /* Time when the store was last disconnected; 0 if it never was.  */
 uint64_t
 ds_store_watcher_disconnected_ms (const struct ds_store_watcher *watcher)
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -26,6 +26,7 @@
                           const struct ds_store_watcher_handlers *handlers);
 void ds_store_watcher_probe (struct ds_store_watcher *watcher);
 bool ds_store_watcher_is_connected (const struct ds_store_watcher *watcher);
+bool ds_store_watcher_has_listed (const struct ds_store_watcher *watcher);
 uint64_t
 ds_store_watcher_disconnected_ms (const struct ds_store_watcher *watcher);
 uint64_t
--- a/tests/standins/platform_store.c
+++ b/tests/standins/platform_store.c
@@ -8,7 +8,8 @@
 
 /* Stand-in for the platform's store: objects by kind and name, one revision
    counter, lists, watches and conditional writes, in the platform's format.
-   POST /standin/faults accepts "busy" (status 503), "silent" (no response),
+   POST /standin/faults accepts "busy" (status 503), "busy_kind" (status 503 to
+   calls about this kind), "silent" (no response),
    "lose_answers" (the number of ledger writes that take effect without a
    response) and "compact" (discards the history).  GET /standin/counts returns
    the number of watch requests and of ledger writes.  */
@@ -25,6 +26,7 @@
   json_int_t history_start;
   bool busy;
   bool silent;
+  char busy_kind[64]; /* empty for none */
   json_int_t lose_answers;
   json_int_t watches;
   json_int_t ledger_writes;
@@ -250,8 +252,12 @@
 set_faults (struct store *store, struct standin_request *request)
 {
   json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
+  const char *busy_kind
+      = json_string_value (json_object_get (body, "busy_kind"));
 
   pthread_mutex_lock (&store->lock);
+  (void)snprintf (store->busy_kind, sizeof store->busy_kind, "%s",
+                  busy_kind != NULL ? busy_kind : "");
   store->busy = json_is_true (json_object_get (body, "busy"));
   store->silent = json_is_true (json_object_get (body, "silent"));
   store->lose_answers
@@ -302,6 +308,12 @@
   else if (strcmp (request->method, "GET") != 0
            && strstr (request->path, "ledger") != NULL)
     store->ledger_writes++;
+  (void)snprintf (kind, sizeof kind, "%s",
+                  request->path + strlen (OBJECTS_PREFIX));
+  slash = strchr (kind, '/');
+  if (slash != NULL)
+    *slash++ = '\0';
+  busy = busy || strcmp (kind, store->busy_kind) == 0;
   pthread_mutex_unlock (&store->lock);
   if (silent)
     {
@@ -311,11 +323,6 @@
   if (busy)
     return standin_respond_error (request, MHD_HTTP_SERVICE_UNAVAILABLE,
                                   "busy");
-  (void)snprintf (kind, sizeof kind, "%s",
-                  request->path + strlen (OBJECTS_PREFIX));
-  slash = strchr (kind, '/');
-  if (slash != NULL)
-    *slash++ = '\0';
   if (strcmp (request->method, "POST") == 0
       || strcmp (request->method, "PUT") == 0)
     return write_object (store, request, kind, slash);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -642,6 +642,37 @@
 }
 END_TEST
 
+static long
+readiness_status (int i)
+{
+  struct test_http_call call
+      = { .address = readiness_addresses[i], .path = "/daisystep/readiness" };
+
+  return test_http (&call)->status;
+}
+
+/* Guards against callers being sent to a host that refuses every request,
+   since it has a configuration but no list of replicas yet.  */
+START_TEST (a_host_is_ready_once_it_knows_the_replicas)
+{
+  (void)test_process_signal (hosts[0], SIGKILL);
+  ck_assert (test_process_wait (hosts[0], WAIT_TIMEOUT_MS));
+  set_faults (store, "{\"busy_kind\":\"servers\"}");
+  start_host (0);
+  /* The configuration is in force once an unknown route gets 404.  */
+  for (int waited = 0;
+       waited < WAIT_TIMEOUT_MS
+       && request (0, "GET", "/none/1", "id-n", NULL)->status != 404;
+       waited += POLL_MS)
+    sleep_ms (POLL_MS);
+  ck_assert_int_eq (request (0, "GET", "/none/1", "id-n", NULL)->status, 404);
+  ck_assert_int_eq (readiness_status (0), 503);
+  set_faults (store, "{}");
+  wait_ready (0);
+  ck_assert_int_eq (request (0, "GET", "/look/1", "id-l", NULL)->status, 200);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -668,6 +699,7 @@
   tcase_add_test (test_case, rapid_changes_are_batched);
   tcase_add_test (test_case, one_host_writes_the_ledger_page);
   tcase_add_test (test_case, a_host_without_configuration_answers_503);
+  tcase_add_test (test_case, a_host_is_ready_once_it_knows_the_replicas);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- /dev/null
+++ b/tests/test_entry_settings.c
@@ -0,0 +1,99 @@
+#include "entry/entry_settings.h"
+#include "support/process.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+/* Loads settings with the bounds in the order of the settings template.  */
+static int
+load (struct ds_entry_settings **out, const char *grace_s,
+      const char *config_apply_ms, const char *drain_ms, const char *ratio,
+      const char *slack, const char *window_s)
+{
+  struct ds_error error = DS_ERROR_NONE;
+  char *text = talloc_asprintf (
+      NULL,
+      "{\"host\":\"a\",\"zone\":\"z\",\"region\":\"r\","
+      "\"caller_address\":\"127.0.0.1:1\",\"readiness_address\":"
+      "\"127.0.0.1:2\",\"directory_address\":\"127.0.0.1:3\","
+      "\"gossip_address\":\"127.0.0.1:4\",\"metrics_address\":"
+      "\"127.0.0.1:5\",\"store_address\":\"127.0.0.1:6\",\"grace_s\":%s,"
+      "\"address_ttl_s\":2,\"config_apply_ms\":%s,\"drain_ms\":%s,"
+      "\"retry\":{\"ratio\":%s,\"slack\":%s,\"window_s\":%s},"
+      "\"budget\":{\"settle_ms\":1200}}",
+      grace_s, config_apply_ms, drain_ms, ratio, slack, window_s);
+  char *path = test_file_write ("entry-settings", text);
+  int status = ds_entry_settings_load (out, NULL, path, &error);
+
+  talloc_free (text);
+  return status;
+}
+
+/* A fleet played at a part of its size has bounds such as a slack of 37.24;
+   hosts that accept whole numbers only did not start.  */
+START_TEST (bounds_may_be_fractions)
+{
+  struct ds_entry_settings *settings;
+
+  ck_assert_int_eq (
+      load (&settings, "7.5", "1999.5", "2000.25", "0.2", "37.24", "9.6"), 0);
+  ck_assert_double_eq (settings->grace_s, 7.5);
+  ck_assert_double_eq (settings->config_apply_ms, 1999.5);
+  ck_assert_double_eq (settings->drain_ms, 2000.25);
+  ck_assert_double_eq (settings->retry.slack, 37.24);
+  ck_assert_double_eq (settings->retry.window_s, 9.6);
+  ds_entry_settings_free (settings);
+}
+END_TEST
+
+/* Guards against a host that does not start with unusual but valid bounds.  */
+START_TEST (extreme_bounds_are_accepted)
+{
+  struct ds_entry_settings *settings;
+
+  ck_assert_int_eq (load (&settings, "1", "100", "100", "0", "0", "1"), 0);
+  ds_entry_settings_free (settings);
+  ck_assert_int_eq (
+      load (&settings, "3600", "600000", "600000", "10", "1000000", "3600"),
+      0);
+  ds_entry_settings_free (settings);
+}
+END_TEST
+
+/* Guards against a fault in the settings that takes effect silently.  */
+START_TEST (bounds_outside_their_range_are_refused)
+{
+  struct ds_entry_settings *settings;
+
+  ck_assert_int_ne (load (&settings, "0", "2000", "2000", "0.2", "50", "10"),
+                    0);
+  ck_assert_int_ne (load (&settings, "8", "99", "2000", "0.2", "50", "10"), 0);
+  ck_assert_int_ne (load (&settings, "8", "2000", "600001", "0.2", "50", "10"),
+                    0);
+  ck_assert_int_ne (load (&settings, "8", "2000", "2000", "-1", "50", "10"),
+                    0);
+  ck_assert_int_ne (load (&settings, "8", "2000", "2000", "0.2", "-1", "10"),
+                    0);
+  ck_assert_int_ne (
+      load (&settings, "8", "2000", "2000", "0.2", "50", "\"ten\""), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("entry_settings");
+  TCase *test_case = tcase_create ("entry_settings");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (test_case, bounds_may_be_fractions);
+  tcase_add_test (test_case, extreme_bounds_are_accepted);
+  tcase_add_test (test_case, bounds_outside_their_range_are_refused);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
