Bill a stream from its first byte on

Change: a stream of which no byte of the body has arrived is settled with 0 tokens. Other calls are billed as before.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -127,14 +127,17 @@
 }
 
 /* Returns the tokens that the request has used as far as this host knows: its
-   prompt once, if a replica may have run it, and the forwarded output.  */
+   prompt once, if a replica may have run it, and the forwarded output.  A
+   stream of which nothing has arrived has used none: its caller got nothing
+   for its tokens.  */
 static uint64_t
 tokens_used (const struct ds_exchange *x)
 {
   const struct ds_service *service;
   uint64_t output;
 
-  if (!x->may_have_run)
+  if (!x->may_have_run
+      || (x->route->kind == DS_CALL_STREAM && x->first_event_ms == 0))
     return 0;
   service = ds_routing_config_find_service (x->config,
                                             x->placement_request.service);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -550,6 +550,39 @@
 }
 END_TEST
 
+/* Load: replicas run prompts and lose the answers.  Callers that got nothing
+   were billed for 5 % of the day's tokens, and their workspaces refused later
+   requests for want of them.  */
+START_TEST (a_stream_without_an_event_is_not_billed)
+{
+  set_replica_faults ("{\"drop\":1}");
+  ck_assert_int_eq (
+      request (0, "POST", "/stream/1", "id-lost", "700,24")->status, 502);
+  ck_assert_int_eq (count_runs ("id-lost"), 2);
+  ck_assert_int_eq (
+      request (0, "POST", "/stream/1", "id-whole", "500,24")->status, 200);
+  for (int waited = 0; waited < WAIT_TIMEOUT_MS && settled_tokens () == 0;
+       waited += POLL_MS)
+    sleep_ms (POLL_MS);
+  ck_assert_int_eq (settled_tokens (), 524);
+}
+END_TEST
+
+/* Guards against a stream that is broken off after some events and costs its
+   caller nothing.  */
+START_TEST (a_stream_that_broke_off_is_billed_for_its_events)
+{
+  set_replica_faults ("{\"cut_after\":2,\"drop\":0}");
+  (void)request (0, "POST", "/stream/1", "id-cut", "700,24");
+  for (int waited = 0; waited < WAIT_TIMEOUT_MS && settled_tokens () == 0;
+       waited += POLL_MS)
+    sleep_ms (POLL_MS);
+  /* Each event holds up to four tokens; a resumed stream has all six.  */
+  ck_assert_int_ge (settled_tokens (), 700 + 2 * 4);
+  ck_assert_int_le (settled_tokens (), 700 + 6 * 4);
+}
+END_TEST
+
 static long
 standin_count (const char *name)
 {
@@ -695,6 +728,8 @@
   tcase_add_test (test_case, a_draining_replica_gets_no_new_work);
   tcase_add_test (test_case, a_budget_is_spent_once_at_all_hosts);
   tcase_add_test (test_case, hosts_serve_while_the_store_is_away);
+  tcase_add_test (test_case, a_stream_without_an_event_is_not_billed);
+  tcase_add_test (test_case, a_stream_that_broke_off_is_billed_for_its_events);
   tcase_add_test (test_case, a_stopping_host_leaves_the_address_list);
   tcase_add_test (test_case, rapid_changes_are_batched);
   tcase_add_test (test_case, one_host_writes_the_ledger_page);
