--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -113,11 +113,22 @@
   return target > 0 ? (uint64_t)target : 0;
 }
 
+/* Whether another host serves this one with tokens.  */
+bool
+ds_allotment_has_source (const struct ds_allotment *allotment)
+{
+  return allotment->home == DS_HOME_OTHER || allotment->home == DS_HOME_GIVER;
+}
+
 /* Whether the ledger should be updated before the regular interval ends.  */
 bool
 ds_allotment_needs_update (const struct ds_allotment *allotment,
                            const struct ds_allotment_policy *policy)
 {
+  if (allotment->home == DS_HOME_GIVER)
+    return allotment->home_timed_out
+           && allotment->waiting_tokens + allotment->peer_requested
+                  > allotment->free;
   if (allotment->home != DS_HOME_SELF)
     return allotment->home_timed_out
            && allotment->waiting_tokens > allotment->free;
@@ -160,6 +171,8 @@
   if (given > tokens)
     given = tokens;
   allotment->free -= given;
+  if (allotment->demand_is_requested)
+    allotment->demand_since_tick += given;
   return given;
 }
 
@@ -169,8 +182,14 @@
                       const struct ds_token_transfer *transfer)
 {
   ds_allotment_set_limit (allotment, transfer->limit, transfer->version);
+  /* Tokens that a peer returns were not needed.  */
+  if (allotment->demand_is_requested && allotment->home != DS_HOME_OTHER)
+    allotment->demand_since_tick
+        -= min_u64 (transfer->tokens, allotment->demand_since_tick);
   allotment->free += transfer->tokens;
   allotment->spent += transfer->spent;
+  if (transfer->tokens > 0)
+    allotment->lacking_since_ms = 0;
 }
 
 /* Moves into TRANSFER what the home should get: the use that is not in the
@@ -260,6 +279,10 @@
   if (!update->in_flight)
     return;
   allotment->free += update->drawn;
+  if (update->drawn > 0)
+    allotment->lacking_since_ms = 0;
+  if (allotment->home == DS_HOME_GIVER && allotment->waiting_tokens == 0)
+    allotment->home_timed_out = false;
   allotment->known = true;
   if (update->version == allotment->version)
     allotment->suspended = false;
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -28,13 +28,15 @@
   uint64_t returned;
 };
 
-/* The home of a budget is the host that holds tokens of it for the whole
-   fleet.  */
+/* The part of a host in the distribution of a budget.  The home of a budget is
+   the host that holds tokens of it for the whole fleet; in a large fleet,
+   givers get tokens from it and serve a group of hosts.  */
 enum ds_allotment_home
 {
   DS_HOME_UNKNOWN, /* no host qualifies, as shortly after startup */
   DS_HOME_SELF,
-  DS_HOME_OTHER
+  DS_HOME_OTHER, /* the home or a giver serves this host */
+  DS_HOME_GIVER  /* the home serves this host, which serves others */
 };
 
 /* Tokens that move from one host's allotment to another's, with the tokens
@@ -47,10 +49,12 @@
   uint64_t version;
 };
 
-/* What the peers last reported of one workspace.  The members home_* are
-   zero unless the home is a peer and alive.  */
+/* What the peers last reported of one workspace.  The members home_* are of
+   the host that serves this one, and zero unless it is a peer and alive.  With
+   DEMAND_IS_REQUESTED, peers report neither free tokens nor demand.  */
 struct ds_budget_peer_state
 {
+  bool demand_is_requested;
   uint64_t free; /* sum over the peers */
   uint64_t demand;
   uint64_t home_free;
@@ -79,6 +83,7 @@
   double demand_weight; /* sum of the weights in demand_sum, up to 1 */
   uint64_t peer_free;   /* at the peers, as last reported */
   double peer_demand;
+  bool demand_is_requested; /* peers' requests for tokens show their demand */
   uint64_t demand_since_tick; /* by new requests since the last tick */
   uint64_t waiting_tokens;    /* needed by waiting requests */
   uint64_t peer_requested;    /* by peers, more than was free */
@@ -88,6 +93,7 @@
   uint64_t last_request_ms;    /* of the last request for tokens to peers */
   uint64_t last_transfer_ms;   /* of the last transfer to the home */
   uint64_t peer_request_ms;    /* of a peer's last request that was not met */
+  uint64_t lacking_since_ms;   /* of a giver: it could not meet a request */
   bool known;                  /* the ledger has been read */
   bool home_timed_out; /* the home has not served a waiting request in time */
   bool suspended; /* the limit was lowered: no reservation until the ledger
@@ -118,6 +124,7 @@
 void ds_allotment_tick (struct ds_allotment *allotment, double seconds);
 uint64_t ds_allotment_target (const struct ds_allotment *allotment,
                               const struct ds_allotment_policy *policy);
+bool ds_allotment_has_source (const struct ds_allotment *allotment);
 bool ds_allotment_needs_update (const struct ds_allotment *allotment,
                                 const struct ds_allotment_policy *policy);
 uint64_t ds_allotment_give (struct ds_allotment *allotment, uint64_t tokens,
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -121,25 +121,28 @@
   return cached < request->prompt_tokens ? request->prompt_tokens - cached : 1;
 }
 
-/* Returns the rank of REPLICA for KEY in rendezvous hashing, so that all hosts
-   prefer the same replicas for the prompts of one part.  */
-static size_t
-rank_of (const struct ds_replica_set *set, const struct ds_replica *replica,
-         struct ds_str service, uint64_t key)
+/* Returns the replica of SERVICE that all hosts prefer for the prompts of the
+   part KEY, by rendezvous hashing; null if there is none.  */
+static const struct ds_replica *
+find_preferred (const struct ds_replica_set *set, struct ds_str service,
+                uint64_t key)
 {
-  uint64_t own_weight = mix_hash (replica->hash ^ key);
-  size_t rank = 0;
+  const struct ds_replica *preferred = NULL;
+  uint64_t best_weight = 0;
 
   for (size_t i = 0; i < ds_replica_set_count (set); i++)
     {
-      const struct ds_replica *other = ds_replica_set_at (set, i);
+      const struct ds_replica *replica = ds_replica_set_at (set, i);
+      uint64_t weight = mix_hash (replica->hash ^ key);
 
-      if (other != replica && ds_str_equal (other->record.service, service)
-          && ds_replica_accepts_requests (other)
-          && mix_hash (other->hash ^ key) > own_weight)
-        rank++;
+      if ((preferred != NULL && weight <= best_weight)
+          || !ds_str_equal (replica->record.service, service)
+          || !ds_replica_accepts_requests (replica))
+        continue;
+      preferred = replica;
+      best_weight = weight;
     }
-  return rank;
+  return preferred;
 }
 
 /* Tokens of the last part, which no other request shares.  */
@@ -168,8 +171,8 @@
 }
 
 static double
-expected_ms (const struct ds_replica_set *set,
-             const struct ds_replica *replica,
+expected_ms (const struct ds_replica *replica,
+             const struct ds_replica *preferred,
              const struct ds_placement_request *request, uint64_t now_ms,
              uint64_t *uncached)
 {
@@ -189,8 +192,7 @@
   prefill_ms = (double)*uncached / PREFILL_TOKENS_PER_MS;
   prefill_ms += prefill_penalty (request, *uncached);
   /* Hosts that receive a new part concurrently choose the same replica.  */
-  if (*uncached > last_part_tokens (request) && affinity_key (request) != 0
-      && rank_of (set, replica, request->service, affinity_key (request)) == 0)
+  if (*uncached > last_part_tokens (request) && replica == preferred)
     prefill_ms *= PREFERRED_REPLICA_FACTOR;
   return cost + prefill_ms
          + ((double)(replica->local_load.prefill_tokens
@@ -212,6 +214,9 @@
                      uint64_t now_ms)
 {
   struct ds_placement best = { .status = DS_PLACEMENT_NO_REPLICA };
+  uint64_t key = affinity_key (request);
+  const struct ds_replica *preferred
+      = key != 0 ? find_preferred (set, request->service, key) : NULL;
   double best_cost = DBL_MAX;
 
   for (size_t i = 0; i < ds_replica_set_count (set); i++)
@@ -227,7 +232,7 @@
         best.status = DS_PLACEMENT_ALL_TRIED;
       if (was_tried (request, replica->hash))
         continue;
-      cost = expected_ms (set, replica, request, now_ms, &uncached);
+      cost = expected_ms (replica, preferred, request, now_ms, &uncached);
       /* A failing replica is chosen only if there is no other.  */
       if (replica->avoid_until_ms > now_ms)
         cost += 100000;
--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -1,5 +1,6 @@
 #include "core/replica_set.h"
 
+#include <glib.h>
 #include <string.h>
 
 /* One replica and whether the current listing contains it.  */
@@ -13,14 +14,29 @@
 {
   struct entry *entries;
   size_t count;
+  GHashTable *by_hash;       /* of struct ds_replica, by its member hash */
+  GHashTable *by_short_hash; /* by the low 32 bits of it */
 };
 
+static int
+destroy (struct ds_replica_set *set)
+{
+  g_hash_table_destroy (set->by_hash);
+  g_hash_table_destroy (set->by_short_hash);
+  return 0;
+}
+
 /* Creates an empty set.  Returns 0 or DS_ENOMEM.  */
 int
 ds_replica_set_new (struct ds_replica_set **out, TALLOC_CTX *owner)
 {
   *out = talloc_zero (owner, struct ds_replica_set);
-  return *out != NULL ? 0 : DS_ENOMEM;
+  if (*out == NULL)
+    return DS_ENOMEM;
+  (*out)->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
+  (*out)->by_short_hash = g_hash_table_new (NULL, NULL);
+  talloc_set_destructor (*out, destroy);
+  return 0;
 }
 
 static struct entry *
@@ -54,6 +70,9 @@
   struct ds_replica *replica = set->entries[index].replica;
 
   replica->removed = true;
+  (void)g_hash_table_remove (set->by_hash, &replica->hash);
+  (void)g_hash_table_remove (set->by_short_hash,
+                             GUINT_TO_POINTER ((guint)replica->hash));
   talloc_unlink (set, replica);
   set->entries[index] = set->entries[--set->count];
 }
@@ -77,6 +96,9 @@
   replica->hash = ds_str_hash (record->id, record->start_time_ms);
   replica->latency_factor = 1;
   grown[set->count++] = (struct entry){ .replica = replica, .listed = true };
+  (void)g_hash_table_insert (set->by_hash, &replica->hash, replica);
+  (void)g_hash_table_insert (set->by_short_hash,
+                             GUINT_TO_POINTER ((guint)replica->hash), replica);
   return 0;
 }
 
@@ -175,13 +197,19 @@
   return set->entries[index].replica;
 }
 
+/* Returns the replica whose id and start time have HASH, or null.  */
 struct ds_replica *
 ds_replica_set_find_by_hash (const struct ds_replica_set *set, uint64_t hash)
 {
-  for (size_t i = 0; i < set->count; i++)
-    if (set->entries[i].replica->hash == hash)
-      return set->entries[i].replica;
-  return NULL;
+  return g_hash_table_lookup (set->by_hash, &hash);
+}
+
+/* Returns the replica whose hash has HASH as its low 32 bits, or null.  */
+struct ds_replica *
+ds_replica_set_find_by_short_hash (const struct ds_replica_set *set,
+                                   uint32_t hash)
+{
+  return g_hash_table_lookup (set->by_short_hash, GUINT_TO_POINTER (hash));
 }
 
 /* Whether new requests may be sent to the replica.  */
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -43,11 +43,13 @@
   uint64_t hash;
   struct ds_replica_load local_load;
   struct ds_replica_load remote_load;
-  struct ds_cached_part *parts; /* allocated on first use */
-  uint64_t avoid_until_ms;      /* set after failures */
-  uint32_t failures;            /* consecutive */
-  uint64_t expiry_ms;           /* when it is dropped; 0 while listed */
-  float latency_factor;         /* observed / expected time to first event */
+  struct ds_replica_load reported_load; /* of local_load, to the relays */
+  struct ds_replica_load zone_load;     /* of this zone, kept by relays */
+  struct ds_cached_part *parts;         /* allocated on first use */
+  uint64_t avoid_until_ms;              /* set after failures */
+  uint32_t failures;                    /* consecutive */
+  uint64_t expiry_ms;   /* when it is dropped; 0 while listed */
+  float latency_factor; /* observed / expected time to first event */
   bool removed;
 };
 
@@ -67,6 +69,9 @@
                                       size_t index);
 struct ds_replica *
 ds_replica_set_find_by_hash (const struct ds_replica_set *set, uint64_t hash);
+struct ds_replica *
+ds_replica_set_find_by_short_hash (const struct ds_replica_set *set,
+                                   uint32_t hash);
 bool ds_replica_accepts_requests (const struct ds_replica *replica);
 
 #endif
--- a/src/entry/address_service.c
+++ b/src/entry/address_service.c
@@ -63,7 +63,7 @@
           = ds_fleet_view_at (service->fleet, i);
 
       if (ds_fleet_member_is_alive (member, now_ms) && member->ready
-          && !member->draining)
+          && !member->draining && member->caller_address.length > 0)
         (*out)[count++] = (struct ds_address_candidate){
           .zone = member->zone,
           .region = member->region,
--- a/src/entry/budget_manager.c
+++ b/src/entry/budget_manager.c
@@ -115,7 +115,7 @@
       if (ds_allotment_needs_update (allotment, &manager->options.policy)
           && (allotment->suspended || !is_exhausted (allotment, now_ms)))
         return true;
-      if (manager->closing && allotment->home != DS_HOME_OTHER
+      if (manager->closing && !ds_allotment_has_source (allotment)
           && (allotment->spent > 0 || allotment->free > 0))
         return true;
     }
@@ -157,6 +157,13 @@
     update_if_urgent (manager, &manager->pages[i], now_ms);
 }
 
+/* Lets requests of peers that had to wait be tried again.  */
+static void
+serve_peers (const struct ds_budget_manager *manager)
+{
+  manager->options.peers.on_tokens (manager->options.peers.user_data);
+}
+
 static void
 on_response (void *user_data)
 {
@@ -168,6 +175,7 @@
     if (!ds_ledger_client_is_reachable (manager->pages[i].client, now_ms))
       manager->last_failure_ms = now_ms;
   process_pending (manager);
+  serve_peers (manager);
   update_urgent_pages (manager, now_ms);
 }
 
@@ -254,7 +262,8 @@
 
   allotment->peer_free = peer_state.free;
   allotment->peer_demand = (double)peer_state.demand;
-  if (allotment->home != DS_HOME_OTHER || !peer_state.home_ledger_known
+  allotment->demand_is_requested = peer_state.demand_is_requested;
+  if (!ds_allotment_has_source (allotment) || !peer_state.home_ledger_known
       || peer_state.home_reported_ms <= allotment->ledger_observed_ms)
     return;
   allotment->known = true;
@@ -273,9 +282,14 @@
   const struct ds_budget_peers *peers = &manager->options.peers;
   uint64_t cushion
       = (uint64_t)(allotment->demand * manager->options.policy.cushion_s);
-  uint64_t lacking = allotment->waiting_tokens > allotment->free
-                         ? allotment->waiting_tokens - allotment->free
-                         : 0;
+  uint64_t wanted = allotment->waiting_tokens;
+  uint64_t lacking;
+
+  /* A giver also asks for what its group lacks.  */
+  if (allotment->home == DS_HOME_GIVER
+      && now_ms - allotment->peer_request_ms <= PEER_REQUEST_TTL_MS)
+    wanted += allotment->peer_requested;
+  lacking = wanted > allotment->free ? wanted - allotment->free : 0;
 
   if (now_ms - allotment->last_request_ms < TOKEN_REQUEST_INTERVAL_MS
       || lacking == 0)
@@ -382,7 +396,7 @@
       struct ds_allotment *allotment = manager->allotments[i];
       struct ds_token_transfer transfer;
 
-      if (allotment->home != DS_HOME_OTHER
+      if (!ds_allotment_has_source (allotment)
           || (!manager->closing && !allotment->suspended
               && now_ms - allotment->last_transfer_ms < TRANSFER_INTERVAL_MS))
         continue;
@@ -449,6 +463,25 @@
   return true;
 }
 
+/* Requests what the group of a giver lacks from the home or, if the home
+   cannot get it in time, from the ledger.  */
+static void
+request_for_group (struct ds_budget_manager *manager,
+                   struct ds_allotment *allotment, uint64_t now_ms)
+{
+  const struct ds_budget_peers *peers = &manager->options.peers;
+  struct ds_budget_peer_state peer_state
+      = peers->peer_state (ds_ledger_page_index (allotment->workspace),
+                           allotment->workspace, peers->user_data);
+
+  if (allotment->lacking_since_ms == 0)
+    allotment->lacking_since_ms = now_ms;
+  if (!peer_state.home_ledger_reachable
+      || now_ms - allotment->lacking_since_ms > HOME_TIMEOUT_MS)
+    allotment->home_timed_out = true;
+  request_tokens (manager, allotment, true, now_ms);
+}
+
 /* Grants another host up to TOKENS, of which it needs NEEDED at once, and
    returns how many.  */
 uint64_t
@@ -464,6 +497,8 @@
   if (allotment == NULL || page == NULL)
     return 0;
   given = ds_allotment_give (allotment, tokens, needed, now_ms);
+  if (given == 0 && allotment->home == DS_HOME_GIVER)
+    request_for_group (manager, allotment, now_ms);
   update_if_urgent (manager, page, now_ms);
   return given;
 }
@@ -480,6 +515,7 @@
     return;
   ds_allotment_receive (allotment, transfer);
   process_pending (manager);
+  serve_peers (manager);
 }
 
 /* Handles new holdings of another host.  */
@@ -535,7 +571,7 @@
     return DS_BUDGET_EXHAUSTED;
   peer_state = peers->peer_state (ds_ledger_page_index (allotment->workspace),
                                   allotment->workspace, peers->user_data);
-  if (allotment->home == DS_HOME_OTHER && waited_ms < HOME_TIMEOUT_MS
+  if (ds_allotment_has_source (allotment) && waited_ms < HOME_TIMEOUT_MS
       && peer_state.home_reported_ms > 0
       && (peer_state.home_free + allotment->free >= tokens
           || (peer_state.home_ledger_reachable
--- a/src/entry/budget_manager.h
+++ b/src/entry/budget_manager.h
@@ -17,7 +17,8 @@
    the home or, with NEEDED 0, from all that hold some.  TRANSFER sends tokens
    and use to the home of a page; false when it cannot be queued.  PEER_STATE
    returns their reports.  PENDING counts unacknowledged transfers.
-   ON_STORE_TIMEOUT reports a call without response.  */
+   ON_TOKENS reports that tokens have arrived, ON_STORE_TIMEOUT a call without
+   response.  */
 struct ds_budget_peers
 {
   enum ds_allotment_home (*home) (uint32_t page, void *user_data);
@@ -29,6 +30,7 @@
                                              struct ds_str workspace,
                                              void *user_data);
   size_t (*pending) (void *user_data);
+  void (*on_tokens) (void *user_data);
   void (*on_store_timeout) (void *user_data);
   void *user_data;
 };
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 #include "base/decision_log.h"
 #include "core/gossip_pace.h"
+#include "core/ledger_page.h"
 #include "daisystep/log.h"
 #include "entry/address_service.h"
 #include "entry/budget_manager.h"
@@ -47,6 +48,11 @@
    of the ledger.  */
 #define FINAL_UPDATE_MS 600
 
+/* Shortest interval of checks of the store because other hosts have lost
+   it.  */
+#define STORE_CHECK_INTERVAL_MS 3000
+#define PERCENT 100
+
 struct ds_entry
 {
   struct tevent_context *ev;
@@ -75,7 +81,8 @@
   struct ds_caller_group metrics;
   struct ds_tcp_listener *caller_listener;
 
-  uint64_t stopping_ms; /* time of SIGTERM; 0 before */
+  uint64_t store_checked_ms; /* because other hosts have lost the store */
+  uint64_t stopping_ms;      /* time of SIGTERM; 0 before */
   bool stopped;
 };
 
@@ -259,9 +266,11 @@
   struct ds_entry *entry = user_data;
   uint64_t given
       = ds_budget_manager_give (entry->budgets, workspace, tokens, needed);
-  struct ds_decision_line line
-      = ds_decision_line_begin ("tokens_given", DS_STR_EMPTY);
+  struct ds_decision_line line;
 
+  if (given == 0)
+    return 0;
+  line = ds_decision_line_begin ("tokens_given", DS_STR_EMPTY);
   ds_decision_line_add_text (&line, "workspace", workspace);
   ds_decision_line_add_number (&line, "asked", (int64_t)tokens);
   ds_decision_line_add_number (&line, "needed", (int64_t)needed);
@@ -288,7 +297,7 @@
 }
 
 static void
-on_peer_datagram (void *user_data)
+on_peer_holdings (void *user_data)
 {
   struct ds_entry *entry = user_data;
 
@@ -317,7 +326,7 @@
 static enum ds_allotment_home
 page_home (uint32_t page, void *user_data)
 {
-  const struct ds_entry *entry = user_data;
+  struct ds_entry *entry = user_data;
 
   return ds_fleet_view_home (entry->fleet, page);
 }
@@ -325,11 +334,19 @@
 static struct ds_budget_peer_state
 get_peer_state (uint32_t page, struct ds_str workspace, void *user_data)
 {
-  const struct ds_entry *entry = user_data;
+  struct ds_entry *entry = user_data;
 
   return ds_fleet_view_peer_state (entry->fleet, page, workspace);
 }
 
+static void
+on_tokens (void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  ds_fleet_view_serve_unmet_requests (entry->fleet);
+}
+
 static size_t
 pending_transfers (void *user_data)
 {
@@ -397,6 +414,32 @@
   return used;
 }
 
+/* Returns what this host holds of WORKSPACE and knows of its ledger.  */
+static struct ds_token_holding
+get_holding (struct ds_str workspace, void *user_data)
+{
+  struct ds_entry *entry = user_data;
+  const struct ds_allotment *a
+      = ds_budget_manager_find (entry->budgets, workspace);
+  struct ds_token_holding holding
+      = { .workspace = ds_fleet_workspace_hash (workspace) };
+
+  if (a == NULL)
+    return holding;
+  holding.tokens = a->suspended ? 0 : a->free;
+  holding.demand = (uint64_t)a->demand;
+  holding.ledger_known = a->known;
+  holding.ledger_ungranted = a->ledger_ungranted;
+  holding.ledger_settled = a->ledger_settled;
+  holding.ledger_away
+      = !ds_budget_manager_ledger_is_reachable (entry->budgets, ds_clock_ms ())
+        && (a->home != DS_HOME_GIVER
+            || !get_peer_state (ds_ledger_page_index (workspace), workspace,
+                                user_data)
+                    .home_ledger_reachable);
+  return holding;
+}
+
 static void
 count_hosts (struct ds_entry *entry, uint64_t now_ms)
 {
@@ -510,8 +553,15 @@
   ds_budget_manager_tick (entry->budgets, now_ms);
   ds_fleet_view_set_ledger_reachable (
       entry->fleet,
-      ds_budget_manager_ledger_is_reachable (entry->budgets, now_ms));
+      ds_budget_manager_ledger_is_reachable (entry->budgets, now_ms)
+          && ds_store_watcher_is_connected (entry->config_watcher));
   ds_fleet_view_tick (entry->fleet, now_ms);
+  if (ds_fleet_view_doubts_ledger (entry->fleet)
+      && now_ms - entry->store_checked_ms >= STORE_CHECK_INTERVAL_MS)
+    {
+      entry->store_checked_ms = now_ms;
+      ds_store_watcher_probe (entry->config_watcher);
+    }
   reload_if_changed (entry, now_ms);
   if (entry->stopping_ms > 0)
     advance_shutdown (entry, now_ms);
@@ -567,6 +617,8 @@
     .region = settings->region,
     .caller_address = settings->caller_address,
     .gossip_address = settings->gossip_address,
+    .capacity
+    = (uint32_t)(settings->cpu_share * settings->cpu_cores * PERCENT),
   };
 }
 
@@ -576,9 +628,10 @@
   struct ds_fleet_self self = make_self (entry);
   struct ds_fleet_handlers handlers = {
     .list_holdings = list_holdings,
+    .get_holding = get_holding,
     .on_token_request = give_to_peer,
     .on_token_transfer = receive_from_peer,
-    .on_datagram = on_peer_datagram,
+    .on_holdings = on_peer_holdings,
     .user_data = entry,
   };
 
@@ -618,6 +671,7 @@
       .transfer = transfer_tokens,
       .peer_state = get_peer_state,
       .pending = pending_transfers,
+      .on_tokens = on_tokens,
       .on_store_timeout = probe_store,
       .user_data = entry,
     },
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -39,6 +39,8 @@
   double config_apply_ms;
   double drain_ms;
   uint64_t log_lines_per_s;
+  double cpu_share; /* of a core */
+  double cpu_cores; /* speed of that core */
   struct ds_retry_settings retry;
   struct ds_budget_settings budget;
 };
--- /dev/null
+++ b/src/entry/fleet_datagram.c
@@ -0,0 +1,398 @@
+#include "core/placement.h"
+#include "entry/fleet_view_internal.h"
+#include "io/clock.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* A summary of 400 hosts and 600 replicas has 6 KB.  */
+#define DATAGRAM_BYTES_MAX 16384
+/* Times that a host sends a part towards the relays, and a relay to its
+   zone; tolerates the loss of one datagram.  */
+#define PART_SENDS_WITH_RELAYS 2
+
+static char *
+c_string (TALLOC_CTX *owner, struct ds_str text)
+{
+  return talloc_strndup (owner, text.data, text.length);
+}
+
+/* Fills the fields common to all datagrams.  */
+void
+ds_fleet_fill_self (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                    Daisystep__Gossip__Datagram *datagram)
+{
+  daisystep__gossip__datagram__init (datagram);
+  datagram->host = c_string (owner, view->self.host);
+  datagram->incarnation = view->self.incarnation;
+  datagram->zone = c_string (owner, view->self.zone);
+  datagram->region = c_string (owner, view->self.region);
+  datagram->caller_address = c_string (owner, view->self.caller_address);
+  datagram->gossip_address = c_string (owner, view->self.gossip_address);
+  datagram->capacity = view->self.capacity;
+  datagram->draining = view->draining;
+  datagram->ready = view->ready;
+  datagram->sequence = ++view->sequence;
+  datagram->ledger_near = view->ledger_reachable;
+}
+
+/* Adds HOLDING to DATAGRAM, which has room for DS_HOLDINGS_MAX.  */
+void
+ds_fleet_add_holding (TALLOC_CTX *owner, Daisystep__Gossip__Datagram *datagram,
+                      const struct ds_token_holding *holding)
+{
+  Daisystep__Gossip__TokenHolding *message
+      = talloc (owner, Daisystep__Gossip__TokenHolding);
+
+  if (datagram->holdings == NULL)
+    datagram->holdings = talloc_array (
+        owner, Daisystep__Gossip__TokenHolding *, DS_HOLDINGS_MAX);
+  if (message == NULL || datagram->holdings == NULL)
+    return;
+  daisystep__gossip__token_holding__init (message);
+  message->workspace = holding->workspace;
+  message->tokens = holding->tokens;
+  message->demand = holding->demand;
+  message->known = holding->ledger_known;
+  message->rest = holding->ledger_ungranted;
+  message->settled = holding->ledger_settled;
+  message->ledger_away = holding->ledger_away;
+  datagram->holdings[datagram->n_holdings++] = message;
+}
+
+static void
+fill_holdings (struct ds_fleet_view *view, TALLOC_CTX *owner,
+               Daisystep__Gossip__Datagram *datagram)
+{
+  struct ds_token_holding holdings[DS_HOLDINGS_MAX];
+  size_t count
+      = view->handlers.list_holdings (holdings, view->handlers.user_data);
+
+  for (size_t i = 0; i < count; i++)
+    ds_fleet_add_holding (owner, datagram, &holdings[i]);
+}
+
+static int
+compare_loads (const void *a, const void *b)
+{
+  const Daisystep__Gossip__ReplicaLoad *const *left = a;
+  const Daisystep__Gossip__ReplicaLoad *const *right = b;
+
+  if ((*left)->prefill_tokens != (*right)->prefill_tokens)
+    return (*left)->prefill_tokens < (*right)->prefill_tokens ? 1 : -1;
+  return (int)(*right)->running - (int)(*left)->running;
+}
+
+static void
+fill_loads (struct ds_fleet_view *view, TALLOC_CTX *owner,
+            Daisystep__Gossip__Datagram *datagram)
+{
+  size_t count = ds_replica_set_count (view->replicas);
+  Daisystep__Gossip__ReplicaLoad **loads = talloc_array (
+      owner, Daisystep__Gossip__ReplicaLoad *, (unsigned)count + 1);
+  size_t used = 0;
+
+  for (size_t i = 0; i < count && loads != NULL; i++)
+    {
+      struct ds_replica *replica = ds_replica_set_at (view->replicas, i);
+
+      replica->reported_load = replica->local_load;
+      if (replica->local_load.running == 0)
+        continue;
+      loads[used] = talloc (loads, Daisystep__Gossip__ReplicaLoad);
+      daisystep__gossip__replica_load__init (loads[used]);
+      loads[used]->replica = replica->hash;
+      loads[used]->running = replica->local_load.running;
+      loads[used]->prefill_tokens = replica->local_load.prefill_tokens;
+      used++;
+    }
+  if (used > LOADS_PER_DATAGRAM_MAX)
+    {
+      qsort (loads, used, sizeof (Daisystep__Gossip__ReplicaLoad *),
+             compare_loads);
+      used = LOADS_PER_DATAGRAM_MAX;
+    }
+  datagram->loads = loads;
+  datagram->n_loads = used;
+}
+
+/* Adds the crashes that have been recorded recently, by this host or, since
+   each host passes them on, by others.  */
+void
+ds_fleet_fill_crashes (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                       Daisystep__Gossip__Datagram *datagram)
+{
+  Daisystep__Gossip__Crash **crashes = talloc_array (
+      owner, Daisystep__Gossip__Crash *, CRASHES_PER_DATAGRAM_MAX);
+  uint64_t digest;
+  uint64_t replica;
+
+  while (view->announced_count < CRASHES_PER_DATAGRAM_MAX
+         && ds_crash_counter_take_unsent (view->crashes, &digest, &replica))
+    {
+      struct ds_fleet_crash *announced
+          = &view->announced[view->announced_count++];
+
+      daisystep__gossip__crash__init (&announced->message);
+      announced->message.digest = digest;
+      announced->message.replica = replica;
+      announced->repeats
+          = view->relay_rank >= 0 ? CRASH_REPEATS_OF_RELAY : CRASH_REPEATS;
+    }
+  for (size_t i = 0; i < view->announced_count && crashes != NULL; i++)
+    {
+      Daisystep__Gossip__Crash *crash
+          = talloc (crashes, Daisystep__Gossip__Crash);
+
+      *crash = view->announced[i].message;
+      crashes[datagram->n_crashes++] = crash;
+    }
+  datagram->crashes = crashes;
+  for (size_t i = view->announced_count; i > 0; i--)
+    if (--view->announced[i - 1].repeats == 0)
+      view->announced[i - 1] = view->announced[--view->announced_count];
+}
+
+static void
+remove_announced_parts (struct ds_fleet_view *view)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < view->cached_part_count; i++)
+    if (view->cached_parts[i].sends_left > 0
+        || (view->relay_rank >= 0 && view->cached_parts[i].downlinks_left > 0))
+      view->cached_parts[kept++] = view->cached_parts[i];
+  view->cached_part_count = kept;
+}
+
+/* Adds the prompt parts that some hosts have not been sent yet.
+
+   Load: 73 hosts send prompts that share 200 parts.  If a part is announced to
+   the hosts of one interval only, the others make further replicas prefill it
+   again.  */
+static void
+fill_cached_parts (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                   Daisystep__Gossip__Datagram *datagram)
+{
+  datagram->reads = talloc_array (owner, Daisystep__Gossip__PartRead *,
+                                  PARTS_PER_DATAGRAM_MAX);
+  for (size_t i = 0; i < view->cached_part_count && datagram->reads != NULL
+                     && datagram->n_reads < PARTS_PER_DATAGRAM_MAX;
+       i++)
+    {
+      Daisystep__Gossip__PartRead *read;
+
+      if (view->cached_parts[i].sends_left == 0)
+        continue;
+      read = talloc (owner, Daisystep__Gossip__PartRead);
+      daisystep__gossip__part_read__init (read);
+      read->replica = view->cached_parts[i].replica;
+      read->part = view->cached_parts[i].part;
+      datagram->reads[datagram->n_reads++] = read;
+      view->cached_parts[i].sends_left--;
+    }
+  remove_announced_parts (view);
+}
+
+/* Fills the loads that this host puts on the replicas and, without relays,
+   what it holds of the budgets.  */
+void
+ds_fleet_fill_reports (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                       Daisystep__Gossip__Datagram *datagram)
+{
+  ds_fleet_fill_self (view, owner, datagram);
+  fill_loads (view, owner, datagram);
+  if (!ds_gossip_uses_relays (view->count))
+    fill_holdings (view, owner, datagram);
+}
+
+/* Fills this host's reports and its announcements of crashes and of cached
+   parts.  */
+void
+ds_fleet_fill_state (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                     Daisystep__Gossip__Datagram *datagram)
+{
+  ds_fleet_fill_reports (view, owner, datagram);
+  ds_fleet_fill_crashes (view, owner, datagram);
+  fill_cached_parts (view, owner, datagram);
+}
+
+/* Adds transfers and acknowledgements for MEMBER.  */
+static void
+fill_transfers (struct ds_fleet_peer *member, TALLOC_CTX *owner,
+                Daisystep__Gossip__Datagram *datagram)
+{
+  struct ds_fleet_token_link *link = member->link;
+
+  datagram->n_transfers = 0;
+  datagram->n_transfer_acks = 0;
+  if (link == NULL)
+    return;
+  datagram->transfers = talloc_array (
+      owner, Daisystep__Gossip__TokenTransfer *, TRANSFERS_MAX);
+  for (size_t i = 0; i < link->transfer_count && datagram->transfers != NULL;
+       i++)
+    {
+      const struct ds_fleet_transfer *pending = &link->transfers[i];
+      Daisystep__Gossip__TokenTransfer *transfer
+          = talloc (owner, Daisystep__Gossip__TokenTransfer);
+
+      daisystep__gossip__token_transfer__init (transfer);
+      transfer->number = pending->number;
+      transfer->workspace = c_string (owner, pending->workspace);
+      transfer->tokens = pending->content.tokens;
+      transfer->spent = pending->content.spent;
+      transfer->limit = pending->content.limit;
+      transfer->version = pending->content.version;
+      datagram->transfers[datagram->n_transfers++] = transfer;
+    }
+  datagram->transfer_acks = link->acks;
+  datagram->n_transfer_acks = link->ack_count;
+}
+
+static void
+send_to (struct ds_fleet_view *view, const struct ds_fleet_peer *member,
+         Daisystep__Gossip__Datagram *datagram)
+{
+  static uint8_t bytes[DATAGRAM_BYTES_MAX];
+  size_t size = daisystep__gossip__datagram__get_packed_size (datagram);
+
+  if (size > sizeof bytes || member->address.length == 0)
+    return;
+  (void)daisystep__gossip__datagram__pack (datagram, bytes);
+  /* A lost datagram is followed by that of the next interval.  */
+  (void)sendto (view->fd, bytes, size, MSG_DONTWAIT,
+                (const struct sockaddr *)&member->address.storage,
+                member->address.length);
+}
+
+/* Sends DATAGRAM to MEMBER, with its transfers and acknowledgements.  */
+void
+ds_fleet_send (struct ds_fleet_view *view, struct ds_fleet_peer *member,
+               Daisystep__Gossip__Datagram *datagram, TALLOC_CTX *owner)
+{
+  fill_transfers (member, owner, datagram);
+  send_to (view, member, datagram);
+  if (member->link != NULL)
+    member->link->ack_count = 0;
+}
+
+static void
+receive_loads (struct ds_fleet_peer *member,
+               const Daisystep__Gossip__Datagram *datagram)
+{
+  if (member->loads == NULL)
+    member->loads
+        = talloc_array (member, struct ds_fleet_load, LOADS_PER_DATAGRAM_MAX);
+  member->load_count = 0;
+  if (member->loads == NULL)
+    return;
+  for (size_t i = 0; i < datagram->n_loads && i < LOADS_PER_DATAGRAM_MAX; i++)
+    member->loads[member->load_count++] = (struct ds_fleet_load){
+      .replica = datagram->loads[i]->replica,
+      .running = datagram->loads[i]->running,
+      .prefill_tokens = datagram->loads[i]->prefill_tokens,
+    };
+}
+
+/* Records that replicas have cached parts, as other hosts report or, with
+   NOW_MS 0, as this host makes them, and announces what is new.  A relay
+   passes on what it receives.  */
+void
+ds_fleet_record_parts (struct ds_fleet_view *view,
+                       Daisystep__Gossip__PartRead *const *reads, size_t count,
+                       uint64_t now_ms)
+{
+  bool relays = ds_gossip_uses_relays (view->count);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (now_ms > 0)
+        {
+          struct ds_replica *replica = ds_replica_set_find_by_hash (
+              view->replicas, reads[i]->replica);
+
+          if (replica == NULL
+              || !ds_placement_record_part (replica, reads[i]->part, now_ms)
+              || view->relay_rank < 0)
+            continue;
+        }
+      if (view->cached_part_count == PENDING_PARTS_MAX)
+        return;
+      view->cached_parts[view->cached_part_count++]
+          = (struct ds_fleet_cached_part){
+              .replica = reads[i]->replica,
+              .part = reads[i]->part,
+              .sends_left = relays ? PART_SENDS_WITH_RELAYS
+                                   : ds_gossip_cycle_intervals (view->count),
+              .downlinks_left = PART_SENDS_WITH_RELAYS,
+            };
+    }
+}
+
+/* Takes over what MEMBER says of itself; false for a datagram of an earlier
+   incarnation.  */
+static bool
+receive_self (struct ds_fleet_view *view, struct ds_fleet_peer *member,
+              const Daisystep__Gossip__Datagram *datagram, uint64_t now_ms)
+{
+  if (datagram->incarnation < member->info.incarnation)
+    return false;
+  if (datagram->incarnation > member->info.incarnation)
+    {
+      /* Transfers to the previous incarnation are lost with it.  */
+      TALLOC_FREE (member->link);
+      member->info.incarnation = datagram->incarnation;
+      ds_fleet_introduce (view, member);
+    }
+  member->info.last_seen_ms = now_ms;
+  member->direct_ms = now_ms;
+  member->info.draining = datagram->draining;
+  member->info.ready = datagram->ready;
+  member->ledger_reachable = datagram->ledger_near;
+  if (datagram->capacity > 0)
+    member->info.capacity = datagram->capacity;
+  ds_fleet_set_text (member, &member->info.zone,
+                     ds_str_from_c (datagram->zone));
+  ds_fleet_set_text (member, &member->info.region,
+                     ds_str_from_c (datagram->region));
+  ds_fleet_set_text (member, &member->info.caller_address,
+                     ds_str_from_c (datagram->caller_address));
+  if (member->gossip_address == NULL
+      || strcmp (member->gossip_address, datagram->gossip_address) != 0)
+    {
+      talloc_free (member->gossip_address);
+      member->gossip_address
+          = talloc_strdup (member, datagram->gossip_address);
+    }
+  return true;
+}
+
+/* Handles a datagram of another host.  */
+void
+ds_fleet_receive (struct ds_fleet_view *view,
+                  const Daisystep__Gossip__Datagram *datagram)
+{
+  struct ds_socket_address address;
+  struct ds_fleet_peer *member;
+  uint64_t now_ms = ds_clock_ms ();
+
+  if (ds_socket_address_parse (&address,
+                               ds_str_from_c (datagram->gossip_address))
+      != 0)
+    return;
+  member = ds_fleet_find_or_add (view, ds_str_from_c (datagram->host));
+  if (member == NULL || !receive_self (view, member, datagram, now_ms))
+    return;
+  member->address = address;
+  if (!datagram->partial)
+    receive_loads (member, datagram);
+  ds_fleet_record_parts (view, datagram->reads, datagram->n_reads, now_ms);
+  for (size_t i = 0; i < datagram->n_crashes; i++)
+    (void)ds_crash_counter_record (view->crashes, datagram->crashes[i]->digest,
+                                   datagram->crashes[i]->replica, now_ms);
+  if (datagram->summary != NULL)
+    ds_fleet_receive_summary (view, member, datagram->summary, now_ms);
+  ds_fleet_receive_tokens (view, member, datagram);
+}
--- /dev/null
+++ b/src/entry/fleet_relay.c
@@ -0,0 +1,650 @@
+#include "entry/fleet_view_internal.h"
+#include "io/clock.h"
+
+#include <string.h>
+
+/* Fleets too large for sending to all: each host sends its state to two relays
+   of its zone; each relay sums it up, sends the summary of the zone to the
+   relays of the other zones, and a summary of the fleet to the hosts of its
+   zone.  The two take turns, so that the loss of one interrupts nothing.  */
+
+/* Prompt parts and host records in one summary.  */
+#define SUMMARY_PARTS_MAX 64
+#define SUMMARY_RECORDS_MAX 16
+/* Records that are repeated in turn, so that a host that missed an
+   introduction gets it later.  */
+#define SUMMARY_RECORDS_IN_TURN 2
+/* Summaries that carry the record of a host that has just been seen.  */
+#define INTRODUCTIONS 3
+/* Loads of another zone, or of the fleet, are used for this long.  */
+#define LOADS_VALID_MS 2000
+/* Tokens in one unit of prefill in a summary.  */
+#define PREFILL_UNIT_TOKENS 64
+/* A host that the store lists but that nobody has seen may be starting; it is
+   a candidate for a relay for this long.  */
+#define UNSEEN_CANDIDATE_MS 1500
+/* A host that a summary does not list expires if no other summary has listed
+   it for this long: a host that wrongly takes itself for a relay hears from
+   few.  */
+#define UNLISTED_EXPIRY_MS 700
+/* A new relay takes the hosts of its zone for alive for this long, until they
+   have found it.  */
+#define RELAY_SETTLING_MS 1500
+
+/* Has the record of MEMBER sent in the next summaries.  */
+void
+ds_fleet_introduce (struct ds_fleet_view *view, struct ds_fleet_peer *member)
+{
+  (void)view;
+  member->introductions_left = INTRODUCTIONS;
+}
+
+static bool
+is_relay_candidate (const struct ds_fleet_peer *member, uint64_t now_ms)
+{
+  if (member->info.draining || member->suspect_until_ms > now_ms)
+    return false;
+  return member->info.last_seen_ms == 0
+             ? now_ms - member->added_ms < UNSEEN_CANDIDATE_MS
+             : ds_fleet_member_is_alive (&member->info, now_ms);
+}
+
+/* Writes the relays of ZONE to OUT, null for this host, and returns their
+   number.  */
+static size_t
+choose_relays (const struct ds_fleet_view *view, struct ds_str zone,
+               struct ds_fleet_peer **out, uint64_t now_ms)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct ds_relay_candidate *candidates = talloc_array (
+      scratch, struct ds_relay_candidate, (unsigned)view->count + 1);
+  struct ds_fleet_peer **members = talloc_array (
+      scratch, struct ds_fleet_peer *, (unsigned)view->count + 1);
+  size_t chosen[DS_RELAYS_PER_ZONE];
+  size_t count = 0;
+
+  if (candidates == NULL || members == NULL)
+    {
+      talloc_free (scratch);
+      return 0;
+    }
+  if (ds_str_equal (zone, view->self.zone) && !view->draining)
+    {
+      members[count] = NULL;
+      candidates[count++]
+          = (struct ds_relay_candidate){ .weight = view->relay_weight,
+                                         .capacity = view->self.capacity };
+    }
+  for (size_t i = 0; i < view->count; i++)
+    {
+      struct ds_fleet_peer *member = view->members[i];
+
+      if (!ds_str_equal (member->info.zone, zone)
+          || !is_relay_candidate (member, now_ms))
+        continue;
+      members[count] = member;
+      candidates[count++]
+          = (struct ds_relay_candidate){ .weight = member->relay_weight,
+                                         .capacity = member->info.capacity };
+    }
+  count = ds_relay_choose (chosen, candidates, count);
+  for (size_t i = 0; i < count; i++)
+    out[i] = members[chosen[i]];
+  talloc_free (scratch);
+  return count;
+}
+
+/* Suspects relays of this host's zone from which no datagram has arrived for
+   too long, and chooses anew.  */
+static void
+update_relays (struct ds_fleet_view *view, uint64_t now_ms)
+{
+  struct ds_fleet_peer *chosen[DS_RELAYS_PER_ZONE];
+  bool was_relay = view->relay_rank >= 0;
+  size_t count;
+
+  for (size_t i = 0; i < view->relay_count; i++)
+    {
+      struct ds_fleet_peer *relay = view->relays[i];
+      uint64_t heard_ms;
+
+      if (relay == NULL)
+        continue;
+      heard_ms = relay->direct_ms > relay->relay_since_ms
+                     ? relay->direct_ms
+                     : relay->relay_since_ms;
+      if (now_ms - heard_ms > DS_RELAY_DIRECT_TIMEOUT_MS)
+        relay->suspect_until_ms = now_ms + DS_RELAY_SUSPICION_MS;
+    }
+  count = choose_relays (view, view->self.zone, chosen, now_ms);
+  view->relay_rank = -1;
+  for (size_t i = 0; i < count; i++)
+    {
+      bool before = false;
+
+      for (size_t k = 0; k < view->relay_count; k++)
+        before = before || view->relays[k] == chosen[i];
+      if (chosen[i] == NULL)
+        view->relay_rank = (int)i;
+      else if (!before)
+        chosen[i]->relay_since_ms = now_ms;
+    }
+  memcpy (view->relays, chosen, count * sizeof chosen[0]);
+  view->relay_count = count;
+  if (view->relay_rank >= 0 && !was_relay)
+    view->relay_since_ms = now_ms;
+}
+
+static void
+add_load (struct ds_replica_load *sum, uint64_t running, uint64_t prefill)
+{
+  sum->running += (uint32_t)running;
+  sum->prefill_tokens += prefill;
+}
+
+/* Sums up the loads of this host and, as reported to it as a relay, of its
+   zone and of the fleet.  */
+static void
+sum_up_loads (struct ds_fleet_view *view, uint64_t now_ms)
+{
+  size_t count = ds_replica_set_count (view->replicas);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct ds_replica *replica = ds_replica_set_at (view->replicas, i);
+
+      replica->zone_load = replica->local_load;
+      replica->remote_load = (struct ds_replica_load){ .running = 0 };
+    }
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct ds_fleet_peer *member = view->members[i];
+
+      if (!ds_fleet_same_zone (view, member) || member->direct_ms == 0
+          || now_ms - member->direct_ms >= DS_RELAY_DIRECT_TIMEOUT_MS)
+        continue;
+      for (size_t k = 0; k < member->load_count; k++)
+        {
+          const struct ds_fleet_load *load = &member->loads[k];
+          struct ds_replica *replica
+              = ds_replica_set_find_by_hash (view->replicas, load->replica);
+
+          if (replica == NULL)
+            continue;
+          add_load (&replica->zone_load, load->running, load->prefill_tokens);
+          add_load (&replica->remote_load, load->running,
+                    load->prefill_tokens);
+        }
+    }
+  for (size_t i = 0; i < view->zone_count; i++)
+    {
+      const struct ds_fleet_zone *zone = &view->zones[i];
+
+      for (size_t k = 0;
+           k < zone->load_count && now_ms - zone->received_ms < LOADS_VALID_MS;
+           k++)
+        {
+          struct ds_replica *replica = ds_replica_set_find_by_short_hash (
+              view->replicas, (uint32_t)zone->loads[k].replica);
+
+          if (replica != NULL)
+            add_load (&replica->remote_load, zone->loads[k].running,
+                      zone->loads[k].prefill_tokens);
+        }
+    }
+}
+
+static void
+list_host (Daisystep__Gossip__Summary *summary, uint32_t id, bool ready,
+           bool reaches_ledger)
+{
+  if (!reaches_ledger)
+    summary->cut_hosts[summary->n_cut_hosts++] = id;
+  if (ready)
+    summary->ready_hosts[summary->n_ready_hosts++] = id;
+  else
+    summary->other_hosts[summary->n_other_hosts++] = id;
+}
+
+/* Lists the live hosts of the zone, or of the fleet.  A relay judges those of
+   its own zone by their datagrams.  */
+static void
+fill_hosts (const struct ds_fleet_view *view, TALLOC_CTX *owner,
+            Daisystep__Gossip__Summary *summary, bool fleet, uint64_t now_ms)
+{
+  bool settled = now_ms - view->relay_since_ms >= RELAY_SETTLING_MS;
+
+  summary->ready_hosts
+      = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
+  summary->other_hosts
+      = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
+  summary->cut_hosts
+      = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
+  if (summary->ready_hosts == NULL || summary->other_hosts == NULL
+      || summary->cut_hosts == NULL)
+    return;
+  list_host (summary, view->short_id, view->ready && !view->draining,
+             view->ledger_reachable);
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct ds_fleet_peer *member = view->members[i];
+      bool same_zone = ds_fleet_same_zone (view, member);
+      bool alive = same_zone && settled
+                       ? member->direct_ms > 0
+                             && now_ms - member->direct_ms
+                                    < DS_RELAY_DIRECT_TIMEOUT_MS
+                       : ds_fleet_member_is_alive (&member->info, now_ms);
+
+      if (alive && (same_zone || fleet))
+        list_host (summary, member->short_id,
+                   member->info.ready && !member->info.draining,
+                   member->ledger_reachable);
+    }
+}
+
+static void
+fill_summary_loads (const struct ds_fleet_view *view, TALLOC_CTX *owner,
+                    Daisystep__Gossip__Summary *summary, bool fleet)
+{
+  size_t count = ds_replica_set_count (view->replicas);
+  size_t used = 0;
+
+  summary->replicas = talloc_array (owner, uint32_t, (unsigned)count + 1);
+  summary->running = talloc_array (owner, uint32_t, (unsigned)count + 1);
+  summary->prefill_units = talloc_array (owner, uint32_t, (unsigned)count + 1);
+  if (summary->replicas == NULL || summary->running == NULL
+      || summary->prefill_units == NULL)
+    return;
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct ds_replica *replica = ds_replica_set_at (view->replicas, i);
+      struct ds_replica_load load = replica->zone_load;
+
+      if (fleet)
+        load = (struct ds_replica_load){
+          .running
+          = replica->local_load.running + replica->remote_load.running,
+          .prefill_tokens = replica->local_load.prefill_tokens
+                            + replica->remote_load.prefill_tokens,
+        };
+      if (load.running == 0)
+        continue;
+      summary->replicas[used] = (uint32_t)replica->hash;
+      summary->running[used] = load.running;
+      summary->prefill_units[used]
+          = (uint32_t)((load.prefill_tokens + PREFILL_UNIT_TOKENS / 2)
+                       / PREFILL_UNIT_TOKENS);
+      used++;
+    }
+  summary->n_replicas = used;
+  summary->n_running = used;
+  summary->n_prefill_units = used;
+}
+
+static void
+fill_parts (struct ds_fleet_view *view, TALLOC_CTX *owner,
+            Daisystep__Gossip__Summary *summary, bool fleet)
+{
+  summary->reads
+      = talloc_array (owner, Daisystep__Gossip__PartRead *, SUMMARY_PARTS_MAX);
+  for (size_t i = 0; i < view->cached_part_count && summary->reads != NULL
+                     && summary->n_reads < SUMMARY_PARTS_MAX;
+       i++)
+    {
+      struct ds_fleet_cached_part *part = &view->cached_parts[i];
+      size_t *left = fleet ? &part->downlinks_left : &part->sends_left;
+      Daisystep__Gossip__PartRead *read;
+
+      if (*left == 0)
+        continue;
+      --*left;
+      read = talloc (owner, Daisystep__Gossip__PartRead);
+      daisystep__gossip__part_read__init (read);
+      read->replica = part->replica;
+      read->part = part->part;
+      summary->reads[summary->n_reads++] = read;
+    }
+}
+
+static void
+add_record (TALLOC_CTX *owner, Daisystep__Gossip__Summary *summary,
+            const struct ds_fleet_peer *member)
+{
+  const struct ds_fleet_member *info = &member->info;
+  Daisystep__Gossip__HostRecord *record
+      = talloc (owner, Daisystep__Gossip__HostRecord);
+
+  daisystep__gossip__host_record__init (record);
+  record->host = talloc_strndup (owner, info->host.data, info->host.length);
+  record->zone = talloc_strndup (owner, info->zone.data, info->zone.length);
+  record->region
+      = talloc_strndup (owner, info->region.data, info->region.length);
+  record->caller_address = talloc_strndup (owner, info->caller_address.data,
+                                           info->caller_address.length);
+  record->gossip_address = talloc_strdup (owner, member->gossip_address);
+  record->capacity = info->capacity;
+  summary->records[summary->n_records++] = record;
+}
+
+/* Adds the records of hosts that were seen recently, and some in turn.  */
+static void
+fill_records (struct ds_fleet_view *view, TALLOC_CTX *owner,
+              Daisystep__Gossip__Summary *summary, bool fleet, uint64_t now_ms)
+{
+  summary->records = talloc_array (owner, Daisystep__Gossip__HostRecord *,
+                                   SUMMARY_RECORDS_MAX);
+  if (summary->records == NULL)
+    return;
+  for (size_t i = 0; i < SUMMARY_RECORDS_IN_TURN && view->count > 0; i++)
+    {
+      const struct ds_fleet_peer *member
+          = view->members[view->next_record++ % view->count];
+
+      if (member->gossip_address != NULL && member->info.zone.length > 0
+          && ds_fleet_member_is_alive (&member->info, now_ms))
+        add_record (owner, summary, member);
+    }
+  for (size_t i = 0;
+       i < view->count && summary->n_records < SUMMARY_RECORDS_MAX; i++)
+    {
+      struct ds_fleet_peer *member = view->members[i];
+
+      if (member->introductions_left == 0 || member->gossip_address == NULL
+          || (!fleet && !ds_fleet_same_zone (view, member)))
+        continue;
+      /* Counted by the summaries of the fleet, which follow those of the
+         zone.  */
+      if (fleet)
+        member->introductions_left--;
+      add_record (owner, summary, member);
+    }
+}
+
+static void
+fill_summary (struct ds_fleet_view *view, TALLOC_CTX *owner,
+              Daisystep__Gossip__Datagram *datagram,
+              Daisystep__Gossip__Summary *summary, bool fleet, uint64_t now_ms)
+{
+  static char whole_fleet[] = "";
+
+  ds_fleet_fill_self (view, owner, datagram);
+  datagram->partial = true;
+  daisystep__gossip__summary__init (summary);
+  summary->zone = fleet ? whole_fleet : datagram->zone;
+  fill_hosts (view, owner, summary, fleet, now_ms);
+  fill_summary_loads (view, owner, summary, fleet);
+  fill_parts (view, owner, summary, fleet);
+  fill_records (view, owner, summary, fleet, now_ms);
+  ds_fleet_fill_crashes (view, owner, datagram);
+  datagram->summary = summary;
+}
+
+/* Sends the summary of this zone to the relays of each other zone.  */
+static void
+send_uplink (struct ds_fleet_view *view, TALLOC_CTX *scratch, uint64_t now_ms)
+{
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__Summary summary;
+
+  fill_summary (view, scratch, &datagram, &summary, false, now_ms);
+  for (size_t i = 0; i < view->count; i++)
+    {
+      struct ds_str zone = view->members[i]->info.zone;
+      struct ds_fleet_peer *relays[DS_RELAYS_PER_ZONE];
+      bool done = zone.length == 0 || ds_str_equal (zone, view->self.zone);
+
+      for (size_t k = 0; k < i && !done; k++)
+        done = ds_str_equal (view->members[k]->info.zone, zone);
+      if (done)
+        continue;
+      for (size_t k = choose_relays (view, zone, relays, now_ms); k > 0; k--)
+        ds_fleet_send (view, relays[k - 1], &datagram, scratch);
+    }
+}
+
+/* Sends the summary of the fleet to the hosts of this zone.  */
+static void
+send_downlink (struct ds_fleet_view *view, TALLOC_CTX *scratch,
+               uint64_t now_ms)
+{
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__Summary summary;
+
+  fill_summary (view, scratch, &datagram, &summary, true, now_ms);
+  for (size_t i = 0; i < view->count; i++)
+    if (ds_fleet_same_zone (view, view->members[i]))
+      ds_fleet_send (view, view->members[i], &datagram, scratch);
+}
+
+/* Sends the state of this host to the relays of its zone.  */
+static void
+send_state (struct ds_fleet_view *view, TALLOC_CTX *scratch)
+{
+  Daisystep__Gossip__Datagram datagram;
+
+  ds_fleet_fill_state (view, scratch, &datagram);
+  for (size_t i = 0; i < view->relay_count; i++)
+    if (view->relays[i] != NULL)
+      ds_fleet_send (view, view->relays[i], &datagram, scratch);
+}
+
+/* Forgets what other hosts put on the replicas.  */
+static void
+clear_remote_loads (struct ds_fleet_view *view)
+{
+  for (size_t i = 0; i < ds_replica_set_count (view->replicas); i++)
+    ds_replica_set_at (view->replicas, i)->remote_load
+        = (struct ds_replica_load){ .running = 0 };
+}
+
+/* One interval of a host in a fleet with relays.  */
+void
+ds_fleet_relay_tick (struct ds_fleet_view *view, uint64_t now_ms)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+
+  update_relays (view, now_ms);
+  view->intervals++;
+  if (view->relay_rank >= 0)
+    {
+      sum_up_loads (view, now_ms);
+      send_uplink (view, scratch, now_ms);
+      if (view->intervals % DS_RELAY_DOWNLINK_INTERVALS
+          == (size_t)view->relay_rank)
+        send_downlink (view, scratch, now_ms);
+    }
+  else if (view->summary_ms > 0 && now_ms - view->summary_ms > LOADS_VALID_MS)
+    clear_remote_loads (view);
+  send_state (view, scratch);
+  talloc_free (scratch);
+}
+
+/* Marks the hosts in IDS as seen.  */
+static void
+receive_hosts (struct ds_fleet_view *view, const uint32_t *ids, size_t count,
+               bool ready, uint64_t now_ms)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct ds_fleet_peer *member
+          = g_hash_table_lookup (view->by_short_id, GUINT_TO_POINTER (ids[i]));
+
+      if (member == NULL)
+        continue;
+      member->info.last_seen_ms = now_ms;
+      /* What the host has said itself is newer than what a relay passes on. */
+      if (member->direct_ms > 0
+          && now_ms - member->direct_ms < DS_RELAY_DIRECT_TIMEOUT_MS)
+        continue;
+      member->info.ready = ready;
+      member->info.draining = member->info.draining && !ready;
+      member->ledger_reachable = true;
+    }
+}
+
+/* Marks the hosts in IDS, which have been listed before, as without ledger. */
+static void
+receive_cut_hosts (struct ds_fleet_view *view, const uint32_t *ids,
+                   size_t count, uint64_t now_ms)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct ds_fleet_peer *member
+          = g_hash_table_lookup (view->by_short_id, GUINT_TO_POINTER (ids[i]));
+
+      if (member != NULL
+          && (member->direct_ms == 0
+              || now_ms - member->direct_ms >= DS_RELAY_DIRECT_TIMEOUT_MS))
+        member->ledger_reachable = false;
+    }
+}
+
+/* Lets the hosts of ZONE, or all hosts if it is empty, expire that the summary
+   did not list and that have not sent a datagram themselves.  */
+static void
+expire_unlisted (struct ds_fleet_view *view, struct ds_str zone,
+                 uint64_t now_ms)
+{
+  for (size_t i = 0; i < view->count; i++)
+    {
+      struct ds_fleet_peer *member = view->members[i];
+
+      if (member->info.last_seen_ms == 0 || member->info.last_seen_ms == now_ms
+          || (zone.length > 0 && !ds_str_equal (member->info.zone, zone))
+          || now_ms - member->direct_ms < DS_RELAY_DIRECT_TIMEOUT_MS
+          || now_ms - member->info.last_seen_ms < UNLISTED_EXPIRY_MS
+          || now_ms - member->info.last_seen_ms >= member->info.timeout_ms)
+        continue;
+      member->info.last_seen_ms = now_ms > member->info.timeout_ms
+                                      ? now_ms - member->info.timeout_ms
+                                      : 1;
+    }
+}
+
+static struct ds_fleet_zone *
+find_or_add_zone (struct ds_fleet_view *view, struct ds_str name)
+{
+  struct ds_fleet_zone *grown;
+
+  for (size_t i = 0; i < view->zone_count; i++)
+    if (ds_str_equal (view->zones[i].name, name))
+      return &view->zones[i];
+  grown = talloc_realloc (view, view->zones, struct ds_fleet_zone,
+                          (unsigned)view->zone_count + 1);
+  if (grown == NULL)
+    return NULL;
+  view->zones = grown;
+  grown[view->zone_count]
+      = (struct ds_fleet_zone){ .name = ds_str_copy (view, name) };
+  return &grown[view->zone_count++];
+}
+
+/* Number of loads in SUMMARY; 0 if its columns differ in length.  */
+static size_t
+load_count (const Daisystep__Gossip__Summary *summary)
+{
+  return summary->n_replicas == summary->n_running
+                 && summary->n_replicas == summary->n_prefill_units
+             ? summary->n_replicas
+             : 0;
+}
+
+static void
+receive_zone_loads (struct ds_fleet_view *view,
+                    const Daisystep__Gossip__Summary *summary, uint64_t now_ms)
+{
+  struct ds_fleet_zone *zone
+      = find_or_add_zone (view, ds_str_from_c (summary->zone));
+  size_t count = load_count (summary);
+
+  if (zone == NULL)
+    return;
+  talloc_free (zone->loads);
+  zone->loads = talloc_array (view, struct ds_fleet_load, (unsigned)count + 1);
+  zone->load_count = 0;
+  zone->received_ms = now_ms;
+  for (size_t i = 0; i < count && zone->loads != NULL; i++)
+    zone->loads[zone->load_count++] = (struct ds_fleet_load){
+      .replica = summary->replicas[i],
+      .running = summary->running[i],
+      .prefill_tokens
+      = (uint64_t)summary->prefill_units[i] * PREFILL_UNIT_TOKENS,
+    };
+}
+
+/* Takes over the loads of the fleet less what this host has reported, which
+   they contain.  */
+static void
+receive_fleet_loads (struct ds_fleet_view *view,
+                     const Daisystep__Gossip__Summary *summary)
+{
+  clear_remote_loads (view);
+  for (size_t i = 0; i < load_count (summary); i++)
+    {
+      struct ds_replica *replica = ds_replica_set_find_by_short_hash (
+          view->replicas, summary->replicas[i]);
+      uint64_t prefill
+          = (uint64_t)summary->prefill_units[i] * PREFILL_UNIT_TOKENS;
+
+      if (replica == NULL)
+        continue;
+      if (summary->running[i] > replica->reported_load.running)
+        replica->remote_load.running
+            = summary->running[i] - replica->reported_load.running;
+      if (prefill > replica->reported_load.prefill_tokens)
+        replica->remote_load.prefill_tokens
+            = prefill - replica->reported_load.prefill_tokens;
+    }
+}
+
+static void
+receive_records (struct ds_fleet_view *view,
+                 const Daisystep__Gossip__Summary *summary)
+{
+  for (size_t i = 0; i < summary->n_records; i++)
+    {
+      const Daisystep__Gossip__HostRecord *record = summary->records[i];
+      struct ds_fleet_registration registration = {
+        .host = ds_str_from_c (record->host),
+        .zone = ds_str_from_c (record->zone),
+        .region = ds_str_from_c (record->region),
+        .caller_address = ds_str_from_c (record->caller_address),
+        .gossip_address = ds_str_from_c (record->gossip_address),
+        .capacity = record->capacity,
+      };
+
+      ds_fleet_view_add (view, &registration);
+    }
+}
+
+/* Handles the summary of a zone or of the fleet from the relay SENDER.  */
+void
+ds_fleet_receive_summary (struct ds_fleet_view *view,
+                          struct ds_fleet_peer *sender,
+                          const Daisystep__Gossip__Summary *summary,
+                          uint64_t now_ms)
+{
+  struct ds_str zone = ds_str_from_c (summary->zone);
+
+  if (zone.length == 0 && !ds_fleet_same_zone (view, sender))
+    return;
+  receive_records (view, summary);
+  receive_hosts (view, summary->ready_hosts, summary->n_ready_hosts, true,
+                 now_ms);
+  receive_hosts (view, summary->other_hosts, summary->n_other_hosts, false,
+                 now_ms);
+  receive_cut_hosts (view, summary->cut_hosts, summary->n_cut_hosts, now_ms);
+  ds_fleet_record_parts (view, summary->reads, summary->n_reads, now_ms);
+  if (zone.length > 0)
+    {
+      expire_unlisted (view, zone, now_ms);
+      receive_zone_loads (view, summary, now_ms);
+      return;
+    }
+  /* A relay knows the hosts of its zone and the loads at first hand.  */
+  if (view->relay_rank >= 0)
+    return;
+  view->summary_ms = now_ms;
+  expire_unlisted (view, zone, now_ms);
+  receive_fleet_loads (view, summary);
+}
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -8,7 +8,8 @@
 
 #include <tevent.h>
 
-/* Identity that a host reports to the others.  */
+/* Identity that a host reports to the others.  CAPACITY is its processor share
+   in percent of a core.  */
 struct ds_fleet_self
 {
   struct ds_str host;
@@ -17,6 +18,7 @@
   struct ds_str region;
   struct ds_str caller_address;
   struct ds_str gossip_address;
+  uint32_t capacity;
 };
 
 /* Another host.  */
@@ -27,12 +29,24 @@
   struct ds_str zone;
   struct ds_str region;
   struct ds_str caller_address;
+  uint32_t capacity;
   uint64_t last_seen_ms; /* 0: never */
   uint64_t timeout_ms;   /* not alive after this time */
   bool draining;
   bool ready;
 };
 
+/* What the store says of a host.  Strings may be empty except HOST.  */
+struct ds_fleet_registration
+{
+  struct ds_str host;
+  struct ds_str zone;
+  struct ds_str region;
+  struct ds_str caller_address;
+  struct ds_str gossip_address;
+  uint32_t capacity;
+};
+
 /* Tokens of one workspace that a host has free, and its demand in tokens per
    second.  */
 struct ds_token_holding
@@ -40,28 +54,33 @@
   uint64_t workspace; /* a hash of its name */
   uint64_t tokens;
   uint64_t demand;
-  bool ledger_known; /* the host is the home and has read the ledger */
+  bool ledger_known; /* the members below have been read or reported */
   uint64_t ledger_ungranted;
   uint64_t ledger_settled;
+  bool ledger_away; /* neither the host nor its source reaches the ledger */
+  uint64_t received_ms;
 };
 
 /* Holdings in one datagram; of more, home budgets, then the largest.  */
 #define DS_HOLDINGS_MAX 32
 
 /* LIST_HOLDINGS writes up to DS_HOLDINGS_MAX of this host's holdings and
-   returns their number.  ON_TOKEN_REQUEST handles a request for tokens of a
-   workspace, of which the other host needs some at once, and returns how many
-   it grants.  ON_TOKEN_TRANSFER receives a transfer from another host.
-   ON_DATAGRAM is called after each datagram.  */
+   returns their number; GET_HOLDING returns that of one workspace.
+   ON_TOKEN_REQUEST handles a request for tokens of a workspace, of which the
+   other host needs some at once, and returns how many it grants.
+   ON_TOKEN_TRANSFER receives a transfer from another host.  ON_HOLDINGS is
+   called after a datagram with holdings.  */
 struct ds_fleet_handlers
 {
   size_t (*list_holdings) (struct ds_token_holding *out, void *user_data);
+  struct ds_token_holding (*get_holding) (struct ds_str workspace,
+                                          void *user_data);
   uint64_t (*on_token_request) (struct ds_str workspace, uint64_t tokens,
                                 uint64_t needed, void *user_data);
   void (*on_token_transfer) (struct ds_str workspace,
                              const struct ds_token_transfer *transfer,
                              struct ds_str sender, void *user_data);
-  void (*on_datagram) (void *user_data);
+  void (*on_holdings) (void *user_data);
   void *user_data;
 };
 
@@ -74,22 +93,23 @@
                        struct ds_crash_counter *crashes,
                        const struct ds_fleet_handlers *handlers,
                        struct ds_error *error);
-void ds_fleet_view_add (struct ds_fleet_view *view, struct ds_str host,
-                        struct ds_str gossip_address);
-void ds_fleet_view_remove (struct ds_fleet_view *view, struct ds_str host);
+void ds_fleet_view_add (struct ds_fleet_view *view,
+                        const struct ds_fleet_registration *registration);
 void ds_fleet_view_tick (struct ds_fleet_view *view, uint64_t now_ms);
 void ds_fleet_view_set_state (struct ds_fleet_view *view, bool ready,
                               bool draining);
 void ds_fleet_view_set_ledger_reachable (struct ds_fleet_view *view,
                                          bool reachable);
-enum ds_allotment_home ds_fleet_view_home (const struct ds_fleet_view *view,
+bool ds_fleet_view_doubts_ledger (const struct ds_fleet_view *view);
+enum ds_allotment_home ds_fleet_view_home (struct ds_fleet_view *view,
                                            uint32_t page);
 struct ds_budget_peer_state
-ds_fleet_view_peer_state (const struct ds_fleet_view *view, uint32_t page,
+ds_fleet_view_peer_state (struct ds_fleet_view *view, uint32_t page,
                           struct ds_str workspace);
 void ds_fleet_view_request_tokens (struct ds_fleet_view *view, uint32_t page,
                                    struct ds_str workspace, uint64_t tokens,
                                    uint64_t needed);
+void ds_fleet_view_serve_unmet_requests (struct ds_fleet_view *view);
 bool ds_fleet_view_transfer_tokens (struct ds_fleet_view *view, uint32_t page,
                                     struct ds_str workspace,
                                     const struct ds_token_transfer *transfer);
@@ -103,7 +123,5 @@
 ds_fleet_view_at (const struct ds_fleet_view *view, size_t index);
 bool ds_fleet_member_is_alive (const struct ds_fleet_member *member,
                                uint64_t now_ms);
-size_t ds_fleet_view_alive_count (const struct ds_fleet_view *view,
-                                  uint64_t now_ms);
 
 #endif
--- a/src/entry/registration.c
+++ b/src/entry/registration.c
@@ -23,10 +23,7 @@
   struct tevent_context *ev;
   struct ds_store_client *store;
   struct ds_fleet_view *fleet;
-  struct ds_str host;
-  struct ds_str zone;
-  struct ds_str gossip_address;
-  uint64_t incarnation;
+  struct ds_fleet_self self;
   struct ds_store_pending_call *pending;
   enum step step;
   bool retry_scheduled;
@@ -51,6 +48,16 @@
                       on_retry, registration);
 }
 
+/* Returns the string KEY of SPEC; empty if it is missing, as in what hosts of
+   an earlier version have written.  */
+static struct ds_str
+text_of (const json_t *spec, const char *key)
+{
+  const char *text = json_string_value (json_object_get (spec, key));
+
+  return text != NULL ? ds_str_from_c (text) : DS_STR_EMPTY;
+}
+
 static void
 add_hosts (struct ds_registration *registration, struct ds_str body)
 {
@@ -64,12 +71,18 @@
     }
   for (size_t i = 0; i < page->count; i++)
     {
-      const json_t *address
-          = json_object_get (page->objects[i].spec, "gossip_address");
-
-      if (json_is_string (address))
-        ds_fleet_view_add (registration->fleet, page->objects[i].name,
-                           ds_str_from_c (json_string_value (address)));
+      const json_t *spec = page->objects[i].spec;
+      struct ds_fleet_registration host = {
+        .host = page->objects[i].name,
+        .zone = text_of (spec, "zone"),
+        .region = text_of (spec, "region"),
+        .caller_address = text_of (spec, "caller_address"),
+        .gossip_address = text_of (spec, "gossip_address"),
+        .capacity
+        = (uint32_t)json_integer_value (json_object_get (spec, "capacity")),
+      };
+
+      ds_fleet_view_add (registration->fleet, &host);
     }
   talloc_free (page);
   ds_fleet_view_tick (registration->fleet, ds_clock_ms ());
@@ -121,8 +134,9 @@
 {
   struct ds_store_call store_call = {
     .kind = DS_KIND_HOSTS,
-    .name = registration->host,
+    .name = registration->self.host,
   };
+  const struct ds_fleet_self *self = &registration->self;
   json_t *spec = NULL;
 
   switch (registration->step)
@@ -137,11 +151,14 @@
       store_call.verb = registration->step == REGISTER_CREATE
                             ? DS_STORE_CREATE
                             : DS_STORE_REPLACE;
-      spec = json_pack ("{s:s%, s:s%, s:I}", "gossip_address",
-                        registration->gossip_address.data,
-                        registration->gossip_address.length, "zone",
-                        registration->zone.data, registration->zone.length,
-                        "incarnation", (json_int_t)registration->incarnation);
+      spec = json_pack ("{s:s%, s:s%, s:s%, s:s%, s:I, s:I}", "gossip_address",
+                        self->gossip_address.data, self->gossip_address.length,
+                        "caller_address", self->caller_address.data,
+                        self->caller_address.length, "zone", self->zone.data,
+                        self->zone.length, "region", self->region.data,
+                        self->region.length, "incarnation",
+                        (json_int_t)self->incarnation, "capacity",
+                        (json_int_t)self->capacity);
       store_call.spec = spec;
       break;
     }
@@ -170,10 +187,7 @@
   registration->ev = ev;
   registration->store = store;
   registration->fleet = fleet;
-  registration->host = self->host;
-  registration->zone = self->zone;
-  registration->gossip_address = self->gossip_address;
-  registration->incarnation = self->incarnation;
+  registration->self = *self;
   run_step (registration);
   *out = registration;
   return 0;
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -277,6 +277,96 @@
   assert(message->base.descriptor == &daisystep__gossip__part_read__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisystep__gossip__host_record__init
+                     (Daisystep__Gossip__HostRecord         *message)
+{
+  static const Daisystep__Gossip__HostRecord init_value = DAISYSTEP__GOSSIP__HOST_RECORD__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__host_record__get_packed_size
+                     (const Daisystep__Gossip__HostRecord *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__host_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__host_record__pack
+                     (const Daisystep__Gossip__HostRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__host_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__host_record__pack_to_buffer
+                     (const Daisystep__Gossip__HostRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__host_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__HostRecord *
+       daisystep__gossip__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__HostRecord *)
+     protobuf_c_message_unpack (&daisystep__gossip__host_record__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__host_record__free_unpacked
+                     (Daisystep__Gossip__HostRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__host_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   daisystep__gossip__summary__init
+                     (Daisystep__Gossip__Summary         *message)
+{
+  static const Daisystep__Gossip__Summary init_value = DAISYSTEP__GOSSIP__SUMMARY__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__summary__get_packed_size
+                     (const Daisystep__Gossip__Summary *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__summary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__summary__pack
+                     (const Daisystep__Gossip__Summary *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__summary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__summary__pack_to_buffer
+                     (const Daisystep__Gossip__Summary *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__summary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__Summary *
+       daisystep__gossip__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__Summary *)
+     protobuf_c_message_unpack (&daisystep__gossip__summary__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__summary__free_unpacked
+                     (Daisystep__Gossip__Summary *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__summary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisystep__gossip__datagram__init
                      (Daisystep__Gossip__Datagram         *message)
 {
@@ -604,7 +694,7 @@
   (ProtobufCMessageInit) daisystep__gossip__token_transfer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__token_holding__field_descriptors[6] =
+static const ProtobufCFieldDescriptor daisystep__gossip__token_holding__field_descriptors[7] =
 {
   {
     "workspace",
@@ -678,10 +768,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ledger_away",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__TokenHolding, ledger_away),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__token_holding__field_indices_by_name[] = {
   2,   /* field[2] = demand */
   3,   /* field[3] = known */
+  6,   /* field[6] = ledger_away */
   4,   /* field[4] = rest */
   5,   /* field[5] = settled */
   1,   /* field[1] = tokens */
@@ -690,7 +793,7 @@
 static const ProtobufCIntRange daisystep__gossip__token_holding__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__token_holding__descriptor =
 {
@@ -700,7 +803,7 @@
   "Daisystep__Gossip__TokenHolding",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__TokenHolding),
-  6,
+  7,
   daisystep__gossip__token_holding__field_descriptors,
   daisystep__gossip__token_holding__field_indices_by_name,
   1,  daisystep__gossip__token_holding__number_ranges,
@@ -758,7 +861,252 @@
   (ProtobufCMessageInit) daisystep__gossip__part_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[18] =
+static const ProtobufCFieldDescriptor daisystep__gossip__host_record__field_descriptors[6] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HostRecord, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HostRecord, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HostRecord, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HostRecord, caller_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gossip_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HostRecord, gossip_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HostRecord, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__host_record__field_indices_by_name[] = {
+  3,   /* field[3] = caller_address */
+  5,   /* field[5] = capacity */
+  4,   /* field[4] = gossip_address */
+  0,   /* field[0] = host */
+  2,   /* field[2] = region */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange daisystep__gossip__host_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__host_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.HostRecord",
+  "HostRecord",
+  "Daisystep__Gossip__HostRecord",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__HostRecord),
+  6,
+  daisystep__gossip__host_record__field_descriptors,
+  daisystep__gossip__host_record__field_indices_by_name,
+  1,  daisystep__gossip__host_record__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__host_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[9] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Summary, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready_hosts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Daisystep__Gossip__Summary, n_ready_hosts),
+    offsetof(Daisystep__Gossip__Summary, ready_hosts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "other_hosts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Daisystep__Gossip__Summary, n_other_hosts),
+    offsetof(Daisystep__Gossip__Summary, other_hosts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replicas",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Daisystep__Gossip__Summary, n_replicas),
+    offsetof(Daisystep__Gossip__Summary, replicas),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Daisystep__Gossip__Summary, n_running),
+    offsetof(Daisystep__Gossip__Summary, running),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_units",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Daisystep__Gossip__Summary, n_prefill_units),
+    offsetof(Daisystep__Gossip__Summary, prefill_units),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reads",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Summary, n_reads),
+    offsetof(Daisystep__Gossip__Summary, reads),
+    &daisystep__gossip__part_read__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Summary, n_records),
+    offsetof(Daisystep__Gossip__Summary, records),
+    &daisystep__gossip__host_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cut_hosts",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Daisystep__Gossip__Summary, n_cut_hosts),
+    offsetof(Daisystep__Gossip__Summary, cut_hosts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__summary__field_indices_by_name[] = {
+  8,   /* field[8] = cut_hosts */
+  2,   /* field[2] = other_hosts */
+  5,   /* field[5] = prefill_units */
+  6,   /* field[6] = reads */
+  1,   /* field[1] = ready_hosts */
+  7,   /* field[7] = records */
+  3,   /* field[3] = replicas */
+  4,   /* field[4] = running */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange daisystep__gossip__summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.Summary",
+  "Summary",
+  "Daisystep__Gossip__Summary",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__Summary),
+  9,
+  daisystep__gossip__summary__field_descriptors,
+  daisystep__gossip__summary__field_indices_by_name,
+  1,  daisystep__gossip__summary__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[20] =
 {
   {
     "host",
@@ -976,10 +1324,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "summary",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, summary),
+    &daisystep__gossip__summary__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
   4,   /* field[4] = caller_address */
+  19,   /* field[19] = capacity */
   9,   /* field[9] = crashes */
   6,   /* field[6] = draining */
   5,   /* field[5] = gossip_address */
@@ -993,6 +1366,7 @@
   13,   /* field[13] = ready */
   3,   /* field[3] = region */
   7,   /* field[7] = sequence */
+  18,   /* field[18] = summary */
   12,   /* field[12] = transfer_acks */
   11,   /* field[11] = transfers */
   2,   /* field[2] = zone */
@@ -1000,7 +1374,7 @@
 static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1010,7 +1384,7 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  18,
+  20,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
   1,  daisystep__gossip__datagram__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -21,6 +21,8 @@
 typedef struct Daisystep__Gossip__TokenTransfer Daisystep__Gossip__TokenTransfer;
 typedef struct Daisystep__Gossip__TokenHolding Daisystep__Gossip__TokenHolding;
 typedef struct Daisystep__Gossip__PartRead Daisystep__Gossip__PartRead;
+typedef struct Daisystep__Gossip__HostRecord Daisystep__Gossip__HostRecord;
+typedef struct Daisystep__Gossip__Summary Daisystep__Gossip__Summary;
 typedef struct Daisystep__Gossip__Datagram Daisystep__Gossip__Datagram;
 
 
@@ -109,10 +111,14 @@
   protobuf_c_boolean known;
   uint64_t rest;
   uint64_t settled;
+  /*
+   * Neither the sender nor the host that serves it reaches the ledger.
+   */
+  protobuf_c_boolean ledger_away;
 };
 #define DAISYSTEP__GOSSIP__TOKEN_HOLDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__token_holding__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -129,6 +135,64 @@
     , 0, 0 }
 
 
+/*
+ * A host, for receivers that have had no datagram from it.
+ */
+struct  Daisystep__Gossip__HostRecord
+{
+  ProtobufCMessage base;
+  char *host;
+  char *zone;
+  char *region;
+  char *caller_address;
+  char *gossip_address;
+  uint32_t capacity;
+};
+#define DAISYSTEP__GOSSIP__HOST_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__host_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What a relay knows of one zone or, with an empty zone, of the fleet. Hosts
+ * and replicas are given by the low 32 bits of their hashes. A host of the zone
+ * that is not listed is not alive.
+ */
+struct  Daisystep__Gossip__Summary
+{
+  ProtobufCMessage base;
+  char *zone;
+  size_t n_ready_hosts;
+  uint32_t *ready_hosts;
+  size_t n_other_hosts;
+  uint32_t *other_hosts;
+  /*
+   * Sums over the hosts, at the same positions.
+   */
+  size_t n_replicas;
+  uint32_t *replicas;
+  size_t n_running;
+  uint32_t *running;
+  /*
+   * In units of 64 tokens.
+   */
+  size_t n_prefill_units;
+  uint32_t *prefill_units;
+  size_t n_reads;
+  Daisystep__Gossip__PartRead **reads;
+  size_t n_records;
+  Daisystep__Gossip__HostRecord **records;
+  /*
+   * Those of the listed hosts that do not reach the ledger.
+   */
+  size_t n_cut_hosts;
+  uint32_t *cut_hosts;
+};
+#define DAISYSTEP__GOSSIP__SUMMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__summary__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 struct  Daisystep__Gossip__Datagram
 {
   ProtobufCMessage base;
@@ -172,10 +236,15 @@
    * Loads and holdings are omitted; those sent before stay valid.
    */
   protobuf_c_boolean partial;
+  Daisystep__Gossip__Summary *summary;
+  /*
+   * Processor share of the sender in percent of a core.
+   */
+  uint32_t capacity;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0 }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
@@ -292,6 +361,44 @@
 void   daisystep__gossip__part_read__free_unpacked
                      (Daisystep__Gossip__PartRead *message,
                       ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__HostRecord methods */
+void   daisystep__gossip__host_record__init
+                     (Daisystep__Gossip__HostRecord         *message);
+size_t daisystep__gossip__host_record__get_packed_size
+                     (const Daisystep__Gossip__HostRecord   *message);
+size_t daisystep__gossip__host_record__pack
+                     (const Daisystep__Gossip__HostRecord   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__host_record__pack_to_buffer
+                     (const Daisystep__Gossip__HostRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__HostRecord *
+       daisystep__gossip__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__host_record__free_unpacked
+                     (Daisystep__Gossip__HostRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__Summary methods */
+void   daisystep__gossip__summary__init
+                     (Daisystep__Gossip__Summary         *message);
+size_t daisystep__gossip__summary__get_packed_size
+                     (const Daisystep__Gossip__Summary   *message);
+size_t daisystep__gossip__summary__pack
+                     (const Daisystep__Gossip__Summary   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__summary__pack_to_buffer
+                     (const Daisystep__Gossip__Summary   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__Summary *
+       daisystep__gossip__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__summary__free_unpacked
+                     (Daisystep__Gossip__Summary *message,
+                      ProtobufCAllocator *allocator);
 /* Daisystep__Gossip__Datagram methods */
 void   daisystep__gossip__datagram__init
                      (Daisystep__Gossip__Datagram         *message);
@@ -331,6 +438,12 @@
 typedef void (*Daisystep__Gossip__PartRead_Closure)
                  (const Daisystep__Gossip__PartRead *message,
                   void *closure_data);
+typedef void (*Daisystep__Gossip__HostRecord_Closure)
+                 (const Daisystep__Gossip__HostRecord *message,
+                  void *closure_data);
+typedef void (*Daisystep__Gossip__Summary_Closure)
+                 (const Daisystep__Gossip__Summary *message,
+                  void *closure_data);
 typedef void (*Daisystep__Gossip__Datagram_Closure)
                  (const Daisystep__Gossip__Datagram *message,
                   void *closure_data);
@@ -346,6 +459,8 @@
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_transfer__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_holding__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__part_read__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__host_record__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
