--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -1,7 +1,6 @@
 #include "entry/fleet_view_internal.h"
 #include "io/clock.h"
 
-#include <string.h>
 
 /* Fleets too large for sending to all: each host sends its state to two relays
    of its zone; each relay sums it up, sends the summary of the zone to the
@@ -129,7 +128,8 @@
       else if (!before)
         chosen[i]->relay_since_ms = now_ms;
     }
-  memcpy (view->relays, chosen, count * sizeof chosen[0]);
+  for (size_t i = 0; i < count; i++)
+    view->relays[i] = chosen[i];
   view->relay_count = count;
   if (view->relay_rank >= 0 && !was_relay)
     view->relay_since_ms = now_ms;
