Weigh addresses by capacity; a strained host sheds callers and waits longer

Change: in a large zone a caller gets ten hosts by weighted rendezvous hashing of its IP address; host_strain judges late ticks and slow connections, extends the connect timeout, keeps replicas out of blame, closes connections after their responses and is reported to the others, which offer the host less.

--- a/src/entry/address_service.c
+++ b/src/entry/address_service.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define STRAINED_CAPACITY_DIVISOR 16
+
 /* Responds to a request that this host handles itself.  */
 static void
 send_response (struct ds_caller *caller, unsigned status, struct ds_str body)
@@ -39,6 +41,14 @@
     send_response (caller, 503, DS_STR ("{\"ready\":false}"));
 }
 
+/* The capacity of a host for callers.  A strained host is offered only if the
+   zone has few others.  */
+static uint32_t
+offered_capacity (uint32_t capacity, bool strained)
+{
+  return strained ? capacity / STRAINED_CAPACITY_DIVISOR : capacity;
+}
+
 static size_t
 list_candidates (const struct ds_address_service *service, TALLOC_CTX *owner,
                  struct ds_address_candidate **out)
@@ -56,6 +66,7 @@
       .zone = service->zone,
       .region = service->region,
       .address = service->caller_address,
+      .capacity = offered_capacity (service->capacity, service->strained),
     };
   for (size_t i = 0; i < members; i++)
     {
@@ -68,6 +79,8 @@
           .zone = member->zone,
           .region = member->region,
           .address = member->caller_address,
+          .capacity
+          = offered_capacity (member->capacity, member->strained),
         };
     }
   return count;
@@ -98,7 +111,7 @@
   count = count == 0
               ? 0
               : ds_address_choose (addresses, candidates, count, query.zone,
-                                   query.region, (size_t)random () % count);
+                                   query.region, ds_caller_origin (caller));
   if (count == 0)
     {
       send_response (caller, 503, DS_STR ("{\"error\":\"no host is ready\"}"));
--- a/src/entry/address_service.h
+++ b/src/entry/address_service.h
@@ -13,6 +13,8 @@
   struct ds_str zone;
   struct ds_str region;
   struct ds_str caller_address;
+  uint32_t capacity;
+  bool strained;
   double ttl_s;
   bool ready;
 };
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -138,7 +138,7 @@
   caller->request_complete = false;
   caller->responding = true;
   caller->group->responding++;
-  if (!caller->head.keep_alive)
+  if (!caller->head.keep_alive || caller->group->shedding)
     caller->close_after_response = true;
   set_timeout (caller, 0);
   caller->group->handlers.on_request (caller, &caller->head,
@@ -360,6 +360,21 @@
   return caller->close_after_response || caller->group->closing;
 }
 
+/* Returns a number that identifies the machine of the caller: a hash of its IP
+   address, or 0 if that is not known.  */
+uint64_t
+ds_caller_origin (const struct ds_caller *caller)
+{
+  struct ds_socket_address address;
+  char text[DS_SOCKET_ADDRESS_BYTES];
+
+  if (caller->freed || ds_tcp_peer_address (&address, caller->tcp) != 0)
+    return 0;
+  ds_socket_address_clear_port (&address);
+  ds_socket_address_format (text, &address);
+  return ds_str_hash (ds_str_from_c (text), 0);
+}
+
 size_t
 ds_caller_unsent (const struct ds_caller *caller)
 {
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -25,7 +25,8 @@
 };
 
 /* Shared by all connections of a listener.  LIMITS may change at any time;
-   with CLOSING, each connection closes after its response.  CONNECTIONS counts
+   with CLOSING, each connection closes after its response, with SHEDDING after
+   that to a request that arrives meanwhile.  CONNECTIONS counts
    open connections, RESPONDING those with a request in progress.  */
 struct ds_caller_group
 {
@@ -33,6 +34,7 @@
   struct ds_caller_handlers handlers;
   struct ds_caller_limits limits;
   bool closing;
+  bool shedding;
   size_t connections;
   size_t responding;
 };
@@ -44,6 +46,7 @@
 void ds_caller_finish_response (struct ds_caller *caller);
 void ds_caller_abort (struct ds_caller *caller);
 bool ds_caller_will_close (const struct ds_caller *caller);
+uint64_t ds_caller_origin (const struct ds_caller *caller);
 size_t ds_caller_unsent (const struct ds_caller *caller);
 
 #endif
--- a/src/entry/connection_pool.c
+++ b/src/entry/connection_pool.c
@@ -1,9 +1,5 @@
 #include "entry/connection_pool.h"
 
-/* A replica accepts a connection within some milliseconds; an unreachable one
-   never does, and since nothing was sent, the request can be sent
-   elsewhere.  */
-#define CONNECT_TIMEOUT_MS 250
 /* Time without acknowledgement after which a connection fails; long
    enough for two retransmissions on a lossy link.  */
 #define UNACKED_TIMEOUT_MS 700
@@ -74,11 +70,12 @@
 
 static int
 open_connection (struct ds_pooled_connection **out,
-                 struct ds_connection_pool *pool, struct ds_replica *replica)
+                 struct ds_connection_pool *pool, struct ds_replica *replica,
+                 uint32_t connect_timeout_ms)
 {
   struct ds_tcp_options options = {
     .ev = pool->ev,
-    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+    .connect_timeout_ms = connect_timeout_ms,
     .unacked_timeout_ms = UNACKED_TIMEOUT_MS,
     .keepalive_interval_s = KEEPALIVE_INTERVAL_S,
   };
@@ -105,13 +102,14 @@
 }
 
 /* Acquires a connection to REPLICA: the most recently used idle one, or a new
-   one if there is none or FRESH is set.  Set its handlers before sending the
+   one if there is none or FRESH is set, which is given up if it is not
+   established after CONNECT_TIMEOUT_MS.  Set its handlers before sending the
    request.  */
 int
 ds_connection_pool_acquire (struct ds_pooled_connection **out,
                             struct ds_connection_pool *pool,
                             struct ds_replica *replica, uint64_t now_ms,
-                            bool fresh)
+                            bool fresh, uint32_t connect_timeout_ms)
 {
   for (struct ds_pooled_connection *at = pool->idle; at != NULL && !fresh;
        at = at->next)
@@ -123,7 +121,7 @@
         *out = at;
         return 0;
       }
-  return open_connection (out, pool, replica);
+  return open_connection (out, pool, replica, connect_timeout_ms);
 }
 
 /* Returns a connection to the pool after a complete response.  KEEP_ALIVE_S is
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -83,6 +83,7 @@
   struct ds_caller_group metrics;
   struct ds_tcp_listener *caller_listener;
 
+  uint64_t next_tick_ms;     /* when the next tick is due */
   uint64_t store_checked_ms; /* because other hosts have lost the store */
   uint64_t stopping_ms;      /* time of SIGTERM; 0 before */
   bool stopped;
@@ -550,6 +551,36 @@
     entry->stopped = true;
 }
 
+/* Leads callers away while this host is short of processor or link.  */
+static void
+update_strain (struct ds_entry *entry, uint64_t now_ms)
+{
+  struct ds_host_strain *strain = &entry->exchanges.strain;
+  bool strained;
+  struct ds_decision_line line;
+
+  if (entry->next_tick_ms > 0)
+    ds_host_strain_record_tick (
+        strain,
+        now_ms > entry->next_tick_ms ? now_ms - entry->next_tick_ms : 0,
+        now_ms);
+  entry->next_tick_ms = now_ms + DS_GOSSIP_INTERVAL_MS;
+  strained = ds_host_strain_is_strained (strain, now_ms);
+  if (strained == entry->callers.shedding)
+    return;
+  entry->callers.shedding = strained;
+  entry->addresses.strained = strained;
+  ds_fleet_view_set_strained (entry->fleet, strained);
+  line = ds_decision_line_begin (strained ? "host_strained" : "host_relieved",
+                                 DS_STR_EMPTY);
+  ds_decision_line_add_number (&line, "connect_ms",
+                               (int64_t)strain->connect_ms);
+  ds_decision_line_add_number (&line, "late_ticks", strain->late_in_a_row);
+  ds_decision_line_add_number (&line, "answering",
+                               (int64_t)entry->callers.responding);
+  ds_decision_line_end (&line);
+}
+
 static void
 on_tick (void *user_data)
 {
@@ -557,6 +588,7 @@
   uint64_t now_ms = ds_clock_ms ();
 
   (void)ds_timer_add (entry->ev, entry, DS_GOSSIP_INTERVAL_MS, on_tick, entry);
+  update_strain (entry, now_ms);
   ds_replica_set_remove_expired (entry->replicas, now_ms);
   ds_connection_pool_close_expired (entry->exchanges.pool, now_ms);
   count_hosts (entry, now_ms);
@@ -663,6 +695,7 @@
     .zone = self.zone,
     .region = self.region,
     .caller_address = self.caller_address,
+    .capacity = self.capacity,
     .ttl_s = entry->settings->address_ttl_s,
   };
   return 0;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -609,6 +609,27 @@
     }
 }
 
+static void
+on_connected (void *user_data)
+{
+  struct ds_exchange *x = user_data;
+  uint64_t now_ms = ds_clock_ms ();
+
+  ds_host_strain_record_connect (&x->context->strain, now_ms - x->attempt_ms,
+                                 now_ms);
+}
+
+/* The attempt's connection could not be established.  A strained host may be
+   the cause itself, and does not hold it against the replica.  */
+static void
+on_not_connected (struct ds_exchange *x, uint64_t now_ms)
+{
+  if (!ds_host_strain_is_strained (&x->context->strain, now_ms))
+    ds_placement_record_failure (x->replica, now_ms);
+  ds_host_strain_record_connect (&x->context->strain, now_ms - x->attempt_ms,
+                                 now_ms);
+}
+
 static void
 on_failure (enum ds_http_failure failure, void *user_data)
 {
@@ -620,7 +641,7 @@
   if (failure == DS_HTTP_FAILURE_NOT_CONNECTED
       || !ds_http_connection_has_sent (connection))
     {
-      ds_placement_record_failure (x->replica, now_ms);
+      on_not_connected (x, now_ms);
       on_attempt_not_run (x, failure_name (failure));
       return;
     }
@@ -654,6 +675,7 @@
           uint64_t now_ms)
 {
   struct ds_http_connection_handlers handlers = {
+    .on_connected = on_connected,
     .on_head = on_head,
     .on_body = on_body,
     .on_end = on_end,
@@ -678,7 +700,8 @@
   status = ds_wire_write_attempt (x, &out, &head);
   if (status == 0)
     status = ds_connection_pool_acquire (
-        &x->pooled, x->context->pool, placement->replica, now_ms, x->runs > 0);
+        &x->pooled, x->context->pool, placement->replica, now_ms, x->runs > 0,
+        ds_host_strain_connect_timeout_ms (&x->context->strain));
   if (status != 0)
     {
       ds_byte_buffer_release (&out);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -2,6 +2,7 @@
 #define DS_ENTRY_EXCHANGE_H
 
 #include "core/crash_counter.h"
+#include "core/host_strain.h"
 #include "core/replica_set.h"
 #include "core/retry_budget.h"
 #include "daisystep/routing_config.h"
@@ -23,6 +24,7 @@
   struct ds_budget_manager *budgets;
   struct ds_crash_counter *crashes;
   struct ds_fleet_view *fleet;
+  struct ds_host_strain strain;
   struct ds_str zone;
   size_t hosts;
   bool stopping; /* no new requests: they would be interrupted */
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -35,6 +35,7 @@
   datagram->ready = view->ready;
   datagram->sequence = ++view->sequence;
   datagram->ledger_near = view->ledger_reachable;
+  datagram->strained = view->strained;
 }
 
 /* Adds HOLDING to DATAGRAM, which has room for DS_HOLDINGS_MAX.  */
@@ -353,6 +354,7 @@
   member->info.draining = datagram->draining;
   member->info.ready = datagram->ready;
   member->ledger_reachable = datagram->ledger_near;
+  member->info.strained = datagram->strained;
   if (datagram->capacity > 0)
     member->info.capacity = datagram->capacity;
   ds_fleet_set_text (member, &member->info.zone,
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -196,8 +196,10 @@
 
 static void
 list_host (Daisystep__Gossip__Summary *summary, uint32_t id, bool ready,
-           bool reaches_ledger)
+           bool reaches_ledger, bool strained)
 {
+  if (strained)
+    summary->strained_hosts[summary->n_strained_hosts++] = id;
   if (!reaches_ledger)
     summary->cut_hosts[summary->n_cut_hosts++] = id;
   if (ready)
@@ -220,11 +222,13 @@
       = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
   summary->cut_hosts
       = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
+  summary->strained_hosts
+      = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
   if (summary->ready_hosts == NULL || summary->other_hosts == NULL
-      || summary->cut_hosts == NULL)
+      || summary->cut_hosts == NULL || summary->strained_hosts == NULL)
     return;
   list_host (summary, view->short_id, view->ready && !view->draining,
-             view->ledger_reachable);
+             view->ledger_reachable, view->strained);
   for (size_t i = 0; i < view->count; i++)
     {
       const struct ds_fleet_peer *member = view->members[i];
@@ -238,7 +242,7 @@
       if (alive && (same_zone || fleet))
         list_host (summary, member->short_id,
                    member->info.ready && !member->info.draining,
-                   member->ledger_reachable);
+                   member->ledger_reachable, member->info.strained);
     }
 }
 
@@ -481,24 +485,47 @@
       member->info.ready = ready;
       member->info.draining = member->info.draining && !ready;
       member->ledger_reachable = true;
+      member->info.strained = false;
     }
 }
 
-/* Marks the hosts in IDS, which have been listed before, as without ledger. */
+/* Returns the listed host ID if it has not lately reported itself; null
+   otherwise.  */
+static struct ds_fleet_peer *
+find_reported (const struct ds_fleet_view *view, uint32_t id, uint64_t now_ms)
+{
+  struct ds_fleet_peer *member
+      = g_hash_table_lookup (view->by_short_id, GUINT_TO_POINTER (id));
+
+  return member != NULL
+                 && (member->direct_ms == 0
+                     || now_ms - member->direct_ms
+                            >= DS_RELAY_DIRECT_TIMEOUT_MS)
+             ? member
+             : NULL;
+}
+
+/* Applies what SUMMARY says of hosts that it has listed.  */
 static void
-receive_cut_hosts (struct ds_fleet_view *view, const uint32_t *ids,
-                   size_t count, uint64_t now_ms)
+receive_conditions (struct ds_fleet_view *view,
+                    const Daisystep__Gossip__Summary *summary, uint64_t now_ms)
 {
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < summary->n_cut_hosts; i++)
     {
       struct ds_fleet_peer *member
-          = g_hash_table_lookup (view->by_short_id, GUINT_TO_POINTER (ids[i]));
+          = find_reported (view, summary->cut_hosts[i], now_ms);
 
-      if (member != NULL
-          && (member->direct_ms == 0
-              || now_ms - member->direct_ms >= DS_RELAY_DIRECT_TIMEOUT_MS))
+      if (member != NULL)
         member->ledger_reachable = false;
     }
+  for (size_t i = 0; i < summary->n_strained_hosts; i++)
+    {
+      struct ds_fleet_peer *member
+          = find_reported (view, summary->strained_hosts[i], now_ms);
+
+      if (member != NULL)
+        member->info.strained = true;
+    }
 }
 
 /* Lets the hosts of ZONE, or all hosts if it is empty, expire that the summary
@@ -635,7 +662,7 @@
                  now_ms);
   receive_hosts (view, summary->other_hosts, summary->n_other_hosts, false,
                  now_ms);
-  receive_cut_hosts (view, summary->cut_hosts, summary->n_cut_hosts, now_ms);
+  receive_conditions (view, summary, now_ms);
   ds_fleet_record_parts (view, summary->reads, summary->n_reads, now_ms);
   if (zone.length > 0)
     {
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -331,6 +331,13 @@
     ds_fleet_view_tick (view, ds_clock_ms ());
 }
 
+/* Sets whether this host reports that it should get fewer callers.  */
+void
+ds_fleet_view_set_strained (struct ds_fleet_view *view, bool strained)
+{
+  view->strained = strained;
+}
+
 /* Announces to the other hosts that REPLICA prefills PART for this host.  */
 void
 ds_fleet_view_announce_part (struct ds_fleet_view *view,
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -34,6 +34,7 @@
   uint64_t timeout_ms;   /* not alive after this time */
   bool draining;
   bool ready;
+  bool strained; /* should get fewer callers */
 };
 
 /* What the store says of a host.  Strings may be empty except HOST.  */
@@ -98,6 +99,7 @@
 void ds_fleet_view_tick (struct ds_fleet_view *view, uint64_t now_ms);
 void ds_fleet_view_set_state (struct ds_fleet_view *view, bool ready,
                               bool draining);
+void ds_fleet_view_set_strained (struct ds_fleet_view *view, bool strained);
 void ds_fleet_view_set_ledger_reachable (struct ds_fleet_view *view,
                                          bool reachable);
 bool ds_fleet_view_doubts_ledger (const struct ds_fleet_view *view);
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -162,6 +162,7 @@
   struct ds_ledger_access ledger; /* of this host */
   bool ledger_reachable;
   bool homes_need_ledger;
+  bool strained;
   bool ready;
   bool draining;
   bool eligible;
--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -131,6 +131,15 @@
     }
 }
 
+static void
+on_connected (void *user_data)
+{
+  struct ds_http_connection *c = user_data;
+
+  if (!c->freed && c->handlers.on_connected != NULL)
+    c->handlers.on_connected (c->handlers.user_data);
+}
+
 static void
 on_tcp_end (enum ds_tcp_end end, void *user_data)
 {
@@ -166,6 +175,7 @@
   struct ds_http_connection *c
       = talloc_zero (owner, struct ds_http_connection);
   struct ds_tcp_handlers tcp_handlers = {
+    .on_connected = on_connected,
     .on_bytes = on_bytes,
     .on_end = on_tcp_end,
     .user_data = c,
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -20,6 +20,7 @@
    connection.  */
 struct ds_http_connection_handlers
 {
+  void (*on_connected) (void *user_data); /* may be null */
   bool (*on_head) (const struct ds_http_head *head, void *user_data);
   void (*on_body) (struct ds_str bytes, void *user_data);
   void (*on_end) (void *user_data);
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -330,6 +330,17 @@
   return tcp->sent;
 }
 
+/* Stores the address of the peer in *OUT; DS_EIO if there is none.  */
+int
+ds_tcp_peer_address (struct ds_socket_address *out, const struct ds_tcp *tcp)
+{
+  out->length = sizeof out->storage;
+  return getpeername (tcp->fd, (struct sockaddr *)&out->storage, &out->length)
+                 == 0
+             ? 0
+             : DS_EIO;
+}
+
 bool
 ds_tcp_is_connected (const struct ds_tcp *tcp)
 {
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -57,6 +57,8 @@
 size_t ds_tcp_unsent_bytes (const struct ds_tcp *tcp);
 uint64_t ds_tcp_sent_bytes (const struct ds_tcp *tcp);
 bool ds_tcp_is_connected (const struct ds_tcp *tcp);
+int ds_tcp_peer_address (struct ds_socket_address *out,
+                         const struct ds_tcp *tcp);
 void ds_tcp_pause (struct ds_tcp *tcp, bool paused);
 void ds_tcp_close_when_sent (struct ds_tcp *tcp);
 void ds_tcp_free (struct ds_tcp *tcp);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -990,7 +990,7 @@
   (ProtobufCMessageInit) daisystep__gossip__host_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[9] =
+static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[10] =
 {
   {
     "zone",
@@ -1100,6 +1100,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strained_hosts",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Daisystep__Gossip__Summary, n_strained_hosts),
+    offsetof(Daisystep__Gossip__Summary, strained_hosts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__summary__field_indices_by_name[] = {
   8,   /* field[8] = cut_hosts */
@@ -1110,12 +1122,13 @@
   7,   /* field[7] = records */
   3,   /* field[3] = replicas */
   4,   /* field[4] = running */
+  9,   /* field[9] = strained_hosts */
   0,   /* field[0] = zone */
 };
 static const ProtobufCIntRange daisystep__gossip__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor =
 {
@@ -1125,14 +1138,14 @@
   "Daisystep__Gossip__Summary",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Summary),
-  9,
+  10,
   daisystep__gossip__summary__field_descriptors,
   daisystep__gossip__summary__field_indices_by_name,
   1,  daisystep__gossip__summary__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[20] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[21] =
 {
   {
     "host",
@@ -1374,6 +1387,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strained",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, strained),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -1392,6 +1417,7 @@
   13,   /* field[13] = ready */
   3,   /* field[3] = region */
   7,   /* field[7] = sequence */
+  20,   /* field[20] = strained */
   18,   /* field[18] = summary */
   12,   /* field[12] = transfer_acks */
   11,   /* field[11] = transfers */
@@ -1400,7 +1426,7 @@
 static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1410,7 +1436,7 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  20,
+  21,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
   1,  daisystep__gossip__datagram__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -195,10 +195,15 @@
    */
   size_t n_cut_hosts;
   uint32_t *cut_hosts;
+  /*
+   * Those of the listed hosts that should get fewer callers.
+   */
+  size_t n_strained_hosts;
+  uint32_t *strained_hosts;
 };
 #define DAISYSTEP__GOSSIP__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__summary__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Daisystep__Gossip__Datagram
@@ -249,10 +254,14 @@
    * Processor share of the sender in percent of a core.
    */
   uint32_t capacity;
+  /*
+   * The sender is short of processor or link.
+   */
+  protobuf_c_boolean strained;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0 }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -109,10 +109,10 @@
 START_TEST (callers_get_the_hosts_of_their_zone)
 {
   const struct ds_address_candidate hosts[] = {
-    { DS_STR ("k"), DS_STR ("r"), DS_STR ("1") },
-    { DS_STR ("k"), DS_STR ("r"), DS_STR ("2") },
-    { DS_STR ("b"), DS_STR ("r"), DS_STR ("3") },
-    { DS_STR ("x"), DS_STR ("q"), DS_STR ("4") },
+    { DS_STR ("k"), DS_STR ("r"), DS_STR ("1"), 25 },
+    { DS_STR ("k"), DS_STR ("r"), DS_STR ("2"), 25 },
+    { DS_STR ("b"), DS_STR ("r"), DS_STR ("3"), 25 },
+    { DS_STR ("x"), DS_STR ("q"), DS_STR ("4"), 25 },
   };
   struct ds_str out[DS_ADDRESSES_MAX];
 
@@ -173,6 +173,50 @@
 }
 END_TEST
 
+/* Load: 59 hosts of a zone with an eighth or half of a core.  Guards against
+   weak hosts that get as many callers as strong ones, and against callers that
+   change hosts, and give up connections, with each answer.  */
+START_TEST (callers_of_a_large_zone_keep_a_few_strong_hosts)
+{
+  struct ds_address_candidate hosts[59];
+  struct ds_str out[DS_ADDRESSES_MAX];
+  struct ds_str again[DS_ADDRESSES_MAX];
+  char names[59][16];
+  int weak = 0;
+  int strong = 0;
+
+  for (int i = 0; i < 59; i++)
+    {
+      (void)snprintf (names[i], sizeof names[i], "10.0.0.%d:80", i);
+      hosts[i] = (struct ds_address_candidate){
+        .zone = DS_STR ("k"),
+        .region = DS_STR ("r"),
+        .address = ds_str_from_c (names[i]),
+        .capacity = i < 29 ? 12 : 48,
+      };
+    }
+  for (uint64_t caller = 1; caller <= 200; caller++)
+    {
+      size_t count = ds_address_choose (out, hosts, 59, DS_STR ("k"),
+                                        DS_STR ("r"), caller);
+
+      ck_assert_uint_eq (count, DS_ADDRESSES_OF_LARGE_ZONE);
+      ck_assert_uint_eq (ds_address_choose (again, hosts, 59, DS_STR ("k"),
+                                            DS_STR ("r"), caller),
+                         count);
+      for (size_t i = 0; i < count; i++)
+        {
+          ck_assert (ds_str_equal (out[i], again[i]));
+          for (int k = 0; k < 59; k++)
+            if (ds_str_equal (out[i], hosts[k].address))
+              (*(hosts[k].capacity == 12 ? &weak : &strong))++;
+        }
+    }
+  ck_assert_int_gt (strong, weak + weak);
+  ck_assert_int_gt (weak, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -190,6 +234,8 @@
   tcase_add_test (test_case,
                   a_resumed_stream_continues_after_the_last_whole_event);
   tcase_add_test (test_case, a_missing_event_is_a_protocol_error);
+  tcase_add_test (test_case,
+                  callers_of_a_large_zone_keep_a_few_strong_hosts);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
