--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -13,7 +13,7 @@
    introduction gets it later.  */
 #define SUMMARY_RECORDS_IN_TURN 4
 /* Summaries that carry the record of a host that has just been seen.  */
-#define INTRODUCTIONS (3 * DS_RELAY_DOWNLINK_INTERVALS)
+#define INTRODUCTIONS (3U * DS_RELAY_DOWNLINK_INTERVALS)
 /* Loads of another zone, or of the fleet, are used for this long.  */
 #define LOADS_VALID_MS 2000
 /* Tokens in one unit of prefill in a summary.  */
@@ -21,13 +21,8 @@
 /* A host that the store lists but that nobody has seen may be starting; it is
    a candidate for a relay for this long.  */
 #define UNSEEN_CANDIDATE_MS 1500
-/* A host that a summary does not list expires if no other summary has listed
-   it for this long: a host that wrongly takes itself for a relay hears from
-   few.  */
-#define UNLISTED_EXPIRY_MS 700
-/* A new relay takes the hosts of its zone for alive for this long, until they
-   have found it.  */
-#define RELAY_SETTLING_MS 1500
+/* Unit of the ages of hosts in a summary.  */
+#define AGE_UNIT_MS 20
 
 /* Has the record of MEMBER sent in the next summaries.  */
 void
@@ -98,7 +93,6 @@
 update_relays (struct ds_fleet_view *view, uint64_t now_ms)
 {
   struct ds_fleet_peer *chosen[DS_RELAYS_PER_ZONE];
-  bool was_relay = view->relay_rank >= 0;
   size_t count;
 
   for (size_t i = 0; i < view->relay_count; i++)
@@ -130,8 +124,6 @@
   for (size_t i = 0; i < count; i++)
     view->relays[i] = chosen[i];
   view->relay_count = count;
-  if (view->relay_rank >= 0 && !was_relay)
-    view->relay_since_ms = now_ms;
 }
 
 static void
@@ -194,54 +186,62 @@
 }
 
 static void
-list_host (Daisystep__Gossip__Summary *summary, uint32_t id, bool ready,
-           bool reaches_ledger, bool strained)
+list_host (Daisystep__Gossip__Summary *summary, uint32_t id,
+           const struct ds_fleet_member *info, bool reaches_ledger,
+           uint64_t now_ms)
 {
-  if (strained)
-    summary->strained_hosts[summary->n_strained_hosts++] = id;
+  uint32_t age = (uint32_t)((now_ms - info->last_seen_ms) / AGE_UNIT_MS);
+
+  if (info->ready && !info->draining)
+    {
+      summary->ready_ages[summary->n_ready_ages++] = age;
+      summary->ready_hosts[summary->n_ready_hosts++] = id;
+    }
+  else
+    {
+      summary->other_ages[summary->n_other_ages++] = age;
+      summary->other_hosts[summary->n_other_hosts++] = id;
+    }
   if (!reaches_ledger)
     summary->cut_hosts[summary->n_cut_hosts++] = id;
-  if (ready)
-    summary->ready_hosts[summary->n_ready_hosts++] = id;
-  else
-    summary->other_hosts[summary->n_other_hosts++] = id;
+  if (info->strained)
+    summary->strained_hosts[summary->n_strained_hosts++] = id;
 }
 
-/* Lists the live hosts of the zone, or of the fleet.  A relay judges those of
-   its own zone by their datagrams.  */
+/* Lists the live hosts of the zone, or of the fleet, with the ages of their
+   last signs of life: without them, two relays would keep a dead host alive by
+   telling each other of it.  */
 static void
 fill_hosts (const struct ds_fleet_view *view, TALLOC_CTX *owner,
             Daisystep__Gossip__Summary *summary, bool fleet, uint64_t now_ms)
 {
-  bool settled = now_ms - view->relay_since_ms >= RELAY_SETTLING_MS;
-
-  summary->ready_hosts
-      = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
-  summary->other_hosts
-      = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
-  summary->cut_hosts
-      = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
-  summary->strained_hosts
-      = talloc_array (owner, uint32_t, (unsigned)view->count + 1);
-  if (summary->ready_hosts == NULL || summary->other_hosts == NULL
+  unsigned most = (unsigned)view->count + 1;
+  const struct ds_fleet_member self = {
+    .last_seen_ms = now_ms,
+    .ready = view->ready,
+    .draining = view->draining,
+    .strained = view->strained,
+  };
+
+  summary->ready_hosts = talloc_array (owner, uint32_t, most);
+  summary->ready_ages = talloc_array (owner, uint32_t, most);
+  summary->other_hosts = talloc_array (owner, uint32_t, most);
+  summary->other_ages = talloc_array (owner, uint32_t, most);
+  summary->cut_hosts = talloc_array (owner, uint32_t, most);
+  summary->strained_hosts = talloc_array (owner, uint32_t, most);
+  if (summary->ready_hosts == NULL || summary->ready_ages == NULL
+      || summary->other_hosts == NULL || summary->other_ages == NULL
       || summary->cut_hosts == NULL || summary->strained_hosts == NULL)
     return;
-  list_host (summary, view->short_id, view->ready && !view->draining,
-             view->ledger_reachable, view->strained);
+  list_host (summary, view->short_id, &self, view->ledger_reachable, now_ms);
   for (size_t i = 0; i < view->count; i++)
     {
       const struct ds_fleet_peer *member = view->members[i];
-      bool same_zone = ds_fleet_same_zone (view, member);
-      bool alive = same_zone && settled
-                       ? member->direct_ms > 0
-                             && now_ms - member->direct_ms
-                                    < DS_RELAY_DIRECT_TIMEOUT_MS
-                       : ds_fleet_member_is_alive (&member->info, now_ms);
-
-      if (alive && (same_zone || fleet))
-        list_host (summary, member->short_id,
-                   member->info.ready && !member->info.draining,
-                   member->ledger_reachable, member->info.strained);
+
+      if (ds_fleet_member_is_alive (&member->info, now_ms)
+          && (fleet || ds_fleet_same_zone (view, member)))
+        list_host (summary, member->short_id, &member->info,
+                   member->ledger_reachable, now_ms);
     }
 }
 
@@ -466,55 +466,49 @@
   talloc_free (scratch);
 }
 
-/* Marks the hosts in IDS as seen.  */
+/* Takes over the state of the hosts in IDS of which the summary has a later
+   sign of life than this host.  */
 static void
-receive_hosts (struct ds_fleet_view *view, const uint32_t *ids, size_t count,
-               bool ready, uint64_t now_ms)
+receive_hosts (struct ds_fleet_view *view, const uint32_t *ids,
+               const uint32_t *ages, size_t count, bool ready, uint64_t now_ms)
 {
   for (size_t i = 0; i < count; i++)
     {
       struct ds_fleet_peer *member
           = g_hash_table_lookup (view->by_short_id, GUINT_TO_POINTER (ids[i]));
+      uint64_t age_ms = (uint64_t)ages[i] * AGE_UNIT_MS;
 
-      if (member == NULL)
-        continue;
-      member->info.last_seen_ms = now_ms;
-      /* What the host has said itself is newer than what a relay passes on. */
-      if (member->direct_ms > 0
-          && now_ms - member->direct_ms < DS_RELAY_DIRECT_TIMEOUT_MS)
+      if (member == NULL || age_ms >= now_ms
+          || now_ms - age_ms <= member->info.last_seen_ms)
         continue;
+      member->info.last_seen_ms = now_ms - age_ms;
       member->info.ready = ready;
       member->info.draining = member->info.draining && !ready;
-      member->ledger_reachable = true;
       member->info.strained = false;
+      member->ledger_reachable = true;
+      member->summary = view->summaries;
     }
 }
 
-/* Returns the listed host ID if it has not lately reported itself; null
-   otherwise.  */
+/* Returns the host ID if the current summary has updated it; else null.  */
 static struct ds_fleet_peer *
-find_reported (const struct ds_fleet_view *view, uint32_t id, uint64_t now_ms)
+find_updated (const struct ds_fleet_view *view, uint32_t id)
 {
   struct ds_fleet_peer *member
       = g_hash_table_lookup (view->by_short_id, GUINT_TO_POINTER (id));
 
-  return member != NULL
-                 && (member->direct_ms == 0
-                     || now_ms - member->direct_ms
-                            >= DS_RELAY_DIRECT_TIMEOUT_MS)
-             ? member
-             : NULL;
+  return member != NULL && member->summary == view->summaries ? member : NULL;
 }
 
-/* Applies what SUMMARY says of hosts that it has listed.  */
+/* Applies what SUMMARY says of the hosts that it has updated.  */
 static void
 receive_conditions (struct ds_fleet_view *view,
-                    const Daisystep__Gossip__Summary *summary, uint64_t now_ms)
+                    const Daisystep__Gossip__Summary *summary)
 {
   for (size_t i = 0; i < summary->n_cut_hosts; i++)
     {
       struct ds_fleet_peer *member
-          = find_reported (view, summary->cut_hosts[i], now_ms);
+          = find_updated (view, summary->cut_hosts[i]);
 
       if (member != NULL)
         member->ledger_reachable = false;
@@ -522,35 +516,13 @@
   for (size_t i = 0; i < summary->n_strained_hosts; i++)
     {
       struct ds_fleet_peer *member
-          = find_reported (view, summary->strained_hosts[i], now_ms);
+          = find_updated (view, summary->strained_hosts[i]);
 
       if (member != NULL)
         member->info.strained = true;
     }
 }
 
-/* Lets the hosts of ZONE, or all hosts if it is empty, expire that the summary
-   did not list and that have not sent a datagram themselves.  */
-static void
-expire_unlisted (struct ds_fleet_view *view, struct ds_str zone,
-                 uint64_t now_ms)
-{
-  for (size_t i = 0; i < view->count; i++)
-    {
-      struct ds_fleet_peer *member = view->members[i];
-
-      if (member->info.last_seen_ms == 0 || member->info.last_seen_ms == now_ms
-          || (zone.length > 0 && !ds_str_equal (member->info.zone, zone))
-          || now_ms - member->direct_ms < DS_RELAY_DIRECT_TIMEOUT_MS
-          || now_ms - member->info.last_seen_ms < UNLISTED_EXPIRY_MS
-          || now_ms - member->info.last_seen_ms >= member->info.timeout_ms)
-        continue;
-      member->info.last_seen_ms = now_ms > member->info.timeout_ms
-                                      ? now_ms - member->info.timeout_ms
-                                      : 1;
-    }
-}
-
 static struct ds_fleet_zone *
 find_or_add_zone (struct ds_fleet_view *view, struct ds_str name)
 {
@@ -658,24 +630,25 @@
 
   if (zone.length == 0 && !ds_fleet_same_zone (view, sender))
     return;
+  view->summaries++;
   receive_records (view, summary);
-  receive_hosts (view, summary->ready_hosts, summary->n_ready_hosts, true,
-                 now_ms);
-  receive_hosts (view, summary->other_hosts, summary->n_other_hosts, false,
-                 now_ms);
-  receive_conditions (view, summary, now_ms);
+  if (summary->n_ready_hosts == summary->n_ready_ages)
+    receive_hosts (view, summary->ready_hosts, summary->ready_ages,
+                   summary->n_ready_hosts, true, now_ms);
+  if (summary->n_other_hosts == summary->n_other_ages)
+    receive_hosts (view, summary->other_hosts, summary->other_ages,
+                   summary->n_other_hosts, false, now_ms);
+  receive_conditions (view, summary);
   ds_fleet_receive_departures (view, summary->leaving, summary->n_leaving);
   ds_fleet_record_parts (view, summary->reads, summary->n_reads, now_ms);
   if (zone.length > 0)
     {
-      expire_unlisted (view, zone, now_ms);
       receive_zone_loads (view, summary, now_ms);
       return;
     }
-  /* A relay knows the hosts of its zone and the loads at first hand.  */
+  /* A relay adds up the loads itself.  */
   if (view->relay_rank >= 0)
     return;
   view->summary_ms = now_ms;
-  expire_unlisted (view, zone, now_ms);
   receive_fleet_loads (view, summary);
 }
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -83,6 +83,7 @@
   uint64_t relay_weight;
   uint64_t added_ms;
   uint64_t direct_ms;        /* time of its last datagram; 0 for never */
+  uint64_t summary;          /* number of the one that updated it last */
   uint64_t suspect_until_ms; /* not chosen as a relay before */
   uint64_t relay_since_ms;   /* while it is a relay of this zone */
   size_t introductions_left; /* summaries that carry its record */
@@ -162,8 +163,8 @@
   size_t zone_count;
   struct ds_fleet_peer *relays[DS_RELAYS_PER_ZONE]; /* null: this host */
   size_t relay_count;
-  int relay_rank;          /* of this host; -1 if it is no relay */
-  uint64_t relay_since_ms; /* while it is one */
+  int relay_rank;      /* of this host; -1 if it is no relay */
+  uint64_t summaries;  /* received; identifies the current one */
   uint64_t summary_ms; /* time of the last summary of the fleet; 0 for none */
   size_t intervals;
   size_t next_record[2]; /* member whose record the next summary of the zone,
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -990,7 +990,7 @@
   (ProtobufCMessageInit) daisystep__gossip__host_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[11] =
+static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[13] =
 {
   {
     "zone",
@@ -1124,13 +1124,39 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ready_ages",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Daisystep__Gossip__Summary, n_ready_ages),
+    offsetof(Daisystep__Gossip__Summary, ready_ages),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "other_ages",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Daisystep__Gossip__Summary, n_other_ages),
+    offsetof(Daisystep__Gossip__Summary, other_ages),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__summary__field_indices_by_name[] = {
   8,   /* field[8] = cut_hosts */
   10,   /* field[10] = leaving */
+  12,   /* field[12] = other_ages */
   2,   /* field[2] = other_hosts */
   5,   /* field[5] = prefill_units */
   6,   /* field[6] = reads */
+  11,   /* field[11] = ready_ages */
   1,   /* field[1] = ready_hosts */
   7,   /* field[7] = records */
   3,   /* field[3] = replicas */
@@ -1141,7 +1167,7 @@
 static const ProtobufCIntRange daisystep__gossip__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor =
 {
@@ -1151,7 +1177,7 @@
   "Daisystep__Gossip__Summary",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Summary),
-  11,
+  13,
   daisystep__gossip__summary__field_descriptors,
   daisystep__gossip__summary__field_indices_by_name,
   1,  daisystep__gossip__summary__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -163,8 +163,8 @@
 
 /*
  * What a relay knows of one zone or, with an empty zone, of the fleet. Hosts
- * and replicas are given by the low 32 bits of their hashes. A host of the zone
- * that is not listed is not alive.
+ * and replicas are given by the low 32 bits of their hashes. Only live hosts are
+ * listed.
  */
 struct  Daisystep__Gossip__Summary
 {
@@ -202,10 +202,18 @@
   uint32_t *strained_hosts;
   size_t n_leaving;
   uint64_t *leaving;
+  /*
+   * Time since the last datagram of each host to a relay of its zone, in units
+   * of 20 ms; at the same positions.
+   */
+  size_t n_ready_ages;
+  uint32_t *ready_ages;
+  size_t n_other_ages;
+  uint32_t *other_ages;
 };
 #define DAISYSTEP__GOSSIP__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__summary__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Daisystep__Gossip__Datagram
--- /dev/null
+++ b/tests/support/entry_site.h
@@ -0,0 +1,39 @@
+#ifndef TEST_SUPPORT_ENTRY_SITE_H
+#define TEST_SUPPORT_ENTRY_SITE_H
+
+#include "support/http.h"
+#include "support/process.h"
+#include "support/site.h"
+
+#include <jansson.h>
+
+#define ENTRY_HOSTS_MAX 32
+#define ENTRY_REPLICAS 2
+#define ENTRY_ADDRESS_BYTES 32
+#define ENTRY_OBJECTS "/daisystep/objects/"
+/* Upper bound of waits for a state; it only ends a run that hangs.  */
+#define ENTRY_WAIT_MS 20000
+#define ENTRY_POLL_MS 20
+
+/* Entry hosts with stand-ins for the platform's store and replicas.  */
+extern struct test_process *entry_store;
+extern struct test_process *entry_replicas[ENTRY_REPLICAS];
+extern struct test_process *entry_hosts[ENTRY_HOSTS_MAX];
+extern char entry_caller_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
+extern char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
+extern char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
+
+void entry_start_standins (long prepaid);
+void entry_put_config (long prepaid);
+void entry_put_replica (int i, const char *state);
+void entry_start_host (int i, const char *zone);
+void entry_wait_ready (int i);
+struct test_http_response *entry_request (int host, const char *method,
+                                          const char *path, const char *id,
+                                          const char *tokens);
+int entry_count_runs (const char *id);
+void entry_set_faults (const struct test_process *standin, const char *text);
+const char *entry_ledger_path (void);
+long entry_settled_tokens (void);
+
+#endif
