Apply transfers of tokens only at the incarnation they are meant for

With relays, the sender hears late of the restart.

Change: a datagram with transfers names the incarnation of the receiver; another one does not apply them and replies, and the sender drops them. Before the first contact a hello asks for the incarnation.

--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -285,8 +285,15 @@
 
   datagram->n_transfers = 0;
   datagram->n_transfer_acks = 0;
+  datagram->to_incarnation = member->info.incarnation;
+  datagram->hello = link != NULL && link->transfer_count > 0
+                    && member->info.incarnation == 0;
   if (link == NULL)
     return;
+  datagram->transfer_acks = link->acks;
+  datagram->n_transfer_acks = link->ack_count;
+  if (datagram->hello)
+    return;
   datagram->transfers = talloc_array (
       owner, Daisystep__Gossip__TokenTransfer *, TRANSFERS_MAX);
   for (size_t i = 0; i < link->transfer_count && datagram->transfers != NULL;
@@ -306,8 +313,6 @@
       transfer->to_home = pending->to_home;
       datagram->transfers[datagram->n_transfers++] = transfer;
     }
-  datagram->transfer_acks = link->acks;
-  datagram->n_transfer_acks = link->ack_count;
 }
 
 static void
@@ -401,8 +406,10 @@
     return false;
   if (datagram->incarnation > member->info.incarnation)
     {
-      /* Transfers to the previous incarnation are lost with it.  */
-      TALLOC_FREE (member->link);
+      /* Transfers to the previous incarnation are lost with it, which may have
+         applied them; none was sent before the first contact.  */
+      if (member->info.incarnation > 0)
+        TALLOC_FREE (member->link);
       member->info.incarnation = datagram->incarnation;
       ds_fleet_introduce (view, member);
     }
--- a/src/entry/fleet_tokens.c
+++ b/src/entry/fleet_tokens.c
@@ -437,6 +437,19 @@
   return ds_str_hash (workspace, 5);
 }
 
+/* Whether the transfers in DATAGRAM are meant for this incarnation.
+
+   A host that died may have passed on or used what it received without an
+   acknowledgement.  Its next incarnation got the same transfer again, and a
+   workspace spent 8,581 tokens more than it had prepaid.  */
+static bool
+is_for_this_incarnation (const struct ds_fleet_view *view,
+                         const Daisystep__Gossip__Datagram *datagram)
+{
+  return datagram->to_incarnation == 0
+         || datagram->to_incarnation == view->self.incarnation;
+}
+
 /* Applies transfers that were not applied before.  One that cannot be
    acknowledged now is left until it is sent again.  */
 static void
@@ -685,8 +698,10 @@
       || (!datagram->partial && !ds_gossip_uses_relays (view->count)))
     receive_holdings (member, datagram, now_ms);
   receive_acks (member, datagram);
-  if (datagram->n_transfers > 0)
+  if (datagram->n_transfers > 0 && is_for_this_incarnation (view, datagram))
     receive_transfers (view, member, datagram);
+  else if (datagram->n_transfers > 0 || datagram->hello)
+    send_reply (view, member, DS_STR_EMPTY);
   handle_requests (view, member, datagram, now_ms);
   if (datagram->n_holdings > 0)
     view->handlers.on_holdings (view->handlers.user_data);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -1184,7 +1184,7 @@
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[22] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[24] =
 {
   {
     "host",
@@ -1450,6 +1450,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "to_incarnation",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, to_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, hello),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -1458,6 +1482,7 @@
   9,   /* field[9] = crashes */
   6,   /* field[6] = draining */
   5,   /* field[5] = gossip_address */
+  23,   /* field[23] = hello */
   14,   /* field[14] = holdings */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
@@ -1471,6 +1496,7 @@
   7,   /* field[7] = sequence */
   20,   /* field[20] = strained */
   18,   /* field[18] = summary */
+  22,   /* field[22] = to_incarnation */
   12,   /* field[12] = transfer_acks */
   11,   /* field[11] = transfers */
   2,   /* field[2] = zone */
@@ -1478,7 +1504,7 @@
 static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1488,7 +1514,7 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  22,
+  24,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
   1,  daisystep__gossip__datagram__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -273,10 +273,21 @@
    */
   size_t n_leaving;
   uint64_t *leaving;
+  /*
+   * The incarnation of the receiver for which the transfers are meant. Another
+   * one does not apply them: the one before may have done so. 0 is sent by
+   * hosts of an earlier version.
+   */
+  uint64_t to_incarnation;
+  /*
+   * The sender does not know the incarnation of the receiver and asks for a
+   * reply.
+   */
+  protobuf_c_boolean hello;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
--- /dev/null
+++ b/tests/test_fleet_view.c
@@ -0,0 +1,328 @@
+#include "entry/fleet_view.h"
+#include "io/event_context.h"
+#include "io/socket_address.h"
+#include "proto/gossip.pb-c.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* One host and a peer that is played by the test.  */
+static struct tevent_context *ev;
+static struct ds_replica_set *replicas;
+static struct ds_crash_counter *crashes;
+static struct ds_fleet_view *view;
+static char host_address[32];
+static char peer_address[32];
+static int peer;
+static uint64_t tokens; /* received by the host */
+
+static size_t
+list_holdings (struct ds_token_holding *out, void *user_data)
+{
+  (void)out;
+  (void)user_data;
+  return 0;
+}
+
+static struct ds_token_holding
+get_holding (struct ds_str workspace, void *user_data)
+{
+  (void)workspace;
+  (void)user_data;
+  return (struct ds_token_holding){ .tokens = 0 };
+}
+
+static uint64_t
+on_token_request (struct ds_str workspace, uint64_t asked, uint64_t needed,
+                  void *user_data)
+{
+  (void)workspace;
+  (void)asked;
+  (void)user_data;
+  return needed;
+}
+
+static void
+on_token_transfer (struct ds_str workspace,
+                   const struct ds_token_transfer *transfer,
+                   struct ds_str sender, void *user_data)
+{
+  (void)workspace;
+  (void)sender;
+  (void)user_data;
+  tokens += transfer->tokens;
+}
+
+static void
+on_holdings (void *user_data)
+{
+  (void)user_data;
+}
+
+/* Starts the host, or its next incarnation.  */
+static void
+start (uint64_t incarnation)
+{
+  struct ds_fleet_self self = {
+    .host = DS_STR ("host"),
+    .incarnation = incarnation,
+    .zone = DS_STR ("z"),
+    .region = DS_STR ("r"),
+    .caller_address = DS_STR ("127.0.0.1:1"),
+    .gossip_address = ds_str_from_c (host_address),
+    .capacity = 25,
+  };
+  struct ds_fleet_handlers handlers = {
+    .list_holdings = list_holdings,
+    .get_holding = get_holding,
+    .on_token_request = on_token_request,
+    .on_token_transfer = on_token_transfer,
+    .on_holdings = on_holdings,
+  };
+  struct ds_error error = DS_ERROR_NONE;
+
+  talloc_free (view);
+  ck_assert_int_eq (ds_fleet_view_new (&view, ev, ev, &self, replicas, crashes,
+                                       &handlers, &error),
+                    0);
+}
+
+static void
+set_up (void)
+{
+  struct ds_socket_address address;
+  int pid = (int)getpid ();
+
+  (void)snprintf (host_address, sizeof host_address, "127.5.%d.%d:18090",
+                  pid / 250 % 250 + 1, pid % 250 + 1);
+  (void)snprintf (peer_address, sizeof peer_address, "127.5.%d.%d:18091",
+                  pid / 250 % 250 + 1, pid % 250 + 1);
+  tokens = 0;
+  view = NULL;
+  ev = ds_event_context_new (NULL);
+  ck_assert_ptr_nonnull (ev);
+  ck_assert_int_eq (ds_replica_set_new (&replicas, ev), 0);
+  ck_assert_int_eq (ds_crash_counter_new (&crashes, ev), 0);
+  ck_assert_int_eq (
+      ds_socket_address_parse (&address, ds_str_from_c (peer_address)), 0);
+  peer = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+  ck_assert_int_ge (peer, 0);
+  ck_assert_int_eq (
+      bind (peer, (struct sockaddr *)&address.storage, address.length), 0);
+  start (1);
+}
+
+static void
+tear_down (void)
+{
+  (void)close (peer);
+  talloc_free (ev);
+}
+
+/* Lets the host read what was sent to it.  */
+static void
+run_host (void)
+{
+  ck_assert_int_eq (tevent_loop_once (ev), 0);
+}
+
+static void
+init_datagram (Daisystep__Gossip__Datagram *datagram)
+{
+  static char name[] = "peer";
+  static char zone[] = "z";
+
+  daisystep__gossip__datagram__init (datagram);
+  datagram->host = name;
+  datagram->incarnation = 7;
+  datagram->zone = zone;
+  datagram->region = zone;
+  datagram->caller_address = peer_address;
+  datagram->gossip_address = peer_address;
+  datagram->partial = true;
+}
+
+static void
+send_datagram (const Daisystep__Gossip__Datagram *datagram)
+{
+  struct ds_socket_address address;
+  uint8_t bytes[2048];
+  size_t size = daisystep__gossip__datagram__pack (datagram, bytes);
+
+  ck_assert_int_eq (
+      ds_socket_address_parse (&address, ds_str_from_c (host_address)), 0);
+  ck_assert_int_eq (sendto (peer, bytes, size, 0,
+                            (struct sockaddr *)&address.storage,
+                            address.length),
+                    (ssize_t)size);
+  run_host ();
+}
+
+/* Sends a transfer of 100 tokens for INCARNATION of the host.  */
+static void
+send_transfer (uint64_t number, uint64_t incarnation)
+{
+  static char workspace[] = "north";
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__TokenTransfer transfer;
+  Daisystep__Gossip__TokenTransfer *transfers[] = { &transfer };
+
+  init_datagram (&datagram);
+  daisystep__gossip__token_transfer__init (&transfer);
+  transfer.number = number;
+  transfer.workspace = workspace;
+  transfer.tokens = 100;
+  datagram.transfers = transfers;
+  datagram.n_transfers = 1;
+  datagram.to_incarnation = incarnation;
+  send_datagram (&datagram);
+}
+
+/* Returns the next datagram of the host to the peer, or null.  */
+static Daisystep__Gossip__Datagram *
+receive_datagram (void)
+{
+  static uint8_t bytes[65536];
+  ssize_t count = recv (peer, bytes, sizeof bytes, 0);
+
+  return count < 0 ? NULL
+                   : daisystep__gossip__datagram__unpack (NULL, (size_t)count,
+                                                          bytes);
+}
+
+/* Guards against tokens that are made by a lost acknowledgement.  */
+START_TEST (a_transfer_counts_once)
+{
+  send_transfer (1, 1);
+  send_transfer (1, 1);
+  ck_assert_uint_eq (tokens, 100);
+  send_transfer (2, 1);
+  ck_assert_uint_eq (tokens, 200);
+}
+END_TEST
+
+/* Guards against an overspend: the host received a transfer, used it and died
+   before its acknowledgement arrived, and the transfer is sent again to its
+   next incarnation.  */
+START_TEST (a_transfer_to_an_earlier_incarnation_does_not_count)
+{
+  Daisystep__Gossip__Datagram *reply;
+  bool told = false;
+
+  send_transfer (1, 1);
+  ck_assert_uint_eq (tokens, 100);
+  start (2);
+  send_transfer (1, 1);
+  ck_assert_uint_eq (tokens, 100);
+  /* The reply tells the peer of the new incarnation.  */
+  while ((reply = receive_datagram ()) != NULL)
+    {
+      told = told || reply->incarnation == 2;
+      daisystep__gossip__datagram__free_unpacked (reply, NULL);
+    }
+  ck_assert (told);
+  send_transfer (2, 2);
+  ck_assert_uint_eq (tokens, 200);
+}
+END_TEST
+
+/* Guards against a transfer to a host that may have restarted since it was
+   listed: before the first contact only a hello is sent.  */
+START_TEST (nothing_is_transferred_before_the_first_contact)
+{
+  struct ds_fleet_registration registration = {
+    .host = DS_STR ("peer"),
+    .zone = DS_STR ("z"),
+    .region = DS_STR ("r"),
+    .caller_address = DS_STR ("127.0.0.1:2"),
+    .gossip_address = ds_str_from_c (peer_address),
+    .capacity = 25,
+  };
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__Datagram *received;
+
+  ds_fleet_view_add (view, &registration);
+  ds_fleet_view_tick (view, 1000);
+  received = receive_datagram ();
+  ck_assert_ptr_nonnull (received);
+  ck_assert_uint_eq (received->to_incarnation, 0);
+  ck_assert_uint_eq (received->n_transfers, 0);
+  daisystep__gossip__datagram__free_unpacked (received, NULL);
+  /* A hello is answered with the incarnation of the host.  */
+  init_datagram (&datagram);
+  datagram.hello = true;
+  send_datagram (&datagram);
+  received = receive_datagram ();
+  ck_assert_ptr_nonnull (received);
+  ck_assert_uint_eq (received->incarnation, 1);
+  ck_assert_uint_eq (received->to_incarnation, 7);
+  daisystep__gossip__datagram__free_unpacked (received, NULL);
+}
+END_TEST
+
+/* Guards against a host that ends, or stops listening, because of what arrives
+   on its gossip port.  */
+START_TEST (malformed_datagrams_are_ignored)
+{
+  struct ds_socket_address address;
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__Summary summary;
+  uint32_t ids[] = { 1, 2, 3 };
+  uint8_t bytes[512];
+
+  ck_assert_int_eq (
+      ds_socket_address_parse (&address, ds_str_from_c (host_address)), 0);
+  srand (1);
+  for (int i = 0; i < 200; i++)
+    {
+      size_t size = (size_t)(rand () % (int)sizeof bytes);
+
+      for (size_t k = 0; k < size; k++)
+        bytes[k] = (uint8_t)rand ();
+      ck_assert_int_eq (sendto (peer, bytes, size, 0,
+                                (struct sockaddr *)&address.storage,
+                                address.length),
+                        (ssize_t)size);
+      run_host ();
+    }
+  /* Columns of different lengths.  */
+  init_datagram (&datagram);
+  daisystep__gossip__summary__init (&summary);
+  summary.ready_hosts = ids;
+  summary.n_ready_hosts = 3;
+  summary.replicas = ids;
+  summary.n_replicas = 3;
+  summary.running = ids;
+  summary.n_running = 1;
+  datagram.summary = &summary;
+  send_datagram (&datagram);
+  send_transfer (1, 1);
+  ck_assert_uint_eq (tokens, 100);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("fleet_view");
+  TCase *test_case = tcase_create ("fleet_view");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_add_test (test_case, a_transfer_counts_once);
+  tcase_add_test (test_case,
+                  a_transfer_to_an_earlier_incarnation_does_not_count);
+  tcase_add_test (test_case, nothing_is_transferred_before_the_first_contact);
+  tcase_add_test (test_case, malformed_datagrams_are_ignored);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
