--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -12,9 +12,10 @@
    longer, as long as bytes keep coming, up to a total of MAX.  */
 #define PROGRESS_TIMEOUT_MS 1000
 #define PROGRESS_TOTAL_MAX_MS 10000
-/* Longer responses are given up: lists have 1 MB, and a watch after an outage
-   some changes of 1 MB at most.  */
-#define RESPONSE_BYTES_MAX 8388608
+/* Longer responses are given up: lists have 1 MB, and after a watch with too
+   many changes of 1 MB a list follows.  With 8 MiB, two lists without end took
+   a quarter of a host with 88 MB.  */
+#define RESPONSE_BYTES_MAX 4194304
 /* The store leaves bytes unacknowledged for this time only when the path is
    broken.  */
 #define UNACKED_TIMEOUT_MS 1500
--- a/tests/standins/platform_replica.c
+++ b/tests/standins/platform_replica.c
@@ -10,7 +10,8 @@
 /* Stand-in for a replica of the platform.  It responds with its id and the
    body, or as set by POST /standin/faults: "shed", "fail" and "drop" are the
    numbers of requests that it rejects, fails, or executes without a response;
-   "cut_after" is the event after which the next stream is truncated.
+   "cut_after" is the event after which the next stream is truncated; "endless"
+   is the number of requests that get status 500 and a body without end.
    GET /standin/runs returns the executed requests.  */
 
 #define EVENTS 6
@@ -24,6 +25,7 @@
   json_int_t shed;
   json_int_t fail;
   json_int_t drop;
+  json_int_t endless;
   json_int_t cut_after;
 };
 
@@ -119,6 +121,31 @@
   return result;
 }
 
+static ssize_t
+read_endless (void *state, uint64_t position, char *buffer, size_t size)
+{
+  (void)state;
+  (void)position;
+  memset (buffer, 'x', size);
+  return (ssize_t)size;
+}
+
+static enum MHD_Result
+respond_endless (struct standin_request *request)
+{
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, 16384, read_endless, NULL, NULL);
+  enum MHD_Result result;
+
+  (void)MHD_add_response_header (
+      response, "Request-Id", standin_request_header (request, "Request-Id"));
+  (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  result = MHD_queue_response (request->connection,
+                               MHD_HTTP_INTERNAL_SERVER_ERROR, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
 static const char *
 or_empty (const char *text)
 {
@@ -132,6 +159,7 @@
   bool shed;
   bool fail;
   bool drop;
+  bool endless;
   char text[128];
 
   if (expected != NULL && strcmp (expected, replica->id) != 0)
@@ -140,6 +168,7 @@
   shed = consume_fault (&replica->shed);
   fail = !shed && consume_fault (&replica->fail);
   drop = !shed && !fail && consume_fault (&replica->drop);
+  endless = !shed && !fail && !drop && consume_fault (&replica->endless);
   if (!shed)
     json_array_append_new (
         replica->runs,
@@ -159,6 +188,8 @@
     return respond (request, 500, "failed", false, replica->id);
   if (drop)
     return standin_close_connection (request);
+  if (endless)
+    return respond_endless (request);
   if (strstr (request->path, "/stream/") != NULL)
     return respond_stream (replica, request);
   (void)snprintf (text, sizeof text, "%s:%.*s", replica->id,
@@ -175,6 +206,7 @@
   replica->shed = json_integer_value (json_object_get (body, "shed"));
   replica->fail = json_integer_value (json_object_get (body, "fail"));
   replica->drop = json_integer_value (json_object_get (body, "drop"));
+  replica->endless = json_integer_value (json_object_get (body, "endless"));
   replica->cut_after
       = json_integer_value (json_object_get (body, "cut_after"));
   pthread_mutex_unlock (&replica->lock);
--- a/tests/standins/platform_store.c
+++ b/tests/standins/platform_store.c
@@ -9,8 +9,8 @@
 /* Stand-in for the platform's store: objects by kind and name, one revision
    counter, lists, watches and conditional writes, in the platform's format.
    POST /standin/faults accepts "busy" (status 503), "busy_kind" (status 503 to
-   calls about this kind), "silent" (no response),
-   "lose_answers" (the number of ledger writes that take effect without a
+   calls about this kind), "silent" (no response), "endless" (lists without
+   end), "lose_answers" (the number of ledger writes that take effect without a
    response) and "compact" (discards the history).  GET /standin/counts returns
    the number of watch requests and of ledger writes.  */
 
@@ -26,6 +26,7 @@
   json_int_t history_start;
   bool busy;
   bool silent;
+  bool endless;
   char busy_kind[64]; /* empty for none */
   json_int_t lose_answers;
   json_int_t watches;
@@ -66,6 +67,27 @@
          == 0;
 }
 
+static ssize_t
+read_endless (void *state, uint64_t position, char *buffer, size_t size)
+{
+  (void)state;
+  (void)position;
+  memset (buffer, ' ', size);
+  return (ssize_t)size;
+}
+
+static enum MHD_Result
+respond_endless (struct standin_request *request)
+{
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, 16384, read_endless, NULL, NULL);
+  enum MHD_Result result
+      = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
+
+  MHD_destroy_response (response);
+  return result;
+}
+
 static enum MHD_Result
 list_objects (struct store *store, struct standin_request *request,
               const char *kind)
@@ -260,6 +282,7 @@
                   busy_kind != NULL ? busy_kind : "");
   store->busy = json_is_true (json_object_get (body, "busy"));
   store->silent = json_is_true (json_object_get (body, "silent"));
+  store->endless = json_is_true (json_object_get (body, "endless"));
   store->lose_answers
       = json_integer_value (json_object_get (body, "lose_answers"));
   if (json_is_true (json_object_get (body, "compact")))
@@ -293,6 +316,7 @@
   char *slash;
   bool busy;
   bool silent;
+  bool endless;
 
   if (standin_request_matches (request, "POST", "/standin/faults"))
     return set_faults (store, request);
@@ -303,6 +327,7 @@
   pthread_mutex_lock (&store->lock);
   busy = store->busy;
   silent = store->silent;
+  endless = store->endless;
   if (standin_request_query (request, "watch") != NULL)
     store->watches++;
   else if (strcmp (request->method, "GET") != 0
@@ -323,6 +348,8 @@
   if (busy)
     return standin_respond_error (request, MHD_HTTP_SERVICE_UNAVAILABLE,
                                   "busy");
+  if (endless && slash == NULL && strcmp (request->method, "GET") == 0)
+    return respond_endless (request);
   if (strcmp (request->method, "POST") == 0
       || strcmp (request->method, "PUT") == 0)
     return write_object (store, request, kind, slash);
--- a/tests/test_allotment.c
+++ b/tests/test_allotment.c
@@ -219,7 +219,8 @@
       else if (choice < 99)
         {
           /* Hosts need not agree on who the home is.  */
-          host->allotment.home = (enum ds_allotment_home) (rand () % 3);
+          host->allotment.home = (enum ds_allotment_home) (rand () % 4);
+          host->allotment.demand_is_requested = rand () % 2 == 0;
           host->allotment.home_timed_out = rand () % 2 == 0;
         }
       else if (rand () % 40 == 0)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -467,6 +467,72 @@
 }
 END_TEST
 
+/* The most resident memory that the host has used, in KiB.  */
+static long
+peak_memory_kib (const struct test_process *host)
+{
+  char path[64];
+  char line[128];
+  long kib = -1;
+  FILE *file;
+
+  (void)snprintf (path, sizeof path, "/proc/%d/status", (int)host->pid);
+  file = fopen (path, "r");
+  ck_assert_ptr_nonnull (file);
+  while (kib < 0 && fgets (line, sizeof line, file) != NULL)
+    if (strncmp (line, "VmHWM:", 6) == 0)
+      kib = strtol (line + 6, NULL, 10);
+  (void)fclose (file);
+  return kib;
+}
+
+/* Memory that a host may use for an answer without end, in KiB: a quarter of
+   the smallest host's 88 MB, beside what it uses anyway.  */
+#define ENDLESS_MEMORY_KIB 22000
+
+/* Guards against a host that keeps a failed answer without end in memory, and
+   against a request that never ends.  */
+START_TEST (a_body_without_end_is_given_up)
+{
+  long before = peak_memory_kib (entry_hosts[0]);
+
+  set_replica_faults ("{\"endless\":1}");
+  ck_assert_int_eq (
+      entry_request (0, "POST", "/book/1", "id-endless", NULL)->status, 502);
+  ck_assert_int_eq (entry_count_runs ("id-endless"), 1);
+  ck_assert_int_lt (peak_memory_kib (entry_hosts[0]) - before,
+                    ENDLESS_MEMORY_KIB);
+  set_replica_faults ("{}");
+  ck_assert_int_eq (
+      entry_request (0, "POST", "/book/1", "id-next", NULL)->status, 200);
+}
+END_TEST
+
+/* Guards against a host that keeps a list of the store without end in memory:
+   it serves on with what it knows, and continues when the store is sound.  */
+START_TEST (a_list_without_end_is_given_up)
+{
+  long before;
+
+  (void)test_process_signal (entry_hosts[0], SIGKILL);
+  ck_assert (test_process_wait (entry_hosts[0], ENTRY_WAIT_MS));
+  entry_set_faults (entry_store, "{\"endless\":true}");
+  entry_start_host (0, "z");
+  while (entry_request (0, "GET", "/look/1", "id-n", NULL)->status == 0)
+    test_sleep_ms (ENTRY_POLL_MS);
+  before = peak_memory_kib (entry_hosts[0]);
+  test_sleep_ms (3000);
+  ck_assert_int_lt (peak_memory_kib (entry_hosts[0]) - before,
+                    ENDLESS_MEMORY_KIB);
+  ck_assert_int_eq (entry_request (0, "GET", "/look/1", "id-l", NULL)->status,
+                    503);
+  entry_set_faults (entry_store, "{}");
+  entry_wait_ready (0);
+  ck_assert_int_eq (entry_request (0, "GET", "/look/1", "id-m", NULL)->status,
+                    200);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -496,6 +562,8 @@
   tcase_add_test (test_case, one_host_writes_the_ledger_page);
   tcase_add_test (test_case, a_host_without_configuration_answers_503);
   tcase_add_test (test_case, a_host_is_ready_once_it_knows_the_replicas);
+  tcase_add_test (test_case, a_body_without_end_is_given_up);
+  tcase_add_test (test_case, a_list_without_end_is_given_up);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
