--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -10,7 +10,7 @@
 #define DATAGRAM_BYTES_MAX 16384
 /* Times that a host sends a part towards the relays, and a relay to each host
    of its zone; tolerates the loss of one datagram.  */
-#define PART_SENDS_WITH_RELAYS 2U
+#define PART_SENDS_WITH_RELAYS ((size_t)2)
 
 static char *
 c_string (TALLOC_CTX *owner, struct ds_str text)
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -13,7 +13,7 @@
    introduction gets it later.  */
 #define SUMMARY_RECORDS_IN_TURN 4
 /* Summaries that carry the record of a host that has just been seen.  */
-#define INTRODUCTIONS (3U * DS_RELAY_DOWNLINK_INTERVALS)
+#define INTRODUCTIONS ((size_t)3 * DS_RELAY_DOWNLINK_INTERVALS)
 /* Loads of another zone, or of the fleet, are used for this long.  */
 #define LOADS_VALID_MS 2000
 /* Tokens in one unit of prefill in a summary.  */
