Homes through an outage for all; connect timeout of the store by the link

Change: in a large fleet a host that has regained the ledger may be a home at once, and does not try in vain while its last call failed; small fleets draw each for itself for 1.5 s, as before. The connect timeout is longer only while the host is strained.

--- a/src/core/budget_home.c
+++ b/src/core/budget_home.c
@@ -67,21 +67,36 @@
   return ds_str_hash (host, ds_str_hash (ds_str_from_c (name), GROUP_SEED));
 }
 
-/* Applies a report of a host; returns whether COUNTED has changed.  */
+/* Whether the host may be a home while most hosts reach the ledger.
+
+   Load: the store returns after an outage for all hosts, which notice within a
+   second.  In a small fleet no host is a home until it has reached the ledger
+   for some time, and each draws for itself.  In a LARGE_FLEET they would be in
+   each other's way, and the first ones would be homes of all pages; there, a
+   host that has regained the ledger counts at once.  */
+bool
+ds_ledger_access_allows_home (const struct ds_ledger_access *access,
+                              bool large_fleet)
+{
+  return access->counted || (large_fleet && access->reached);
+}
+
+/* Applies a report of a host; returns whether it has changed anything.  */
 bool
 ds_ledger_access_update (struct ds_ledger_access *access, bool reached,
                          uint64_t now_ms)
 {
+  struct ds_ledger_access before = *access;
+
   if (access->reached != reached)
     {
       access->reached = reached;
       access->changed_ms = now_ms;
     }
-  if (access->counted == reached
-      || now_ms - access->changed_ms < DS_HOME_LEDGER_DELAY_MS)
-    return false;
-  access->counted = reached;
-  return true;
+  if (now_ms - access->changed_ms >= DS_HOME_LEDGER_DELAY_MS)
+    access->counted = reached;
+  return before.reached != access->reached
+         || before.counted != access->counted;
 }
 
 /* Whether hosts that do not reach the ledger are left out as homes.
--- a/src/core/budget_home.h
+++ b/src/core/budget_home.h
@@ -22,6 +22,8 @@
 
 bool ds_ledger_access_update (struct ds_ledger_access *access, bool reached,
                               uint64_t now_ms);
+bool ds_ledger_access_allows_home (const struct ds_ledger_access *access,
+                                   bool large_fleet);
 bool ds_budget_homes_need_ledger (size_t hosts, size_t with_ledger);
 uint64_t ds_budget_home_weight (struct ds_str host, uint32_t page);
 double ds_capacity_score (uint64_t weight, uint32_t capacity);
--- a/src/entry/budget_manager.c
+++ b/src/entry/budget_manager.c
@@ -588,6 +588,11 @@
       request_tokens (manager, allotment, true, now_ms);
       return DS_BUDGET_WAITING;
     }
+  /* In a large fleet, hosts that try in vain are many: the watches find out
+     when the store is back.  */
+  if (peer_state.demand_is_requested
+      && !ds_store_client_is_reachable (manager->options.store))
+    reachable = false;
   if (reachable && !is_exhausted (allotment, now_ms))
     {
       allotment->home_timed_out = true;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -586,6 +586,7 @@
   entry->callers.shedding = strained;
   entry->addresses.strained = strained;
   ds_fleet_view_set_strained (entry->fleet, strained);
+  ds_store_client_set_slow_link (entry->store, strained);
   line = ds_decision_line_begin (strained ? "host_strained" : "host_relieved",
                                  DS_STR_EMPTY);
   ds_decision_line_add_number (&line, "connect_ms",
--- a/src/entry/fleet_tokens.c
+++ b/src/entry/fleet_tokens.c
@@ -146,6 +146,7 @@
 choose_root (const struct ds_fleet_view *view, uint32_t page)
 {
   struct ds_fleet_choice choice = { .home = DS_HOME_UNKNOWN };
+  bool large = ds_gossip_uses_relays (view->count);
   double best = 0;
 
   for (size_t i = 0; i < view->count; i++)
@@ -154,7 +155,8 @@
       double score;
 
       if (!member->eligible
-          || (view->homes_need_ledger && !member->ledger.counted))
+          || (view->homes_need_ledger
+              && !ds_ledger_access_allows_home (&member->ledger, large)))
         continue;
       score
           = ds_capacity_score (ds_budget_home_weight (member->info.host, page),
@@ -165,7 +167,9 @@
       choice.home = DS_HOME_OTHER;
       choice.member = member;
     }
-  if (view->eligible && (!view->homes_need_ledger || view->ledger.counted)
+  if (view->eligible
+      && (!view->homes_need_ledger
+          || ds_ledger_access_allows_home (&view->ledger, large))
       && (choice.member == NULL
           || ds_capacity_score (ds_budget_home_weight (view->self.host, page),
                                 view->self.capacity)
--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -4,10 +4,11 @@
 #include "io/timer.h"
 
 /* The store accepts a connection within milliseconds.  After a lost SYN, a new
-   attempt is sooner than the system's retransmission after one second. Doubled
-   with each failure, since the own link may be what delays it.  */
+   attempt is sooner than the system's retransmission after one second.  Longer
+   if the own link delays each connection: doubled timeouts for all hosts cost
+   a second after each outage.  */
 #define CONNECT_TIMEOUT_MS 400
-#define CONNECT_TIMEOUT_MAX_MS 1200
+#define CONNECT_TIMEOUT_SLOW_LINK_MS 1200
 /* A response that still arrives at the end of a call's time may take this much
    longer, as long as bytes keep coming, up to a total of MAX.  */
 #define PROGRESS_TIMEOUT_MS 1000
@@ -198,7 +199,6 @@
 
   pending->status = head->status;
   pending->progress = true;
-  pending->client->connect_timeout_ms = CONNECT_TIMEOUT_MS;
   return true;
 }
 
@@ -240,10 +240,6 @@
       return;
     }
   pending->client->unreachable = true;
-  if (pending->client->connect_timeout_ms < CONNECT_TIMEOUT_MAX_MS)
-    pending->client->connect_timeout_ms *= 2;
-  if (pending->client->connect_timeout_ms > CONNECT_TIMEOUT_MAX_MS)
-    pending->client->connect_timeout_ms = CONNECT_TIMEOUT_MAX_MS;
   /* Nothing was sent: the call cannot have been executed.  */
   ds_metric_add (DS_METRIC_PLATFORM_ERRORS, 1);
   TALLOC_FREE (pending->timer);
@@ -362,6 +358,14 @@
   talloc_free (pending);
 }
 
+/* Sets whether the link of this host delays its connections.  */
+void
+ds_store_client_set_slow_link (struct ds_store_client *client, bool slow)
+{
+  client->connect_timeout_ms
+      = slow ? CONNECT_TIMEOUT_SLOW_LINK_MS : CONNECT_TIMEOUT_MS;
+}
+
 /* False from a failed call to the next one that succeeds.  */
 bool
 ds_store_client_is_reachable (const struct ds_store_client *client)
--- a/src/entry/store_client.h
+++ b/src/entry/store_client.h
@@ -39,6 +39,7 @@
                           uint32_t timeout_ms, ds_store_done_fn *on_done,
                           void *user_data);
 void ds_store_pending_call_cancel (struct ds_store_pending_call *pending);
+void ds_store_client_set_slow_link (struct ds_store_client *client, bool slow);
 bool ds_store_client_is_reachable (const struct ds_store_client *client);
 uint64_t ds_store_client_calls (const struct ds_store_client *client);
 
