--- a/tests/test_entry_fleet.c
+++ b/tests/test_entry_fleet.c
@@ -28,10 +28,10 @@
   test_processes_clean_up ();
 }
 
-/* Number of hosts whose address host I gives out to callers of ZONE, over
-   callers at many addresses would differ; all come from one here.  */
+/* Whether host I offers the address of host OTHER to callers of its zone.  All
+   queries of a test come from one address, so the answers are stable.  */
 static bool
-names_host (int i, int other)
+offers_host (int i, int other)
 {
   char path[96];
   struct test_http_call call
@@ -44,35 +44,35 @@
          != NULL;
 }
 
-/* Waits until host I names a host of ZONE other than EXCEPT; returns it.  */
+/* Waits until host I offers a host of ZONE other than EXCEPT; returns it.  */
 static int
-wait_for_named (int i, int zone, int except)
+wait_for_offer (int i, int zone, int except)
 {
   for (int waited = 0; waited < ENTRY_WAIT_MS; waited += ENTRY_POLL_MS)
     {
       for (int other = zone; other < HOSTS; other += ZONES)
-        if (other != except && other != i && names_host (i, other))
+        if (other != except && other != i && offers_host (i, other))
           return other;
       test_sleep_ms (ENTRY_POLL_MS);
     }
-  ck_abort_msg ("host %d names no host of zone %d", i, zone);
+  ck_abort_msg ("host %d offers no host of zone %d", i, zone);
 }
 
 /* Guards against hosts of a large fleet that do not learn of those in another
    zone, and that go on offering one that was killed.  */
 START_TEST (addresses_of_other_zones_follow_the_fleet)
 {
-  int named = wait_for_named (0, 1, -1);
+  int offered = wait_for_offer (0, 1, -1);
   int waited = 0;
 
-  (void)test_process_signal (entry_hosts[named], SIGKILL);
-  while (names_host (0, named) && waited < ENTRY_WAIT_MS)
+  (void)test_process_signal (entry_hosts[offered], SIGKILL);
+  while (offers_host (0, offered) && waited < ENTRY_WAIT_MS)
     {
       test_sleep_ms (ENTRY_POLL_MS);
       waited += ENTRY_POLL_MS;
     }
-  ck_assert (!names_host (0, named));
-  (void)wait_for_named (0, 1, named);
+  ck_assert (!offers_host (0, offered));
+  (void)wait_for_offer (0, 1, offered);
 }
 END_TEST
 
@@ -84,7 +84,7 @@
   long served = 0;
   char id[32];
 
-  (void)wait_for_named (0, 1, -1);
+  (void)wait_for_offer (0, 1, -1);
   for (int round = 0; round < 3; round++)
     for (int i = 0; i < HOSTS; i++)
       {
@@ -117,7 +117,7 @@
   long served = 0;
   char id[32];
 
-  (void)wait_for_named (0, 1, -1);
+  (void)wait_for_offer (0, 1, -1);
   for (int i = 0; i < HOSTS; i++)
     {
       (void)snprintf (id, sizeof id, "before-%d", i);
