--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -264,6 +264,47 @@
 }
 END_TEST
 
+/* Guards against requests to a replica that has left, at a host whose watch of
+   the store is late: another host's report counts, and is passed on.  */
+START_TEST (a_reported_departure_ends_the_use_of_a_replica)
+{
+  struct ds_replica_record record = {
+    .id = DS_STR ("i-1"),
+    .start_time_ms = 5,
+    .service = DS_STR ("pool"),
+    .address = DS_STR ("127.0.0.1:9"),
+    .zone = DS_STR ("z"),
+    .slots = 8,
+  };
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__Datagram *received;
+  struct ds_replica *replica;
+  uint64_t hash;
+  bool passed_on = false;
+
+  ck_assert_int_eq (ds_replica_set_put (replicas, &record), 0);
+  replica = ds_replica_set_at (replicas, 0);
+  hash = replica->hash;
+  init_datagram (&datagram);
+  datagram.leaving = &hash;
+  datagram.n_leaving = 1;
+  send_datagram (&datagram);
+  ck_assert (!ds_replica_accepts_requests (replica));
+  ds_fleet_view_tick (view, 1000);
+  while ((received = receive_datagram ()) != NULL)
+    {
+      for (size_t i = 0; i < received->n_leaving; i++)
+        passed_on = passed_on || received->leaving[i] == hash;
+      daisystep__gossip__datagram__free_unpacked (received, NULL);
+    }
+  ck_assert (passed_on);
+  /* Its next incarnation is another replica.  */
+  record.start_time_ms = 6;
+  ck_assert_int_eq (ds_replica_set_put (replicas, &record), 0);
+  ck_assert (ds_replica_accepts_requests (ds_replica_set_at (replicas, 0)));
+}
+END_TEST
+
 /* Guards against a host that ends, or stops listening, because of what arrives
    on its gossip port.  */
 START_TEST (malformed_datagrams_are_ignored)
@@ -318,6 +359,7 @@
   tcase_add_test (test_case,
                   a_transfer_to_an_earlier_incarnation_does_not_count);
   tcase_add_test (test_case, nothing_is_transferred_before_the_first_contact);
+  tcase_add_test (test_case, a_reported_departure_ends_the_use_of_a_replica);
   tcase_add_test (test_case, malformed_datagrams_are_ignored);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
