Log the age of the configuration that decides a request

Cause: with the logs as they were, a host that waits for a watch whose response was lost looks like one whose store is idle, and like one that has ignored a response.

Change: 'placed' and a request_end without a run carry the version of the configuration and the time since the store's last response about it; 'config_ignored' tells of an older version that arrived.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -142,6 +142,20 @@
   (void)ds_caller_accept (user_data, fd);
 }
 
+static void
+log_ignored_config (const struct ds_entry *entry,
+                    const struct ds_store_object *object, uint64_t version)
+{
+  struct ds_decision_line line
+      = ds_decision_line_begin ("config_ignored", DS_STR_EMPTY);
+
+  ds_decision_line_add_number (&line, "version", (int64_t)version);
+  ds_decision_line_add_number (&line, "revision", (int64_t)object->revision);
+  ds_decision_line_add_number (&line, "in_force",
+                               (int64_t)entry->exchanges.config->version);
+  ds_decision_line_end (&line);
+}
+
 /* Applies a newer version of the configuration.  An older one, from a stale
    response, is ignored.  */
 static void
@@ -161,6 +175,8 @@
   if (entry->exchanges.config != NULL
       && config->version <= entry->exchanges.config->version)
     {
+      if (config->version < entry->exchanges.config->version)
+        log_ignored_config (entry, object, config->version);
       talloc_free (config);
       return;
     }
@@ -787,6 +803,7 @@
       != 0)
     return ds_error_set (error, DS_ENOMEM, "watch the store", "store",
                          "out of memory");
+  entry->exchanges.config_watcher = entry->config_watcher;
   replicas.primary = entry->config_watcher;
   if (ds_store_watcher_new (&entry->replica_watcher, entry, entry->ev,
                             entry->store, DS_KIND_REPLICAS, &replicas)
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -89,6 +89,21 @@
 
 static void start_attempt (struct ds_exchange *x);
 
+/* Adds the version of the configuration that decides the request, and the age
+   of the store's last response about the configuration.  */
+static void
+add_config (struct ds_decision_line *line, const struct ds_exchange *x,
+            uint64_t now_ms)
+{
+  if (x->config == NULL)
+    return;
+  ds_decision_line_add_number (line, "config", (int64_t)x->config->version);
+  ds_decision_line_add_number (
+      line, "config_age_ms",
+      (int64_t)(now_ms
+                - ds_store_watcher_responded_ms (x->context->config_watcher)));
+}
+
 static bool
 is_repeatable (const struct ds_exchange *x)
 {
@@ -178,6 +193,8 @@
   ds_decision_line_add_number (&line, "rejections", x->rejections);
   ds_decision_line_add_number (&line, "took_ms",
                                (int64_t)(now_ms - x->arrived_ms));
+  if (x->runs == 0)
+    add_config (&line, x, now_ms);
   if (x->first_event_ms > 0)
     ds_decision_line_add_number (&line, "first_ms",
                                  (int64_t)(x->first_event_ms - x->arrived_ms));
@@ -735,14 +752,15 @@
 }
 
 static void
-log_placement (struct ds_exchange *x, const struct ds_placement *placement)
+log_placement (struct ds_exchange *x, const struct ds_placement *placement,
+               uint64_t now_ms)
 {
   struct ds_decision_line line
       = ds_decision_line_begin ("placed", x->request.id);
 
   ds_decision_line_add_text (&line, "service", x->placement_request.service);
   ds_decision_line_add_text (&line, "replica", placement->replica->record.id);
-  ds_decision_line_add_number (&line, "config", (int64_t)x->config->version);
+  add_config (&line, x, now_ms);
   ds_decision_line_add_number (&line, "expected_ms",
                                (int64_t)placement->expected_ms);
   ds_decision_line_add_number (&line, "unread",
@@ -761,7 +779,7 @@
   ds_decision_line_add_number (&line, "running_others",
                                placement->replica->remote_load.running);
   ds_decision_line_add_number (&line, "left_ms",
-                               (int64_t)time_left (x, ds_clock_ms ()));
+                               (int64_t)time_left (x, now_ms));
   ds_decision_line_end (&line);
 }
 
@@ -779,7 +797,7 @@
       fail_request (x, 502, "no replica is left");
       return;
     }
-  log_placement (x, &placement);
+  log_placement (x, &placement, now_ms);
   if (dispatch (x, &placement, now_ms) != 0)
     fail_request (x, 502, "no connection to a replica");
 }
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -10,14 +10,16 @@
 #include "entry/caller.h"
 #include "entry/connection_pool.h"
 #include "entry/fleet_view.h"
+#include "entry/store_watcher.h"
 
 /* State shared by all exchanges of a host.  CONFIG is replaced by newer
-   versions; null before the first.  HOSTS is the size of the fleet, including
-   this host.  */
+   versions by CONFIG_WATCHER; null before the first.  HOSTS is the size of the
+   fleet, including this host.  */
 struct ds_exchange_context
 {
   struct tevent_context *ev;
   struct ds_routing_config *config;
+  const struct ds_store_watcher *config_watcher;
   struct ds_replica_set *replicas;
   struct ds_connection_pool *pool;
   struct ds_retry_budget *retries;
--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -33,6 +33,7 @@
   uint64_t list_revision;
   uint64_t disconnected_ms;
   uint64_t reconnected_ms;
+  uint64_t responded_ms; /* when the last response arrived; 0 before */
   uint32_t retry_ms;
   uint32_t primary_checks; /* since the last call */
   bool listing;
@@ -185,6 +186,7 @@
       return;
     }
   set_connected (watcher, true, result->status);
+  watcher->responded_ms = ds_clock_ms ();
   watcher->retry_ms = 0;
   /* A list is followed by a watch at once, and so is the first response after
      a disconnection, which may hold only some of the changes made
@@ -296,6 +298,13 @@
   return watcher->reconnected_ms;
 }
 
+/* Time of the last complete response of the store; 0 before the first.  */
+uint64_t
+ds_store_watcher_responded_ms (const struct ds_store_watcher *watcher)
+{
+  return watcher->responded_ms;
+}
+
 /* Revision of the store that the known state corresponds to.  */
 uint64_t
 ds_store_watcher_revision (const struct ds_store_watcher *watcher)
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -34,6 +34,8 @@
 ds_store_watcher_disconnected_ms (const struct ds_store_watcher *watcher);
 uint64_t
 ds_store_watcher_reconnected_ms (const struct ds_store_watcher *watcher);
+uint64_t
+ds_store_watcher_responded_ms (const struct ds_store_watcher *watcher);
 uint64_t ds_store_watcher_revision (const struct ds_store_watcher *watcher);
 
 #endif
