Notice changes of the store whose watch response is lost

Cause: a waiting watch whose response is lost looks like one of an idle store. Only a call that timed out restarted it; a host without such a call waited for the end of the watch, 20 s and 2.5 s. The same holds for the watch of the replicas: a host went on using one that leaves.

Change: datagrams carry the highest revision of the configuration and of the replicas that the sender had from the store; a host that knows only older ones restarts its watch. The watches of the live hosts end one after another, an interval apart, so a host that hears of no other waits for one interval. A watch that is 750 ms overdue is restarted with a short wait, and the store counts as lost only if it does not respond then; healthy hosts whose peers have lost the store check it the same way, without a list.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -51,10 +51,26 @@
 /* Shortest interval of checks of the store because other hosts have lost
    it.  */
 #define STORE_CHECK_INTERVAL_MS 3000
+/* Divisor of the time in which a change must take effect: the interval at
+   which some host ends its watch, also when no change is reported.  */
+#define WATCH_INTERVAL_DIVISOR 2
+/* Time in which this host's own watch usually reports what another host has
+   had from the store.  */
+#define OWN_WATCH_DELAY_MS 400
+
 /* A link that is as strong as one core.  */
 #define LINK_MBPS_PER_CORE 200
 #define PERCENT 100
 
+/* What this host watches in the store, compared with what other hosts say.  */
+struct watched_subject
+{
+  struct ds_store_watcher *watcher;
+  uint32_t interval_ms;
+  uint64_t behind_since_ms; /* 0 while no host has reported more */
+  uint64_t checked_ms;      /* because of another host */
+};
+
 struct ds_entry
 {
   struct tevent_context *ev;
@@ -68,6 +84,7 @@
   struct ds_store_client *store;
   struct ds_store_watcher *config_watcher;
   struct ds_store_watcher *replica_watcher;
+  struct watched_subject watched[DS_STORE_SUBJECTS];
   struct ds_registration *registration;
 
   struct ds_replica_set *replicas;
@@ -613,6 +630,55 @@
   ds_decision_line_end (&line);
 }
 
+/* Checks a watch that has not reported what another host has had from the
+   store: its response may be lost.  A wrong report costs one call an
+   interval.  */
+static void
+compare_revisions (struct ds_entry *entry, enum ds_store_subject subject,
+                   uint64_t now_ms)
+{
+  struct watched_subject *watched = &entry->watched[subject];
+  uint64_t heard = ds_fleet_view_heard_revision (entry->fleet, subject);
+
+  ds_fleet_view_set_store_revision (
+      entry->fleet, subject,
+      ds_store_watcher_object_revision (watched->watcher));
+  if (heard <= ds_store_watcher_revision (watched->watcher))
+    {
+      watched->behind_since_ms = 0;
+      return;
+    }
+  if (watched->behind_since_ms == 0)
+    watched->behind_since_ms = now_ms;
+  if (now_ms - watched->behind_since_ms < OWN_WATCH_DELAY_MS)
+    return;
+  if (watched->checked_ms > watched->behind_since_ms
+      && ds_store_watcher_responded_ms (watched->watcher)
+             > watched->checked_ms)
+    {
+      ds_fleet_view_reject_revision (entry->fleet, subject);
+      watched->behind_since_ms = 0;
+      return;
+    }
+  if (now_ms - watched->checked_ms >= watched->interval_ms
+      && ds_store_watcher_check (watched->watcher, "another host knows more"))
+    watched->checked_ms = now_ms;
+}
+
+static void
+update_watches (struct ds_entry *entry, uint64_t now_ms)
+{
+  struct ds_watch_place place
+      = ds_fleet_view_watch_place (entry->fleet, now_ms);
+
+  for (int subject = 0; subject < DS_STORE_SUBJECTS; subject++)
+    {
+      place.interval_ms = entry->watched[subject].interval_ms;
+      ds_store_watcher_set_place (entry->watched[subject].watcher, &place);
+      compare_revisions (entry, (enum ds_store_subject)subject, now_ms);
+    }
+}
+
 static void
 on_tick (void *user_data)
 {
@@ -624,6 +690,7 @@
   ds_replica_set_remove_expired (entry->replicas, now_ms);
   ds_connection_pool_close_expired (entry->exchanges.pool, now_ms);
   count_hosts (entry, now_ms);
+  update_watches (entry, now_ms);
   ds_budget_manager_tick (entry->budgets, now_ms);
   ds_fleet_view_set_ledger_reachable (
       entry->fleet, ds_store_client_is_reachable (entry->store));
@@ -632,7 +699,8 @@
       && now_ms - entry->store_checked_ms >= STORE_CHECK_INTERVAL_MS)
     {
       entry->store_checked_ms = now_ms;
-      ds_store_watcher_probe (entry->config_watcher);
+      (void)ds_store_watcher_check (entry->config_watcher,
+                                    "other hosts have lost the store");
     }
   reload_if_changed (entry, now_ms);
   if (entry->stopping_ms > 0)
@@ -778,6 +846,17 @@
   return 0;
 }
 
+/* Returns the interval of the watches of something that must take effect
+   within APPLY_MS.  */
+static uint32_t
+watch_interval_ms (double apply_ms)
+{
+  uint32_t interval_ms = (uint32_t)(apply_ms / WATCH_INTERVAL_DIVISOR);
+
+  return interval_ms > DS_GOSSIP_INTERVAL_MS ? interval_ms
+                                             : DS_GOSSIP_INTERVAL_MS;
+}
+
 static int
 open_watchers (struct ds_entry *entry, struct ds_error *error)
 {
@@ -810,6 +889,14 @@
       != 0)
     return ds_error_set (error, DS_ENOMEM, "watch the store", "store",
                          "out of memory");
+  entry->watched[DS_STORE_CONFIG] = (struct watched_subject){
+    .watcher = entry->config_watcher,
+    .interval_ms = watch_interval_ms (entry->settings->config_apply_ms),
+  };
+  entry->watched[DS_STORE_REPLICAS] = (struct watched_subject){
+    .watcher = entry->replica_watcher,
+    .interval_ms = watch_interval_ms (entry->settings->drain_ms),
+  };
   return 0;
 }
 
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -36,6 +36,8 @@
   datagram->sequence = ++view->sequence;
   datagram->ledger_near = view->ledger_reachable;
   datagram->strained = view->strained;
+  datagram->config_revision = view->store_revisions[DS_STORE_CONFIG];
+  datagram->replica_revision = view->store_revisions[DS_STORE_REPLICAS];
 }
 
 /* Adds HOLDING to DATAGRAM, which has room for DS_HOLDINGS_MAX.  */
@@ -437,6 +439,14 @@
   return true;
 }
 
+static void
+receive_revision (struct ds_fleet_view *view, enum ds_store_subject subject,
+                  uint64_t revision)
+{
+  if (revision > view->heard_revisions[subject])
+    view->heard_revisions[subject] = revision;
+}
+
 /* Handles a datagram of another host.  */
 void
 ds_fleet_receive (struct ds_fleet_view *view,
@@ -454,6 +464,8 @@
   if (member == NULL || !receive_self (view, member, datagram, now_ms))
     return;
   member->address = address;
+  receive_revision (view, DS_STORE_CONFIG, datagram->config_revision);
+  receive_revision (view, DS_STORE_REPLICAS, datagram->replica_revision);
   if (!datagram->partial)
     receive_loads (member, datagram);
   ds_fleet_record_parts (view, datagram->reads, datagram->n_reads, now_ms);
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -351,6 +351,51 @@
   ds_fleet_record_parts (view, reads, 1, 0);
 }
 
+/* Sets the highest REVISION of SUBJECT that this host has had from the store,
+   for the other hosts.  What it only hears from them is not passed on, so that
+   a wrong figure goes no further.  */
+void
+ds_fleet_view_set_store_revision (struct ds_fleet_view *view,
+                                  enum ds_store_subject subject,
+                                  uint64_t revision)
+{
+  view->store_revisions[subject] = revision;
+}
+
+/* Returns the highest revision of SUBJECT that another host has reported.  */
+uint64_t
+ds_fleet_view_heard_revision (const struct ds_fleet_view *view,
+                              enum ds_store_subject subject)
+{
+  return view->heard_revisions[subject];
+}
+
+/* Forgets the revision of SUBJECT that other hosts have reported, which the
+   store does not have.  */
+void
+ds_fleet_view_reject_revision (struct ds_fleet_view *view,
+                               enum ds_store_subject subject)
+{
+  view->heard_revisions[subject] = 0;
+}
+
+/* Returns the place of this host among those that are alive.  The interval is
+   left to the caller.  */
+struct ds_watch_place
+ds_fleet_view_watch_place (const struct ds_fleet_view *view, uint64_t now_ms)
+{
+  struct ds_watch_place place = { .hosts = 1 };
+
+  for (size_t i = 0; i < view->count; i++)
+    if (ds_fleet_member_is_alive (&view->members[i]->info, now_ms))
+      {
+        place.hosts++;
+        if (view->members[i]->short_id < view->short_id)
+          place.rank++;
+      }
+  return place;
+}
+
 size_t
 ds_fleet_view_count (const struct ds_fleet_view *view)
 {
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -4,6 +4,7 @@
 #include "core/allotment.h"
 #include "core/crash_counter.h"
 #include "core/replica_set.h"
+#include "core/watch_pace.h"
 #include "daisystep/error.h"
 
 #include <tevent.h>
@@ -85,6 +86,14 @@
   void *user_data;
 };
 
+/* What each host watches in the store.  */
+enum ds_store_subject
+{
+  DS_STORE_CONFIG,
+  DS_STORE_REPLICAS,
+  DS_STORE_SUBJECTS
+};
+
 struct ds_fleet_view;
 
 int ds_fleet_view_new (struct ds_fleet_view **out, TALLOC_CTX *owner,
@@ -123,6 +132,15 @@
                                   uint64_t part);
 void ds_fleet_view_announce_departure (struct ds_fleet_view *view,
                                        uint64_t replica);
+void ds_fleet_view_set_store_revision (struct ds_fleet_view *view,
+                                       enum ds_store_subject subject,
+                                       uint64_t revision);
+uint64_t ds_fleet_view_heard_revision (const struct ds_fleet_view *view,
+                                       enum ds_store_subject subject);
+void ds_fleet_view_reject_revision (struct ds_fleet_view *view,
+                                    enum ds_store_subject subject);
+struct ds_watch_place
+ds_fleet_view_watch_place (const struct ds_fleet_view *view, uint64_t now_ms);
 uint64_t ds_fleet_workspace_hash (struct ds_str workspace);
 size_t ds_fleet_view_count (const struct ds_fleet_view *view);
 const struct ds_fleet_member *
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -163,8 +163,10 @@
   size_t zone_count;
   struct ds_fleet_peer *relays[DS_RELAYS_PER_ZONE]; /* null: this host */
   size_t relay_count;
-  int relay_rank;      /* of this host; -1 if it is no relay */
-  uint64_t summaries;  /* received; identifies the current one */
+  int relay_rank;     /* of this host; -1 if it is no relay */
+  uint64_t summaries; /* received; identifies the current one */
+  uint64_t store_revisions[DS_STORE_SUBJECTS]; /* seen by this host */
+  uint64_t heard_revisions[DS_STORE_SUBJECTS]; /* newest of other hosts */
   uint64_t summary_ms; /* time of the last summary of the fleet; 0 for none */
   size_t intervals;
   size_t next_record[2]; /* member whose record the next summary of the zone,
--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -54,6 +54,7 @@
   struct ds_timer *timer;
   uint64_t extended_ms; /* beyond the time that the call was given */
   bool progress;        /* bytes have arrived since the timer was set */
+  bool timed_out;
   struct ds_byte_buffer body;
   ds_store_done_fn *on_done;
   void *user_data;
@@ -172,6 +173,7 @@
   struct ds_store_result result = {
     .outcome = outcome,
     .status = outcome == DS_STORE_UNKNOWN ? 0 : pending->status,
+    .timed_out = pending->timed_out,
     .body = ds_byte_buffer_content (&pending->body),
   };
   ds_store_done_fn *on_done = pending->on_done;
@@ -262,6 +264,7 @@
                                      PROGRESS_TIMEOUT_MS, on_timeout, pending);
       return;
     }
+  pending->timed_out = true;
   complete_call (pending, DS_STORE_UNKNOWN);
 }
 
@@ -358,6 +361,14 @@
   talloc_free (pending);
 }
 
+/* True once the header of the response has arrived.  */
+bool
+ds_store_pending_call_has_response (
+    const struct ds_store_pending_call *pending)
+{
+  return pending->status != 0;
+}
+
 /* Sets whether the link of this host delays its connections.  */
 void
 ds_store_client_set_slow_link (struct ds_store_client *client, bool slow)
--- a/src/entry/store_client.h
+++ b/src/entry/store_client.h
@@ -21,6 +21,7 @@
 {
   enum ds_store_outcome outcome;
   unsigned status; /* of the response; 0 without one */
+  bool timed_out;  /* no response within the time of the call */
   struct ds_str body;
 };
 
@@ -39,6 +40,8 @@
                           uint32_t timeout_ms, ds_store_done_fn *on_done,
                           void *user_data);
 void ds_store_pending_call_cancel (struct ds_store_pending_call *pending);
+bool ds_store_pending_call_has_response (
+    const struct ds_store_pending_call *pending);
 void ds_store_client_set_slow_link (struct ds_store_client *client, bool slow);
 bool ds_store_client_is_reachable (const struct ds_store_client *client);
 uint64_t ds_store_client_calls (const struct ds_store_client *client);
--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -5,12 +5,19 @@
 
 #include <stdlib.h>
 
-/* Time after which a watch without a change returns.  A longer one saves
-   calls; keep-alive probes detect a dead connection earlier.  */
-#define WATCH_TIMEOUT_MS 20000
-/* Time beyond the wait for a response; slow responses of the store take up to
-   60 times their usual few milliseconds.  */
+/* Time for a response; slow responses of the store take up to 60 times their
+   usual few milliseconds, and a list on a slow link up to a second.  */
 #define RESPONSE_TIMEOUT_MS 2500
+/* Time beyond its wait after which a watch is restarted.  Shorter than the
+   time for a response: a restart that was not needed costs one call.  */
+#define WATCH_OVERDUE_MS 750
+/* Wait of a watch that only checks whether the store responds.  */
+#define CHECK_WAIT_MS 1
+/* Place of a watcher that has not been told of other hosts.  */
+#define PLACE_ALONE                                                           \
+  {                                                                           \
+    .hosts = 1, .interval_ms = 1000                                           \
+  }
 /* First and longest delay of a retry: each call is billed, and a change must
    take effect two seconds after the store accepted it.  */
 #define RETRY_MIN_MS 100
@@ -31,12 +38,16 @@
   struct ds_str after; /* where the current list continues */
   uint64_t revision;   /* of the known state */
   uint64_t list_revision;
+  uint64_t object_revision; /* the highest of an object or its removal */
+  struct ds_watch_place place;
   uint64_t disconnected_ms;
   uint64_t reconnected_ms;
   uint64_t responded_ms; /* when the last response arrived; 0 before */
   uint32_t retry_ms;
   uint32_t primary_checks; /* since the last call */
   bool listing;
+  bool checking; /* the call tests whether the store responds */
+  bool idle;     /* the last watch ended without a change */
   bool connected;
   bool listed; /* at least once */
   bool call_scheduled;
@@ -135,8 +146,12 @@
       watcher->handlers.on_begin (watcher->handlers.user_data);
     }
   for (size_t i = 0; i < page->count; i++)
-    watcher->handlers.on_object (&page->objects[i],
-                                 watcher->handlers.user_data);
+    {
+      if (page->objects[i].revision > watcher->object_revision)
+        watcher->object_revision = page->objects[i].revision;
+      watcher->handlers.on_object (&page->objects[i],
+                                   watcher->handlers.user_data);
+    }
   if (!watcher->listing)
     {
       watcher->revision = page->revision;
@@ -157,6 +172,20 @@
   watcher->handlers.on_end (watcher->handlers.user_data);
 }
 
+static void
+log_restart (const struct ds_store_watcher *watcher, const char *reason)
+{
+  struct ds_decision_line line
+      = ds_decision_line_begin ("watch_restarted", DS_STR_EMPTY);
+
+  ds_decision_line_add_text (&line, "kind", ds_str_from_c (watcher->kind));
+  ds_decision_line_add_text (&line, "reason", ds_str_from_c (reason));
+  ds_decision_line_add_number (&line, "revision", (int64_t)watcher->revision);
+  ds_decision_line_add_number (
+      &line, "age_ms", (int64_t)(ds_clock_ms () - watcher->responded_ms));
+  ds_decision_line_end (&line);
+}
+
 static void
 on_done (const struct ds_store_result *result, void *user_data)
 {
@@ -175,16 +204,26 @@
       start_call (watcher);
       return;
     }
+  if (result->timed_out && watcher->connected && !watcher->listing
+      && !watcher->checking)
+    {
+      log_restart (watcher, "overdue");
+      watcher->checking = true;
+      start_call (watcher);
+      return;
+    }
   if (result->outcome != DS_STORE_OK
       || ds_store_page_decode (&page, watcher, result->body, !watcher->listing,
                                &error)
              != 0)
     {
+      watcher->checking = false;
       set_connected (watcher, false, result->status);
       list_newest (watcher);
       schedule_retry (watcher);
       return;
     }
+  watcher->checking = false;
   set_connected (watcher, true, result->status);
   watcher->responded_ms = ds_clock_ms ();
   watcher->retry_ms = 0;
@@ -193,6 +232,7 @@
      meanwhile.  */
   changed = was_connected && !watcher->listing && page->count > 0;
   several = changed && page->count > 1;
+  watcher->idle = !watcher->listing && page->count == 0;
   apply_page (watcher, page);
   talloc_free (page);
   if (several)
@@ -203,6 +243,23 @@
     start_call (watcher);
 }
 
+static uint32_t
+watch_wait_ms (const struct ds_store_watcher *watcher)
+{
+  if (!watcher->connected || watcher->checking)
+    return CHECK_WAIT_MS;
+  return watcher->idle ? ds_watch_next_wait_ms (&watcher->place)
+                       : ds_watch_first_wait_ms (&watcher->place);
+}
+
+static uint32_t
+call_timeout_ms (const struct ds_store_watcher *watcher, uint32_t wait_ms)
+{
+  return wait_ms == CHECK_WAIT_MS || watcher->listing
+             ? RESPONSE_TIMEOUT_MS
+             : wait_ms + WATCH_OVERDUE_MS;
+}
+
 static void
 start_call (struct ds_store_watcher *watcher)
 {
@@ -215,16 +272,15 @@
     .verb = DS_STORE_WATCH,
     .kind = watcher->kind,
     .revision = watcher->revision,
-    /* After a disconnection, a short wait tests the store.  */
-    .wait_ms = watcher->connected ? WATCH_TIMEOUT_MS : 1,
+    .wait_ms = watch_wait_ms (watcher),
   };
 
   if (ds_store_client_call (
           &watcher->pending, watcher->store, watcher->listing ? &list : &watch,
-          RESPONSE_TIMEOUT_MS + (watcher->listing ? 0 : watch.wait_ms),
-          on_done, watcher)
+          call_timeout_ms (watcher, watch.wait_ms), on_done, watcher)
       != 0)
     {
+      watcher->checking = false;
       set_connected (watcher, false, 0);
       schedule_retry (watcher);
     }
@@ -249,11 +305,38 @@
   watcher->handlers = *handlers;
   watcher->listing = true;
   watcher->after = DS_STR_EMPTY;
+  watcher->place = (struct ds_watch_place)PLACE_ALONE;
   start_call (watcher);
   *out = watcher;
   return 0;
 }
 
+/* Sets the place of this host among those that watch the store.  */
+void
+ds_store_watcher_set_place (struct ds_store_watcher *watcher,
+                            const struct ds_watch_place *place)
+{
+  watcher->place = *place;
+}
+
+/* Restarts a waiting watch whose response may be lost, with a short wait, and
+   logs REASON.  The store counts as lost only if it does not respond then.
+   Returns false if no watch is waiting.  */
+bool
+ds_store_watcher_check (struct ds_store_watcher *watcher, const char *reason)
+{
+  if (!watcher->connected || watcher->call_scheduled || watcher->listing
+      || watcher->checking
+      || ds_store_pending_call_has_response (watcher->pending))
+    return false;
+  log_restart (watcher, reason);
+  ds_store_pending_call_cancel (watcher->pending);
+  watcher->pending = NULL;
+  watcher->checking = true;
+  start_call (watcher);
+  return true;
+}
+
 /* Checks the connection after another call to the store had no response.  A
    waiting watch cannot tell an idle store from an unreachable one, so it is
    restarted with a short wait.  */
@@ -267,6 +350,7 @@
     return;
   ds_store_pending_call_cancel (watcher->pending);
   watcher->pending = NULL;
+  watcher->checking = false;
   list_newest (watcher);
   start_call (watcher);
 }
@@ -305,6 +389,14 @@
   return watcher->responded_ms;
 }
 
+/* Highest revision of an object that the store has reported, or of its
+   removal; 0 before the first.  */
+uint64_t
+ds_store_watcher_object_revision (const struct ds_store_watcher *watcher)
+{
+  return watcher->object_revision;
+}
+
 /* Revision of the store that the known state corresponds to.  */
 uint64_t
 ds_store_watcher_revision (const struct ds_store_watcher *watcher)
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -1,6 +1,7 @@
 #ifndef DS_ENTRY_STORE_WATCHER_H
 #define DS_ENTRY_STORE_WATCHER_H
 
+#include "core/watch_pace.h"
 #include "entry/store_client.h"
 
 struct ds_store_watcher;
@@ -27,7 +28,11 @@
                           struct tevent_context *ev,
                           struct ds_store_client *store, const char *kind,
                           const struct ds_store_watcher_handlers *handlers);
+void ds_store_watcher_set_place (struct ds_store_watcher *watcher,
+                                 const struct ds_watch_place *place);
 void ds_store_watcher_probe (struct ds_store_watcher *watcher);
+bool ds_store_watcher_check (struct ds_store_watcher *watcher,
+                             const char *reason);
 bool ds_store_watcher_is_connected (const struct ds_store_watcher *watcher);
 bool ds_store_watcher_has_listed (const struct ds_store_watcher *watcher);
 uint64_t
@@ -37,5 +42,7 @@
 uint64_t
 ds_store_watcher_responded_ms (const struct ds_store_watcher *watcher);
 uint64_t ds_store_watcher_revision (const struct ds_store_watcher *watcher);
+uint64_t
+ds_store_watcher_object_revision (const struct ds_store_watcher *watcher);
 
 #endif
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -1184,7 +1184,7 @@
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[24] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[26] =
 {
   {
     "host",
@@ -1474,11 +1474,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_revision",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replica_revision",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, replica_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
   4,   /* field[4] = caller_address */
   19,   /* field[19] = capacity */
+  24,   /* field[24] = config_revision */
   9,   /* field[9] = crashes */
   6,   /* field[6] = draining */
   5,   /* field[5] = gossip_address */
@@ -1493,6 +1518,7 @@
   15,   /* field[15] = reads */
   13,   /* field[13] = ready */
   3,   /* field[3] = region */
+  25,   /* field[25] = replica_revision */
   7,   /* field[7] = sequence */
   20,   /* field[20] = strained */
   18,   /* field[18] = summary */
@@ -1504,7 +1530,7 @@
 static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1514,7 +1540,7 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  24,
+  26,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
   1,  daisystep__gossip__datagram__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -284,10 +284,17 @@
    * reply.
    */
   protobuf_c_boolean hello;
+  /*
+   * Highest revision of a configuration, and of a registration of a replica,
+   * that the sender has had from the store. A receiver that knows only older
+   * ones checks its watch.
+   */
+  uint64_t config_revision;
+  uint64_t replica_revision;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
--- a/tests/standins/platform_store.c
+++ b/tests/standins/platform_store.c
@@ -11,11 +11,15 @@
    POST /standin/faults accepts "busy" (status 503), "busy_kind" (status 503 to
    calls about this kind), "silent" (no response), "endless" (lists without
    end), "lose_answers" (the number of ledger writes that take effect without a
-   response) and "compact" (discards the history).  GET /standin/counts returns
+   response), "lose_watches" (the number of watches of "lose_kind" whose events
+   are not sent, while the connection stays open) and "compact" (discards the
+   history).  GET /standin/counts returns
    the number of watch requests and of ledger writes.  */
 
 #define OBJECTS_PREFIX "/daisystep/objects/"
 #define WATCH_POLL_MS 10
+/* Time for which a call gets no response.  */
+#define SILENCE_MS 60000
 
 struct store
 {
@@ -29,6 +33,8 @@
   bool endless;
   char busy_kind[64]; /* empty for none */
   json_int_t lose_answers;
+  char lose_kind[64];
+  json_int_t lose_watches;
   json_int_t watches;
   json_int_t ledger_writes;
 };
@@ -138,6 +144,21 @@
   return events;
 }
 
+/* Whether the events that a watch of KIND would return are lost.  */
+static bool
+loses_events (struct store *store, const char *kind, json_t *events)
+{
+  bool loses;
+
+  pthread_mutex_lock (&store->lock);
+  loses = json_array_size (events) > 0 && store->lose_watches > 0
+          && strcmp (kind, store->lose_kind) == 0;
+  if (loses)
+    store->lose_watches--;
+  pthread_mutex_unlock (&store->lock);
+  return loses;
+}
+
 static enum MHD_Result
 watch_objects (struct store *store, struct standin_request *request,
                const char *kind)
@@ -157,6 +178,12 @@
       pthread_mutex_unlock (&store->lock);
       if (events == NULL)
         return standin_respond_error (request, MHD_HTTP_GONE, "history gone");
+      if (loses_events (store, kind, events))
+        {
+          json_decref (events);
+          (void)standin_request_wait (request, SILENCE_MS);
+          return standin_close_connection (request);
+        }
       if (json_array_size (events) > 0 || standin_now_ms () >= end_ms)
         return standin_respond_json (request, MHD_HTTP_OK, NULL,
                                      json_pack ("{s:o,s:I}", "events", events,
@@ -276,10 +303,16 @@
   json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
   const char *busy_kind
       = json_string_value (json_object_get (body, "busy_kind"));
+  const char *lose_kind
+      = json_string_value (json_object_get (body, "lose_kind"));
 
   pthread_mutex_lock (&store->lock);
   (void)snprintf (store->busy_kind, sizeof store->busy_kind, "%s",
                   busy_kind != NULL ? busy_kind : "");
+  (void)snprintf (store->lose_kind, sizeof store->lose_kind, "%s",
+                  lose_kind != NULL ? lose_kind : "");
+  store->lose_watches
+      = json_integer_value (json_object_get (body, "lose_watches"));
   store->busy = json_is_true (json_object_get (body, "busy"));
   store->silent = json_is_true (json_object_get (body, "silent"));
   store->endless = json_is_true (json_object_get (body, "endless"));
@@ -342,7 +375,7 @@
   pthread_mutex_unlock (&store->lock);
   if (silent)
     {
-      (void)standin_request_wait (request, 60000);
+      (void)standin_request_wait (request, SILENCE_MS);
       return standin_close_connection (request);
     }
   if (busy)
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -20,7 +20,7 @@
 
 /* Addresses derived from the process id, since several test programs may run
    at the same time.  Ten numbers share a port.  */
-static void
+void
 entry_format_address (char *out, int number, int port)
 {
   int pid = (int)getpid ();
@@ -58,9 +58,10 @@
   return path;
 }
 
-/* Writes the configuration with PREPAID tokens for the workspace.  */
+/* Writes the configuration with PREPAID tokens for the workspace and, unless
+   null, a further route at PATH_PREFIX.  */
 void
-entry_put_config (long prepaid)
+entry_put_config_with_route (long prepaid, const char *path_prefix)
 {
   json_t *spec = json_pack (
       "{s:i,"
@@ -83,6 +84,13 @@
       "key-1", "prepaid", (json_int_t)prepaid);
 
   ck_assert_ptr_nonnull (spec);
+  if (path_prefix != NULL)
+    json_array_append_new (json_object_get (spec, "routes"),
+                           json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:s}", "name",
+                                      "further", "host", "d.example",
+                                      "path_prefix", path_prefix, "kind",
+                                      "idempotent", "timeout_ms", 4000,
+                                      "max_attempts", 2, "service", "pool"));
   ck_assert_int_eq (
       entry_put_object (entry_config_version == 1 ? "POST" : "PUT",
                         entry_config_version == 1 ? OBJECTS "config"
@@ -91,6 +99,12 @@
       200);
 }
 
+void
+entry_put_config (long prepaid)
+{
+  entry_put_config_with_route (prepaid, NULL);
+}
+
 void
 entry_put_replica (int i, const char *state)
 {
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -25,6 +25,8 @@
 
 void entry_start_standins (long prepaid);
 void entry_put_config (long prepaid);
+void entry_put_config_with_route (long prepaid, const char *path_prefix);
+void entry_format_address (char *out, int number, int port);
 void entry_put_replica (int i, const char *state);
 void entry_start_host (int i, const char *zone);
 void entry_wait_ready (int i);
--- a/tests/test_entry_fleet.c
+++ b/tests/test_entry_fleet.c
@@ -9,6 +9,8 @@
 /* Enough hosts for relays, in two zones.  */
 #define HOSTS 28
 #define ZONES 2
+/* Time in which all hosts must know what the store has accepted.  */
+#define CONTACT_MS 3000
 
 static const char *const zones[ZONES] = { "east", "west" };
 
@@ -149,6 +151,40 @@
 }
 END_TEST
 
+/* Guards against hosts of a large fleet that serve by an old configuration
+   until their watches end, since the responses were lost at all hosts but
+   two.  */
+START_TEST (hosts_follow_the_two_whose_watch_response_arrives)
+{
+  bool knows[HOSTS] = { false };
+  int missing = HOSTS;
+  char id[32];
+  char faults[64];
+
+  (void)wait_for_offer (0, 1, -1);
+  (void)snprintf (faults, sizeof faults,
+                  "{\"lose_watches\":%d,\"lose_kind\":\"config\"}", HOSTS - 2);
+  entry_set_faults (entry_store, faults);
+  entry_put_config_with_route (1000000, "/new/");
+  for (int waited = 0; missing > 0 && waited < CONTACT_MS;
+       waited += ENTRY_POLL_MS)
+    {
+      for (int i = 0; i < HOSTS; i++)
+        {
+          (void)snprintf (id, sizeof id, "new-%d-%d", waited, i);
+          if (!knows[i]
+              && entry_request (i, "GET", "/new/1", id, NULL)->status == 200)
+            {
+              knows[i] = true;
+              missing--;
+            }
+        }
+      test_sleep_ms (ENTRY_POLL_MS);
+    }
+  ck_assert_int_eq (missing, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -162,6 +198,8 @@
   tcase_add_test (test_case, addresses_of_other_zones_follow_the_fleet);
   tcase_add_test (test_case, all_hosts_serve_from_one_budget);
   tcase_add_test (test_case, budgets_outlive_the_loss_of_half_the_fleet);
+  tcase_add_test (test_case,
+                  hosts_follow_the_two_whose_watch_response_arrives);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- /dev/null
+++ b/tests/test_store_watcher.c
@@ -0,0 +1,201 @@
+#include "proto/gossip.pb-c.h"
+#include "support/entry_site.h"
+
+#include "io/socket_address.h"
+
+#include <check.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Time after which a host that is in touch with the store must know what the
+   store has accepted: "contact_ms" of the users' platform.  */
+#define CONTACT_MS 3000
+#define PREPAID 1000000
+/* Calls of the two watches within CONTACT_MS, checked once in an interval of a
+   second and ending by themselves as often.  */
+#define CALLS_MAX 24
+
+/* One host that has no other host to hear from, and no work that calls the
+   store.  */
+static void
+set_up (void)
+{
+  entry_start_standins (PREPAID);
+  entry_start_host (0, "z");
+  entry_wait_ready (0);
+}
+
+static void
+tear_down (void)
+{
+  test_processes_clean_up ();
+}
+
+static long
+now_ms (void)
+{
+  struct timespec now;
+
+  (void)clock_gettime (CLOCK_MONOTONIC, &now);
+  return now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* Waits until the host serves the route at PATH, and returns when it did.  */
+static long
+wait_for_route (const char *path)
+{
+  char id[32];
+
+  for (int i = 0; i < ENTRY_WAIT_MS / ENTRY_POLL_MS * 2; i++)
+    {
+      (void)snprintf (id, sizeof id, "id-%d", i);
+      if (entry_request (0, "GET", path, id, NULL)->status == 200)
+        return now_ms ();
+      test_sleep_ms (ENTRY_POLL_MS);
+    }
+  ck_abort_msg ("%s is not served", path);
+}
+
+static size_t
+count_runs_at (int replica)
+{
+  json_t *runs
+      = test_get_json (entry_replicas[replica]->address, "/standin/runs");
+  size_t count = json_array_size (runs);
+
+  json_decref (runs);
+  return count;
+}
+
+static json_int_t
+count_watches (void)
+{
+  json_t *counts = test_get_json (entry_store->address, "/standin/counts");
+  json_int_t watches
+      = json_integer_value (json_object_get (counts, "watches"));
+
+  json_decref (counts);
+  return watches;
+}
+
+/* Guards against a host that serves by an old configuration for as long as its
+   watch waits, since the response with the new one was lost and its connection
+   stays open.  */
+START_TEST (a_configuration_whose_watch_response_is_lost_takes_effect)
+{
+  long accepted_ms;
+
+  entry_set_faults (entry_store,
+                    "{\"lose_watches\":1,\"lose_kind\":\"config\"}");
+  entry_put_config_with_route (PREPAID, "/new/");
+  accepted_ms = now_ms ();
+  ck_assert_int_le (wait_for_route ("/new/1") - accepted_ms, CONTACT_MS);
+}
+END_TEST
+
+/* Guards against requests to a replica that is leaving, since the response
+   that says so was lost.  */
+START_TEST (a_drain_whose_watch_response_is_lost_takes_effect)
+{
+  size_t runs;
+  char id[32];
+
+  entry_set_faults (entry_store,
+                    "{\"lose_watches\":1,\"lose_kind\":\"servers\"}");
+  entry_put_replica (0, "draining");
+  test_sleep_ms (CONTACT_MS);
+  runs = count_runs_at (0);
+  for (int i = 0; i < 8; i++)
+    {
+      (void)snprintf (id, sizeof id, "id-%d", i);
+      ck_assert_int_eq (entry_request (0, "GET", "/look/1", id, NULL)->status,
+                        200);
+    }
+  ck_assert_uint_eq (count_runs_at (0), runs);
+}
+END_TEST
+
+/* Sends datagrams of a host that claims a revision that the store does not
+   have.  */
+static void
+send_wrong_revisions (int socket_fd, const struct ds_socket_address *to)
+{
+  static char empty[] = "";
+  static char host[] = "wrong";
+  static char zone[] = "z";
+  static char gossip[] = "127.0.0.1:9";
+  Daisystep__Gossip__Datagram datagram = DAISYSTEP__GOSSIP__DATAGRAM__INIT;
+  uint8_t bytes[512];
+  size_t size;
+
+  datagram.host = host;
+  datagram.incarnation = 1;
+  datagram.zone = zone;
+  datagram.region = empty;
+  datagram.caller_address = empty;
+  datagram.gossip_address = gossip;
+  datagram.ready = true;
+  datagram.config_revision = UINT64_MAX;
+  datagram.replica_revision = UINT64_MAX;
+  size = daisystep__gossip__datagram__pack (&datagram, bytes);
+  ck_assert_int_eq (sendto (socket_fd, bytes, size, 0,
+                            (const struct sockaddr *)&to->storage, to->length),
+                    (ssize_t)size);
+}
+
+/* Guards against one host with a wrong revision that makes another call the
+   store without pause, or that hides a change from it.  */
+START_TEST (a_wrong_revision_of_another_host_costs_few_calls)
+{
+  int socket_fd = socket (AF_INET, SOCK_DGRAM, 0);
+  struct ds_socket_address to;
+  char address[ENTRY_ADDRESS_BYTES];
+  json_int_t before = count_watches ();
+  long start_ms = now_ms ();
+  long accepted_ms;
+
+  entry_format_address (address, 0, 8083);
+  ck_assert_int_eq (ds_socket_address_parse (&to, ds_str_from_c (address)), 0);
+  while (now_ms () - start_ms < CONTACT_MS)
+    {
+      send_wrong_revisions (socket_fd, &to);
+      test_sleep_ms (100);
+    }
+  /* Each of the two watches is checked once an interval of a second, waits
+     again after it, and ends by itself as well.  */
+  ck_assert_int_le (count_watches () - before,
+                    2 * 3 * (CONTACT_MS / 1000 + 1));
+  entry_put_config_with_route (PREPAID, "/new/");
+  accepted_ms = now_ms ();
+  ck_assert_int_le (wait_for_route ("/new/1") - accepted_ms, CONTACT_MS);
+  (void)close (socket_fd);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("store_watcher");
+  TCase *test_case = tcase_create ("store_watcher");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_set_timeout (test_case, 90);
+  tcase_add_test (test_case,
+                  a_configuration_whose_watch_response_is_lost_takes_effect);
+  tcase_add_test (test_case,
+                  a_drain_whose_watch_response_is_lost_takes_effect);
+  tcase_add_test (test_case, a_wrong_revision_of_another_host_costs_few_calls);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
