Test the configuration after an outage by what callers get

Cause: hosts_serve_while_the_store_is_away took the limit in the ledger page as the sign of the new configuration. A page is written when use is settled.

Change: the test waits until both hosts serve a route of the new configuration, then sends a request and waits for the limit in the page. It checks more than before: the configuration at both hosts, and that the next use records the limit.

--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -219,6 +219,22 @@
 }
 END_TEST
 
+/* Waits until host I serves the route at PATH.  */
+static void
+wait_for_route (int i, const char *path)
+{
+  char id[32];
+
+  for (int waited = 0; waited < ENTRY_WAIT_MS; waited += ENTRY_POLL_MS)
+    {
+      (void)snprintf (id, sizeof id, "route-%d-%d", i, waited);
+      if (entry_request (i, "GET", path, id, NULL)->status == 200)
+        return;
+      test_sleep_ms (ENTRY_POLL_MS);
+    }
+  ck_abort_msg ("host %d does not serve %s", i, path);
+}
+
 /* Guards against refusing all requests while the store is unavailable: hosts
    hold tokens, replicas and the configuration.  */
 START_TEST (hosts_serve_while_the_store_is_away)
@@ -233,7 +249,12 @@
   ck_assert_int_eq (
       entry_request (0, "POST", "/stream/1", "id-s", "500,24")->status, 200);
   entry_set_faults (entry_store, "{\"busy\":false,\"compact\":true}");
-  entry_put_config (150000);
+  entry_put_config_with_route (150000, "/new/");
+  for (int i = 0; i < HOSTS; i++)
+    wait_for_route (i, "/new/1");
+  /* The home records the limit with the use of the next request.  */
+  ck_assert_int_eq (
+      entry_request (0, "POST", "/stream/1", "after", "500,24")->status, 200);
   for (int waited = 0; waited < ENTRY_WAIT_MS; waited += ENTRY_POLL_MS)
     {
       json_t *page
@@ -247,7 +268,7 @@
         return;
       test_sleep_ms (ENTRY_POLL_MS);
     }
-  ck_abort_msg ("the configuration written after the outage is not in effect");
+  ck_abort_msg ("the limit written after the outage is not in the ledger");
 }
 END_TEST
 
--- a/tests/test_watch_pace.c
+++ b/tests/test_watch_pace.c
@@ -59,7 +59,8 @@
   struct ds_watch_place eight = place (8, 3);
   struct ds_watch_place many = place (295, 290);
 
-  ck_assert_uint_eq (ds_watch_next_wait_ms (&eight), 8U * INTERVAL_MS);
+  ck_assert_uint_eq (ds_watch_next_wait_ms (&eight),
+                     UINT64_C (8) * INTERVAL_MS);
   ck_assert_uint_eq (ds_watch_next_wait_ms (&many), WAIT_MAX_MS);
   ck_assert_uint_le (ds_watch_first_wait_ms (&many), WAIT_MAX_MS);
 }
