--- a/src/entry/connection_pool.c
+++ b/src/entry/connection_pool.c
@@ -15,8 +15,9 @@
 {
   struct ds_connection_pool *pool;
   struct ds_http_connection *connection;
-  struct ds_replica *replica; /* referenced */
-  struct ds_pooled_connection *next;
+  struct ds_replica *replica;            /* referenced */
+  struct ds_pooled_connection *next;     /* of the idle ones */
+  struct ds_pooled_connection *next_all; /* of all of the pool */
   uint64_t usable_until_ms;
   bool reused;
   bool idle;
@@ -26,6 +27,7 @@
 {
   struct tevent_context *ev;
   struct ds_pooled_connection *idle;
+  struct ds_pooled_connection *all;
 };
 
 /* Creates an empty pool.  */
@@ -56,8 +58,13 @@
 void
 ds_connection_pool_discard (struct ds_pooled_connection *pooled)
 {
+  struct ds_pooled_connection **at = &pooled->pool->all;
+
   if (pooled->idle)
     unlink_idle (pooled);
+  while (*at != pooled)
+    at = &(*at)->next_all;
+  *at = pooled->next_all;
   ds_http_connection_free (pooled->connection);
   talloc_free (pooled);
 }
@@ -97,10 +104,26 @@
       talloc_free (pooled);
       return DS_EIO;
     }
+  pooled->next_all = pool->all;
+  pool->all = pooled;
   *out = pooled;
   return 0;
 }
 
+/* Whether a connection to REPLICA is established.  A process that crashes ends
+   all of them at once.  */
+bool
+ds_connection_pool_has_connection (const struct ds_connection_pool *pool,
+                                   const struct ds_replica *replica)
+{
+  for (const struct ds_pooled_connection *at = pool->all; at != NULL;
+       at = at->next_all)
+    if (at->replica == replica
+        && ds_http_connection_is_watched (at->connection))
+      return true;
+  return false;
+}
+
 /* Acquires a connection to REPLICA: the most recently used idle one, or a new
    one if there is none or FRESH is set, which is given up if it is not
    established after CONNECT_TIMEOUT_MS.  Set its handlers before sending the
--- a/src/entry/connection_pool.h
+++ b/src/entry/connection_pool.h
@@ -16,6 +16,8 @@
 void ds_connection_pool_release (struct ds_pooled_connection *pooled,
                                  uint64_t now_ms, uint32_t keep_alive_s);
 void ds_connection_pool_discard (struct ds_pooled_connection *pooled);
+bool ds_connection_pool_has_connection (const struct ds_connection_pool *pool,
+                                        const struct ds_replica *replica);
 void ds_connection_pool_close_expired (struct ds_connection_pool *pool,
                                        uint64_t now_ms);
 struct ds_http_connection *
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -88,7 +88,6 @@
   struct ds_registration *registration;
 
   struct ds_replica_set *replicas;
-  struct ds_crash_counter *crashes;
   struct ds_fleet_view *fleet;
   struct ds_budget_manager *budgets;
   struct ds_exchange_context exchanges;
@@ -347,6 +346,15 @@
   ds_budget_manager_receive (entry->budgets, workspace, transfer);
 }
 
+static void
+on_peer_suspect (struct ds_suspect_key key, enum ds_suspect_change change,
+                 struct ds_str sender, void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  ds_crash_evidence_log_change (entry->exchanges.crashes, key, change, sender);
+}
+
 static void
 on_peer_holdings (void *user_data)
 {
@@ -782,11 +790,14 @@
     .on_token_request = give_to_peer,
     .on_token_transfer = receive_from_peer,
     .on_holdings = on_peer_holdings,
+    .on_suspect = on_peer_suspect,
     .user_data = entry,
   };
 
   if (ds_fleet_view_new (&entry->fleet, entry, entry->ev, &self,
-                         entry->replicas, entry->crashes, &handlers, error)
+                         entry->replicas,
+                         ds_crash_evidence_suspects (entry->exchanges.crashes),
+                         &handlers, error)
       != 0)
     return error->code;
   entry->exchanges.fleet = entry->fleet;
@@ -830,8 +841,10 @@
   };
 
   if (ds_replica_set_new (&entry->replicas, entry) != 0
-      || ds_crash_counter_new (&entry->crashes, entry) != 0
       || ds_connection_pool_new (&entry->exchanges.pool, entry, entry->ev) != 0
+      || ds_crash_evidence_new (&entry->exchanges.crashes, entry, entry->ev,
+                                entry->exchanges.pool, settings->host)
+             != 0
       || ds_retry_budget_new (&entry->exchanges.retries, entry, &retry_limit)
              != 0
       || ds_budget_manager_new (&entry->budgets, entry, &budgets) != 0)
@@ -840,7 +853,6 @@
   entry->exchanges.ev = entry->ev;
   entry->exchanges.replicas = entry->replicas;
   entry->exchanges.budgets = entry->budgets;
-  entry->exchanges.crashes = entry->crashes;
   entry->exchanges.zone = settings->zone;
   entry->exchanges.hosts = 1;
   return 0;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -15,10 +15,9 @@
    pauses.  */
 #define UNSENT_BYTES_MAX 131072
 /* Retry-After of refusals: slots are free again soon; tokens or a
-   configuration take longer, crashed replicas longest.  */
+   configuration take longer.  */
 #define RETRY_BUSY_MS 400
 #define RETRY_UNAVAILABLE_MS 1000
-#define RETRY_CRASHING_MS 60000
 /* Another host accepts the request at once.  */
 #define RETRY_ELSEWHERE_MS 20
 /* Longest wait for tokens: a part of the time left, with an upper bound.  */
@@ -33,6 +32,9 @@
 #define ENGINE_WORKSPACE_STEP 3
 /* Time left below which no further attempt is made.  */
 #define ATTEMPT_TIME_MIN_MS 30
+/* Events of an attempt after which its request no longer counts as a cause of
+   a crash of its replica: such a request crashes it as the answer begins.  */
+#define EVENTS_BEYOND_CRASH 3
 
 enum phase
 {
@@ -54,7 +56,8 @@
   uint32_t workspace_priority;
   struct ds_placement_request placement_request;
   enum phase phase;
-  uint64_t digest;
+  struct ds_suspect_key suspect_keys[DS_SUSPECT_KEYS_MAX];
+  size_t suspect_key_count;
   uint64_t arrived_ms;
   uint64_t expires_ms;       /* deadline of the response */
   uint64_t attempt_until_ms; /* shared by all attempts */
@@ -69,6 +72,9 @@
   uint64_t uncached_tokens;
   bool prefill_counted; /* in the replica's load */
   uint64_t attempt_ms;
+  uint64_t answer_ms;      /* when the attempt's answer began; 0 before */
+  uint64_t earlier_events; /* of attempts before */
+  bool beyond_crash;       /* the attempt's answer has come far enough */
   double expected_ms;
   uint32_t runs; /* attempts that may have run */
   uint32_t rejections;
@@ -328,6 +334,18 @@
   ds_decision_line_end (&line);
 }
 
+/* The answer of the attempt has come further than one that crashes its
+   replica.  */
+static void
+record_beyond_crash (struct ds_exchange *x)
+{
+  if (x->beyond_crash)
+    return;
+  x->beyond_crash = true;
+  ds_crash_evidence_add_success (x->context->crashes, x->suspect_keys,
+                                 x->suspect_key_count, x->answer_ms);
+}
+
 static void
 mark_tried (struct ds_exchange *x)
 {
@@ -429,6 +447,7 @@
     return false;
   response.request_id = DS_STR_EMPTY;
   x->response = response;
+  x->answer_ms = ds_clock_ms ();
   x->status = head->status;
   x->streaming = false;
   if (head->status < 300 && response.has_mac && !response.encoded)
@@ -513,6 +532,8 @@
       on_attempt_failed (x, "events are out of order");
       return;
     }
+  if (x->events.events - x->earlier_events >= EVENTS_BEYOND_CRASH)
+    record_beyond_crash (x);
   if (!x->paused && ds_caller_unsent (x->caller) > UNSENT_BYTES_MAX)
     {
       x->paused = true;
@@ -594,6 +615,8 @@
     }
   else
     ds_placement_record_success (x->replica);
+  if (x->status < 300)
+    record_beyond_crash (x);
   if (x->head_sent && !x->streaming)
     {
       /* The attempt to resume the stream failed.  */
@@ -670,8 +693,16 @@
       || failure != DS_HTTP_FAILURE_NO_RESPONSE)
     ds_placement_record_failure (x->replica, now_ms);
   if (failure != DS_HTTP_FAILURE_MALFORMED)
-    (void)ds_crash_counter_record (x->context->crashes, x->digest,
-                                   x->replica->hash, now_ms);
+    ds_crash_evidence_add_failure (
+        x->context->crashes,
+        &(struct ds_failed_attempt){
+            .request_id = x->request.id,
+            .keys = x->suspect_keys,
+            .key_count = x->suspect_key_count,
+            .replica = x->replica,
+            .answer_begun = x->beyond_crash,
+            .fell_silent = ds_http_connection_fell_silent (connection),
+        });
   on_attempt_failed (x, failure_name (failure));
 }
 
@@ -738,10 +769,16 @@
   announce_parts (x);
   x->expected_ms = placement->expected_ms;
   x->attempt_ms = now_ms;
+  x->answer_ms = 0;
+  x->earlier_events = x->events.events;
+  x->beyond_crash = false;
   if (x->runs + x->rejections > 0)
     ds_metric_add (DS_METRIC_UPSTREAM_RETRIES, 1);
   x->runs++;
   x->may_have_run = true;
+  ds_crash_suspects_note_sent (
+      ds_crash_evidence_suspects (x->context->crashes), x->suspect_keys,
+      x->suspect_key_count, now_ms);
   ds_http_connection_set_handlers (ds_pooled_connection_http (x->pooled),
                                    &handlers);
   (void)ds_http_connection_send (
@@ -783,15 +820,37 @@
   ds_decision_line_end (&line);
 }
 
+/* Whether the request may be sent to a replica.  If it would probably crash
+   the replica, it is refused.  */
+static bool
+check_suspects (struct ds_exchange *x, uint64_t now_ms)
+{
+  static const char reason[] = "the request crashes its replicas";
+  uint64_t wait_ms = ds_crash_suspects_wait_ms (
+      ds_crash_evidence_suspects (x->context->crashes), x->suspect_keys,
+      x->suspect_key_count, now_ms);
+
+  if (wait_ms == 0)
+    return true;
+  if (x->may_have_run || x->head_sent)
+    fail_request (x, 502, reason);
+  else
+    refuse (x, 503, wait_ms, reason);
+  return false;
+}
+
 /* Starts the next attempt at a replica.  */
 static void
 start_attempt (struct ds_exchange *x)
 {
   uint64_t now_ms = ds_clock_ms ();
-  struct ds_placement placement = ds_placement_choose (
-      x->context->replicas, &x->placement_request, now_ms);
+  struct ds_placement placement;
 
   x->phase = ATTEMPTING;
+  if (!check_suspects (x, now_ms))
+    return;
+  placement = ds_placement_choose (x->context->replicas, &x->placement_request,
+                                   now_ms);
   if (placement.status != DS_PLACEMENT_OK)
     {
       fail_request (x, 502, "no replica is left");
@@ -928,11 +987,24 @@
           sizeof x->placement_request.parts);
 }
 
-static uint64_t
-request_digest (const struct ds_exchange *x)
+/* Collects what a crash of a replica may be due to: the request as a whole,
+   and the parts of its prompt that other requests share.  */
+static void
+fill_suspect_keys (struct ds_exchange *x)
 {
-  return ds_str_hash (
-      x->body, ds_str_hash (x->request.path, ds_str_hash (x->workspace, 3)));
+  const struct ds_placement_request *request = &x->placement_request;
+
+  x->suspect_keys[0] = (struct ds_suspect_key){
+    .kind = DS_SUSPECT_REQUEST,
+    .hash = ds_str_hash (
+        x->body, ds_str_hash (x->request.path, ds_str_hash (x->workspace, 3))),
+  };
+  x->suspect_key_count = 1;
+  for (size_t i = 0; i + 1 < request->part_count; i++)
+    x->suspect_keys[x->suspect_key_count++] = (struct ds_suspect_key){
+      .kind = DS_SUSPECT_PART,
+      .hash = ds_str_hash (request->service, request->parts[i].id),
+    };
 }
 
 /* Serves one request of a caller.  HEAD and BODY are valid until the response
@@ -979,12 +1051,6 @@
   x->config = talloc_reference (x, context->config);
   if (!resolve_route (x, &workspace))
     return;
-  x->digest = request_digest (x);
-  if (ds_crash_counter_is_blocked (context->crashes, x->digest, now_ms))
-    {
-      refuse (x, 503, RETRY_CRASHING_MS, "the request crashes its replicas");
-      return;
-    }
   wait_ms = x->route->timeout_ms;
   if (x->request.deadline_ms > 0 && x->request.deadline_ms < wait_ms)
     wait_ms = x->request.deadline_ms;
@@ -995,6 +1061,9 @@
       refuse (x, 503, RETRY_UNAVAILABLE_MS, "the route has no service");
       return;
     }
+  fill_suspect_keys (x);
+  if (!check_suspects (x, now_ms))
+    return;
   ds_retry_budget_record_request (context->retries,
                                   x->placement_request.service, now_ms);
   start_timer (x, now_ms);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -1,7 +1,6 @@
 #ifndef DS_ENTRY_EXCHANGE_H
 #define DS_ENTRY_EXCHANGE_H
 
-#include "core/crash_counter.h"
 #include "core/host_strain.h"
 #include "core/replica_set.h"
 #include "core/retry_budget.h"
@@ -9,6 +8,7 @@
 #include "entry/budget_manager.h"
 #include "entry/caller.h"
 #include "entry/connection_pool.h"
+#include "entry/crash_evidence.h"
 #include "entry/fleet_view.h"
 #include "entry/store_watcher.h"
 
@@ -24,7 +24,7 @@
   struct ds_connection_pool *pool;
   struct ds_retry_budget *retries;
   struct ds_budget_manager *budgets;
-  struct ds_crash_counter *crashes;
+  struct ds_crash_evidence *crashes;
   struct ds_fleet_view *fleet;
   struct ds_host_strain strain;
   struct ds_str zone;
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -120,41 +120,91 @@
   datagram->n_loads = used;
 }
 
-/* Adds the crashes that have been recorded recently, by this host or, since
-   each host passes them on, by others.  */
+static Daisystep__Gossip__Suspect *
+make_suspect (TALLOC_CTX *owner, const struct ds_suspect_report *report)
+{
+  Daisystep__Gossip__Suspect *suspect
+      = talloc (owner, Daisystep__Gossip__Suspect);
+  unsigned count = (unsigned)report->crash_count;
+
+  if (suspect == NULL)
+    return NULL;
+  daisystep__gossip__suspect__init (suspect);
+  suspect->key = report->key.hash;
+  suspect->is_part = report->key.kind == DS_SUSPECT_PART;
+  suspect->cleared = report->cleared;
+  suspect->cleared_age_ms = (uint32_t)report->cleared_age_ms;
+  suspect->replicas = talloc_array (suspect, uint64_t, count);
+  suspect->hosts = talloc_array (suspect, uint32_t, count);
+  suspect->ages_ms = talloc_array (suspect, uint32_t, count);
+  if (suspect->replicas == NULL || suspect->hosts == NULL
+      || suspect->ages_ms == NULL)
+    return NULL;
+  for (unsigned i = 0; i < count; i++)
+    {
+      suspect->replicas[i] = report->crashes[i].replica;
+      suspect->hosts[i] = report->crashes[i].host;
+      suspect->ages_ms[i] = (uint32_t)report->crashes[i].age_ms;
+    }
+  suspect->n_replicas = count;
+  suspect->n_hosts = count;
+  suspect->n_ages_ms = count;
+  return suspect;
+}
+
+/* Adds what may crash replicas: what this host knows of it, also from other
+   hosts.  */
 void
-ds_fleet_fill_crashes (struct ds_fleet_view *view, TALLOC_CTX *owner,
-                       Daisystep__Gossip__Datagram *datagram)
+ds_fleet_fill_suspects (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                        Daisystep__Gossip__Datagram *datagram)
 {
-  Daisystep__Gossip__Crash **crashes = talloc_array (
-      owner, Daisystep__Gossip__Crash *, CRASHES_PER_DATAGRAM_MAX);
-  uint64_t digest;
-  uint64_t replica;
+  struct ds_suspect_report reports[SUSPECTS_PER_DATAGRAM_MAX];
+  size_t count = ds_crash_suspects_take_reports (
+      view->suspects, reports, SUSPECTS_PER_DATAGRAM_MAX, ds_clock_ms ());
 
-  while (view->announced_count < CRASHES_PER_DATAGRAM_MAX
-         && ds_crash_counter_take_unsent (view->crashes, &digest, &replica))
+  datagram->suspects = talloc_array (owner, Daisystep__Gossip__Suspect *,
+                                     SUSPECTS_PER_DATAGRAM_MAX);
+  for (size_t i = 0; i < count && datagram->suspects != NULL; i++)
     {
-      struct ds_fleet_crash *announced
-          = &view->announced[view->announced_count++];
-
-      daisystep__gossip__crash__init (&announced->message);
-      announced->message.digest = digest;
-      announced->message.replica = replica;
-      announced->repeats
-          = view->relay_rank >= 0 ? CRASH_REPEATS_OF_RELAY : CRASH_REPEATS;
+      Daisystep__Gossip__Suspect *suspect = make_suspect (owner, &reports[i]);
+
+      if (suspect != NULL)
+        datagram->suspects[datagram->n_suspects++] = suspect;
     }
-  for (size_t i = 0; i < view->announced_count && crashes != NULL; i++)
-    {
-      Daisystep__Gossip__Crash *crash
-          = talloc (crashes, Daisystep__Gossip__Crash);
+}
 
-      *crash = view->announced[i].message;
-      crashes[datagram->n_crashes++] = crash;
+static void
+receive_suspects (struct ds_fleet_view *view,
+                  const struct ds_fleet_peer *member,
+                  const Daisystep__Gossip__Datagram *datagram, uint64_t now_ms)
+{
+  for (size_t i = 0; i < datagram->n_suspects; i++)
+    {
+      const Daisystep__Gossip__Suspect *suspect = datagram->suspects[i];
+      struct ds_suspect_report report = {
+        .key
+        = { .kind = suspect->is_part ? DS_SUSPECT_PART : DS_SUSPECT_REQUEST,
+            .hash = suspect->key },
+        .cleared = suspect->cleared,
+        .cleared_age_ms = suspect->cleared_age_ms,
+      };
+      enum ds_suspect_change change;
+
+      if (suspect->n_replicas != suspect->n_hosts
+          || suspect->n_replicas != suspect->n_ages_ms)
+        continue;
+      for (size_t k = 0; k < suspect->n_replicas && k < DS_SUSPECT_CRASHES_MAX;
+           k++)
+        report.crashes[report.crash_count++] = (struct ds_suspect_crash){
+          .replica = suspect->replicas[k],
+          .host = suspect->hosts[k],
+          .age_ms = suspect->ages_ms[k],
+        };
+      change = ds_crash_suspects_merge (view->suspects, &report, now_ms);
+      if (change != DS_SUSPECT_UNCHANGED)
+        view->handlers.on_suspect (report.key, change, member->info.host,
+                                   view->handlers.user_data);
     }
-  datagram->crashes = crashes;
-  for (size_t i = view->announced_count; i > 0; i--)
-    if (--view->announced[i - 1].repeats == 0)
-      view->announced[i - 1] = view->announced[--view->announced_count];
 }
 
 /* Announces that the replica incarnation with the hash REPLICA drains or is
@@ -265,14 +315,14 @@
     fill_holdings (view, owner, datagram);
 }
 
-/* Fills this host's reports and its announcements of crashes and of cached
-   parts.  */
+/* Fills this host's reports and its announcements of causes of crashes and of
+   cached parts.  */
 void
 ds_fleet_fill_state (struct ds_fleet_view *view, TALLOC_CTX *owner,
                      Daisystep__Gossip__Datagram *datagram)
 {
   ds_fleet_fill_reports (view, owner, datagram);
-  ds_fleet_fill_crashes (view, owner, datagram);
+  ds_fleet_fill_suspects (view, owner, datagram);
   fill_cached_parts (view, owner, datagram);
   datagram->leaving
       = ds_fleet_take_departures (view, owner, &datagram->n_leaving);
@@ -469,9 +519,7 @@
   if (!datagram->partial)
     receive_loads (member, datagram);
   ds_fleet_record_parts (view, datagram->reads, datagram->n_reads, now_ms);
-  for (size_t i = 0; i < datagram->n_crashes; i++)
-    (void)ds_crash_counter_record (view->crashes, datagram->crashes[i]->digest,
-                                   datagram->crashes[i]->replica, now_ms);
+  receive_suspects (view, member, datagram, now_ms);
   ds_fleet_receive_departures (view, datagram->leaving, datagram->n_leaving);
   if (datagram->summary != NULL)
     ds_fleet_receive_summary (view, member, datagram->summary, now_ms);
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -378,7 +378,7 @@
   fill_summary_loads (view, owner, summary, fleet);
   fill_parts (view, owner, summary, fleet);
   fill_records (view, owner, summary, fleet, now_ms);
-  ds_fleet_fill_crashes (view, owner, datagram);
+  ds_fleet_fill_suspects (view, owner, datagram);
   summary->leaving
       = ds_fleet_take_departures (view, owner, &summary->n_leaving);
   datagram->summary = summary;
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -128,7 +128,7 @@
 ds_fleet_view_new (struct ds_fleet_view **out, TALLOC_CTX *owner,
                    struct tevent_context *ev, const struct ds_fleet_self *self,
                    struct ds_replica_set *replicas,
-                   struct ds_crash_counter *crashes,
+                   struct ds_crash_suspects *suspects,
                    const struct ds_fleet_handlers *handlers,
                    struct ds_error *error)
 {
@@ -144,7 +144,7 @@
   view->ev = ev;
   view->self = *self;
   view->replicas = replicas;
-  view->crashes = crashes;
+  view->suspects = suspects;
   view->handlers = *handlers;
   view->ledger_reachable = true;
   view->ledger.reached = true;
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -2,7 +2,7 @@
 #define DS_ENTRY_FLEET_VIEW_H
 
 #include "core/allotment.h"
-#include "core/crash_counter.h"
+#include "core/crash_suspects.h"
 #include "core/replica_set.h"
 #include "core/watch_pace.h"
 #include "daisystep/error.h"
@@ -71,7 +71,8 @@
    ON_TOKEN_REQUEST handles a request for tokens of a workspace, of which the
    other host needs some at once, and returns how many it grants.
    ON_TOKEN_TRANSFER receives a transfer from another host.  ON_HOLDINGS is
-   called after a datagram with holdings.  */
+   called after a datagram with holdings.  ON_SUSPECT is told what a report
+   about a cause of crashes has changed.  */
 struct ds_fleet_handlers
 {
   size_t (*list_holdings) (struct ds_token_holding *out, void *user_data);
@@ -83,6 +84,8 @@
                              const struct ds_token_transfer *transfer,
                              struct ds_str sender, void *user_data);
   void (*on_holdings) (void *user_data);
+  void (*on_suspect) (struct ds_suspect_key key, enum ds_suspect_change change,
+                      struct ds_str sender, void *user_data);
   void *user_data;
 };
 
@@ -100,7 +103,7 @@
                        struct tevent_context *ev,
                        const struct ds_fleet_self *self,
                        struct ds_replica_set *replicas,
-                       struct ds_crash_counter *crashes,
+                       struct ds_crash_suspects *suspects,
                        const struct ds_fleet_handlers *handlers,
                        struct ds_error *error);
 void ds_fleet_view_add (struct ds_fleet_view *view,
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -12,11 +12,8 @@
 
 /* Loads in one datagram; those of this host's busiest replicas.  */
 #define LOADS_PER_DATAGRAM_MAX 32
-/* Crashes in one datagram, and how often each is sent.  */
-#define CRASHES_PER_DATAGRAM_MAX 8
-#define CRASH_REPEATS 3
-/* A relay sends to other relays, other zones and its zone in turn.  */
-#define CRASH_REPEATS_OF_RELAY 12
+/* Suspects of crashes in one datagram; the most certain are sent first.  */
+#define SUSPECTS_PER_DATAGRAM_MAX 24
 /* Prompt parts waiting to be announced; further ones are dropped.  */
 #define PENDING_PARTS_MAX 256
 /* Prompt parts in one datagram; the oldest are sent first.  */
@@ -100,12 +97,6 @@
   size_t sends_left;
 };
 
-struct ds_fleet_crash
-{
-  Daisystep__Gossip__Crash message;
-  int repeats;
-};
-
 /* The loads of another zone, as its relay last summed them up.  */
 struct ds_fleet_zone
 {
@@ -140,15 +131,13 @@
   struct tevent_fd *watch;
   struct ds_fleet_self self;
   struct ds_replica_set *replicas;
-  struct ds_crash_counter *crashes;
+  struct ds_crash_suspects *suspects;
   struct ds_fleet_handlers handlers;
   struct ds_fleet_peer **members;
   size_t count;
   GHashTable *by_short_id; /* of struct ds_fleet_peer */
   uint32_t short_id;       /* of this host */
   uint64_t relay_weight;   /* of this host */
-  struct ds_fleet_crash announced[CRASHES_PER_DATAGRAM_MAX];
-  size_t announced_count;
   struct ds_fleet_cached_part cached_parts[PENDING_PARTS_MAX];
   size_t cached_part_count;
   struct ds_fleet_departure departures[PENDING_DEPARTURES_MAX];
@@ -200,8 +189,8 @@
                             Daisystep__Gossip__Datagram *datagram);
 void ds_fleet_fill_state (struct ds_fleet_view *view, TALLOC_CTX *owner,
                           Daisystep__Gossip__Datagram *datagram);
-void ds_fleet_fill_crashes (struct ds_fleet_view *view, TALLOC_CTX *owner,
-                            Daisystep__Gossip__Datagram *datagram);
+void ds_fleet_fill_suspects (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                             Daisystep__Gossip__Datagram *datagram);
 uint64_t *ds_fleet_take_departures (struct ds_fleet_view *view,
                                     TALLOC_CTX *owner, size_t *count);
 void ds_fleet_receive_departures (struct ds_fleet_view *view,
--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -24,6 +24,7 @@
   bool discarding; /* the response belongs to no request */
   bool response_complete;
   bool not_reusable;
+  bool fell_silent;
   bool freed;
 };
 
@@ -150,6 +151,7 @@
       report_failure (c, DS_HTTP_FAILURE_NOT_CONNECTED);
       return;
     }
+  c->fell_silent = end == DS_TCP_END_SILENT;
   if (end == DS_TCP_END_CLOSED && c->state == READING_RESPONSE)
     {
       ds_http_reader_end_input (c->reader);
@@ -271,6 +273,14 @@
   return !c->freed && ds_tcp_is_connected (c->tcp);
 }
 
+/* True while the end of the connection would be noticed at once.  */
+bool
+ds_http_connection_is_watched (const struct ds_http_connection *c)
+{
+  return !c->freed && ds_tcp_is_connected (c->tcp)
+         && !ds_tcp_is_paused (c->tcp);
+}
+
 /* False only if no byte of the current request can have left this host.  */
 bool
 ds_http_connection_has_sent (const struct ds_http_connection *c)
@@ -278,6 +288,14 @@
   return c->tcp != NULL && ds_tcp_sent_bytes (c->tcp) > c->sent_before;
 }
 
+/* True if the connection ended because the peer no longer acknowledged
+   anything: its process may go on behind a broken path.  */
+bool
+ds_http_connection_fell_silent (const struct ds_http_connection *c)
+{
+  return c->fell_silent;
+}
+
 /* Pauses or resumes reading the response, for back-pressure.  */
 void
 ds_http_connection_pause (struct ds_http_connection *c, bool paused)
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -44,7 +44,9 @@
                              bool head_only);
 bool ds_http_connection_is_reusable (const struct ds_http_connection *c);
 bool ds_http_connection_is_connected (const struct ds_http_connection *c);
+bool ds_http_connection_is_watched (const struct ds_http_connection *c);
 bool ds_http_connection_has_sent (const struct ds_http_connection *c);
+bool ds_http_connection_fell_silent (const struct ds_http_connection *c);
 void ds_http_connection_pause (struct ds_http_connection *connection,
                                bool paused);
 
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -151,7 +151,9 @@
   if (count < 0 && (errno == EAGAIN || errno == EINTR))
     return;
   if (count < 0)
-    end_stream (tcp, DS_TCP_END_RESET);
+    end_stream (tcp, errno == ETIMEDOUT || errno == EHOSTUNREACH
+                         ? DS_TCP_END_SILENT
+                         : DS_TCP_END_RESET);
   else if (count == 0)
     end_stream (tcp, DS_TCP_END_CLOSED);
   else if (tcp->handlers.on_bytes != NULL)
@@ -347,6 +349,12 @@
   return tcp->connected && tcp->fd >= 0 && !tcp->end_scheduled;
 }
 
+bool
+ds_tcp_is_paused (const struct ds_tcp *tcp)
+{
+  return tcp->paused;
+}
+
 /* Pauses or resumes reading.  While paused, a close by the peer is not
    detected.  */
 void
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -13,7 +13,8 @@
 enum ds_tcp_end
 {
   DS_TCP_END_CLOSED,       /* closed in order */
-  DS_TCP_END_RESET,        /* the connection failed after it was established */
+  DS_TCP_END_RESET,        /* the peer or this host has reset it */
+  DS_TCP_END_SILENT,       /* the peer no longer acknowledges anything */
   DS_TCP_END_NOT_CONNECTED /* the connection was never established */
 };
 
@@ -57,6 +58,7 @@
 size_t ds_tcp_unsent_bytes (const struct ds_tcp *tcp);
 uint64_t ds_tcp_sent_bytes (const struct ds_tcp *tcp);
 bool ds_tcp_is_connected (const struct ds_tcp *tcp);
+bool ds_tcp_is_paused (const struct ds_tcp *tcp);
 int ds_tcp_peer_address (struct ds_socket_address *out,
                          const struct ds_tcp *tcp);
 void ds_tcp_pause (struct ds_tcp *tcp, bool paused);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &daisystep__gossip__crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisystep__gossip__suspect__init
+                     (Daisystep__Gossip__Suspect         *message)
+{
+  static const Daisystep__Gossip__Suspect init_value = DAISYSTEP__GOSSIP__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__suspect__get_packed_size
+                     (const Daisystep__Gossip__Suspect *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__suspect__pack
+                     (const Daisystep__Gossip__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__suspect__pack_to_buffer
+                     (const Daisystep__Gossip__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__Suspect *
+       daisystep__gossip__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__Suspect *)
+     protobuf_c_message_unpack (&daisystep__gossip__suspect__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__suspect__free_unpacked
+                     (Daisystep__Gossip__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisystep__gossip__token_ask__init
                      (Daisystep__Gossip__TokenAsk         *message)
 {
@@ -527,6 +572,122 @@
   (ProtobufCMessageInit) daisystep__gossip__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor daisystep__gossip__suspect__field_descriptors[7] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Suspect, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_part",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Suspect, is_part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replicas",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Daisystep__Gossip__Suspect, n_replicas),
+    offsetof(Daisystep__Gossip__Suspect, replicas),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Daisystep__Gossip__Suspect, n_hosts),
+    offsetof(Daisystep__Gossip__Suspect, hosts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages_ms",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Daisystep__Gossip__Suspect, n_ages_ms),
+    offsetof(Daisystep__Gossip__Suspect, ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Suspect, cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Suspect, cleared_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__suspect__field_indices_by_name[] = {
+  4,   /* field[4] = ages_ms */
+  5,   /* field[5] = cleared */
+  6,   /* field[6] = cleared_age_ms */
+  3,   /* field[3] = hosts */
+  1,   /* field[1] = is_part */
+  0,   /* field[0] = key */
+  2,   /* field[2] = replicas */
+};
+static const ProtobufCIntRange daisystep__gossip__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.Suspect",
+  "Suspect",
+  "Daisystep__Gossip__Suspect",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__Suspect),
+  7,
+  daisystep__gossip__suspect__field_descriptors,
+  daisystep__gossip__suspect__field_indices_by_name,
+  1,  daisystep__gossip__suspect__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisystep__gossip__token_ask__field_descriptors[4] =
 {
   {
@@ -1184,7 +1345,7 @@
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[26] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[27] =
 {
   {
     "host",
@@ -1498,6 +1659,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    27,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Datagram, n_suspects),
+    offsetof(Daisystep__Gossip__Datagram, suspects),
+    &daisystep__gossip__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -1522,6 +1695,7 @@
   7,   /* field[7] = sequence */
   20,   /* field[20] = strained */
   18,   /* field[18] = summary */
+  26,   /* field[26] = suspects */
   22,   /* field[22] = to_incarnation */
   12,   /* field[12] = transfer_acks */
   11,   /* field[11] = transfers */
@@ -1530,7 +1704,7 @@
 static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1540,7 +1714,7 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  26,
+  27,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
   1,  daisystep__gossip__datagram__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Daisystep__Gossip__ReplicaLoad Daisystep__Gossip__ReplicaLoad;
 typedef struct Daisystep__Gossip__Crash Daisystep__Gossip__Crash;
+typedef struct Daisystep__Gossip__Suspect Daisystep__Gossip__Suspect;
 typedef struct Daisystep__Gossip__TokenAsk Daisystep__Gossip__TokenAsk;
 typedef struct Daisystep__Gossip__TokenTransfer Daisystep__Gossip__TokenTransfer;
 typedef struct Daisystep__Gossip__TokenHolding Daisystep__Gossip__TokenHolding;
@@ -47,7 +48,8 @@
 
 
 /*
- * A request that was in flight on a replica when the replica crashed.
+ * A request that was in flight on a replica when the replica crashed. Sent by
+ * hosts of an earlier version; see Suspect.
  */
 struct  Daisystep__Gossip__Crash
 {
@@ -60,6 +62,35 @@
     , 0, 0 }
 
 
+/*
+ * A request, or a part of prompts, that may crash the replicas that answer it.
+ * Repeated fields have one item a crash.
+ */
+struct  Daisystep__Gossip__Suspect
+{
+  ProtobufCMessage base;
+  uint64_t key;
+  protobuf_c_boolean is_part;
+  size_t n_replicas;
+  uint64_t *replicas;
+  /*
+   * The hosts that saw the crashes, by the low 32 bits of their hashes.
+   */
+  size_t n_hosts;
+  uint32_t *hosts;
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
+  /*
+   * An answer that began so long ago has succeeded.
+   */
+  protobuf_c_boolean cleared;
+  uint32_t cleared_age_ms;
+};
+#define DAISYSTEP__GOSSIP__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__suspect__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
 /*
  * Requests tokens of a workspace, of which the sender needs a part at once.
  */
@@ -291,10 +322,12 @@
    */
   uint64_t config_revision;
   uint64_t replica_revision;
+  size_t n_suspects;
+  Daisystep__Gossip__Suspect **suspects;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
@@ -335,6 +368,25 @@
 void   daisystep__gossip__crash__free_unpacked
                      (Daisystep__Gossip__Crash *message,
                       ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__Suspect methods */
+void   daisystep__gossip__suspect__init
+                     (Daisystep__Gossip__Suspect         *message);
+size_t daisystep__gossip__suspect__get_packed_size
+                     (const Daisystep__Gossip__Suspect   *message);
+size_t daisystep__gossip__suspect__pack
+                     (const Daisystep__Gossip__Suspect   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__suspect__pack_to_buffer
+                     (const Daisystep__Gossip__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__Suspect *
+       daisystep__gossip__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__suspect__free_unpacked
+                     (Daisystep__Gossip__Suspect *message,
+                      ProtobufCAllocator *allocator);
 /* Daisystep__Gossip__TokenAsk methods */
 void   daisystep__gossip__token_ask__init
                      (Daisystep__Gossip__TokenAsk         *message);
@@ -476,6 +528,9 @@
 typedef void (*Daisystep__Gossip__Crash_Closure)
                  (const Daisystep__Gossip__Crash *message,
                   void *closure_data);
+typedef void (*Daisystep__Gossip__Suspect_Closure)
+                 (const Daisystep__Gossip__Suspect *message,
+                  void *closure_data);
 typedef void (*Daisystep__Gossip__TokenAsk_Closure)
                  (const Daisystep__Gossip__TokenAsk *message,
                   void *closure_data);
@@ -505,6 +560,7 @@
 
 extern const ProtobufCMessageDescriptor daisystep__gossip__replica_load__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__crash__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__suspect__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_ask__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_transfer__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_holding__descriptor;
--- a/tests/standins/platform_replica.c
+++ b/tests/standins/platform_replica.c
@@ -11,8 +11,9 @@
    body, or as set by POST /standin/faults: "shed", "fail" and "drop" are the
    numbers of requests that it rejects, fails, or executes without a response;
    "cut_after" is the event after which the next stream is truncated; "endless"
-   is the number of requests that get status 500 and a body without end.
-   GET /standin/runs returns the executed requests.  */
+   is the number of requests that get status 500 and a body without end;
+   "deadly" is a part of prompts whose requests get the header of a response
+   and then a reset.  GET /standin/runs returns the executed requests.  */
 
 #define EVENTS 6
 #define EVENT_BYTES 64
@@ -27,6 +28,7 @@
   json_int_t drop;
   json_int_t endless;
   json_int_t cut_after;
+  char deadly[32]; /* empty for none */
 };
 
 struct stream
@@ -146,6 +148,48 @@
   return result;
 }
 
+static ssize_t
+read_nothing (void *state, uint64_t position, char *buffer, size_t size)
+{
+  (void)state;
+  (void)position;
+  (void)buffer;
+  (void)size;
+  return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+/* Sends the header of a stream and closes the connection.  */
+static enum MHD_Result
+respond_with_crash (struct standin_request *request)
+{
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, 512, read_nothing, NULL, NULL);
+  enum MHD_Result result;
+
+  (void)MHD_add_response_header (response, "Content-Type",
+                                 "text/event-stream");
+  (void)MHD_add_response_header (
+      response, "Request-Id", standin_request_header (request, "Request-Id"));
+  (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* Whether the prompt of REQUEST has the part that crashes this replica.  */
+static bool
+has_deadly_part (struct replica *replica, struct standin_request *request)
+{
+  const char *parts = standin_request_header (request, "Prompt-Prefix");
+  bool deadly;
+
+  pthread_mutex_lock (&replica->lock);
+  deadly = parts != NULL && replica->deadly[0] != '\0'
+           && strstr (parts, replica->deadly) != NULL;
+  pthread_mutex_unlock (&replica->lock);
+  return deadly;
+}
+
 static const char *
 or_empty (const char *text)
 {
@@ -190,6 +234,8 @@
     return standin_close_connection (request);
   if (endless)
     return respond_endless (request);
+  if (has_deadly_part (replica, request))
+    return respond_with_crash (request);
   if (strstr (request->path, "/stream/") != NULL)
     return respond_stream (replica, request);
   (void)snprintf (text, sizeof text, "%s:%.*s", replica->id,
@@ -201,8 +247,11 @@
 set_faults (struct replica *replica, struct standin_request *request)
 {
   json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
+  const char *deadly = json_string_value (json_object_get (body, "deadly"));
 
   pthread_mutex_lock (&replica->lock);
+  (void)snprintf (replica->deadly, sizeof replica->deadly, "%s",
+                  or_empty (deadly));
   replica->shed = json_integer_value (json_object_get (body, "shed"));
   replica->fail = json_integer_value (json_object_get (body, "fail"));
   replica->drop = json_integer_value (json_object_get (body, "drop"));
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -17,6 +17,7 @@
 char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 static int entry_config_version;
+static int entry_restarts[ENTRY_REPLICAS];
 
 /* Addresses derived from the process id, since several test programs may run
    at the same time.  Ten numbers share a port.  */
@@ -105,16 +106,15 @@
   entry_put_config_with_route (prepaid, NULL);
 }
 
-void
-entry_put_replica (int i, const char *state)
+static void
+put_replica (int i, const char *state, bool exists)
 {
   char id[16];
   char path[64];
-  json_t *spec
-      = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:I}", "service", "pool", "address",
-                   entry_replicas[i]->address, "zone", "z", "state", state,
-                   "slots", 8, "born", (json_int_t)1000 + i);
-  bool exists = strcmp (state, "ready") != 0;
+  json_t *spec = json_pack (
+      "{s:s,s:s,s:s,s:s,s:i,s:I}", "service", "pool", "address",
+      entry_replicas[i]->address, "zone", "z", "state", state, "slots", 8,
+      "born", (json_int_t)1000 + i + entry_restarts[i] * ENTRY_REPLICAS);
 
   (void)sprintf (id, "i-%d", i);
   (void)sprintf (path, exists ? OBJECTS "servers/%s" : OBJECTS "servers", id);
@@ -122,6 +122,20 @@
                     200);
 }
 
+void
+entry_put_replica (int i, const char *state)
+{
+  put_replica (i, state, strcmp (state, "ready") != 0);
+}
+
+/* Registers replica I as one that has crashed and started again.  */
+void
+entry_restart_replica (int i)
+{
+  entry_restarts[i]++;
+  put_replica (i, "ready", true);
+}
+
 void
 entry_start_host (int i, const char *zone)
 {
@@ -253,6 +267,7 @@
   char id[16];
 
   entry_config_version = 0;
+  memset (entry_restarts, 0, sizeof entry_restarts);
   entry_format_address (address, 9, 7000);
   const char *store_arguments[] = { "--address", address, NULL };
 
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -28,6 +28,7 @@
 void entry_put_config_with_route (long prepaid, const char *path_prefix);
 void entry_format_address (char *out, int number, int port);
 void entry_put_replica (int i, const char *state);
+void entry_restart_replica (int i);
 void entry_start_host (int i, const char *zone);
 void entry_wait_ready (int i);
 struct test_http_response *entry_request (int host, const char *method,
--- /dev/null
+++ b/tests/test_entry_crash.c
@@ -0,0 +1,164 @@
+#include "support/entry_site.h"
+
+#include <check.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Hosts before replicas that crash as they begin the answer to a prompt with
+   one part.  */
+#define HOSTS 3
+#define DEADLY "dead"
+#define COMMON "c0"
+/* Crashes after which the part must be refused.  */
+#define ROUNDS 5
+/* Time in which a host learns what another one has seen, and of a replica that
+   is back; "contact_ms" of the users' platform.  */
+#define CONTACT_MS 3000
+
+static int serial;
+
+static void
+set_up (void)
+{
+  entry_start_standins (1000000);
+  for (int i = 0; i < HOSTS; i++)
+    entry_start_host (i, "z");
+  for (int i = 0; i < HOSTS; i++)
+    entry_wait_ready (i);
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    entry_set_faults (entry_replicas[i], "{\"deadly\":\"" DEADLY "\"}");
+}
+
+static void
+tear_down (void)
+{
+  test_processes_clean_up ();
+}
+
+/* Sends a request whose prompt has the common part, PART and one of its own.
+   No two requests are alike.  */
+static struct test_http_response *
+send_prompt (int host, const char *part)
+{
+  char id[48];
+  char path[48];
+  char parts[96];
+  const char *headers[] = { "Host: d.example",
+                            "Authorization: Bearer key-1",
+                            "Deadline-Ms: 6000",
+                            id,
+                            "Token-Count: 300,24",
+                            parts,
+                            NULL };
+  struct test_http_call call = { .method = "POST",
+                                 .address = entry_caller_addresses[host],
+                                 .path = path,
+                                 .headers = headers,
+                                 .body = parts };
+
+  serial++;
+  (void)snprintf (id, sizeof id, "Request-Id: id-%d", serial);
+  (void)snprintf (path, sizeof path, "/stream/%d", serial);
+  (void)snprintf (parts, sizeof parts,
+                  "Prompt-Prefix: " COMMON ":100,%s:100,own%d:100", part,
+                  serial);
+  return test_http (&call);
+}
+
+static size_t
+count_runs (void)
+{
+  size_t count = 0;
+
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    {
+      json_t *runs
+          = test_get_json (entry_replicas[i]->address, "/standin/runs");
+
+      count += json_array_size (runs);
+      json_decref (runs);
+    }
+  return count;
+}
+
+/* Crashes replicas through host after host, each crash with another
+   incarnation of the replicas.  */
+static void
+crash_replicas (void)
+{
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      (void)send_prompt (round % HOSTS, DEADLY);
+      for (int i = 0; i < ENTRY_REPLICAS; i++)
+        entry_restart_replica (i);
+      test_sleep_ms (CONTACT_MS / 2);
+    }
+  test_sleep_ms (CONTACT_MS);
+}
+
+/* Guards against requests with one part that crash a replica after the other,
+   since no two of them are alike and each comes at another host; and against
+   refusing sound ones of the same caller with the same first part.  */
+START_TEST (a_part_that_crashes_replicas_is_refused_at_every_host)
+{
+  size_t runs;
+
+  crash_replicas ();
+  runs = count_runs ();
+  for (int i = 0; i < HOSTS; i++)
+    {
+      struct test_http_response *reply = send_prompt (i, DEADLY);
+
+      ck_assert_int_eq (reply->status, 503);
+      ck_assert_ptr_nonnull (test_http_header (reply, "Retry-After"));
+      ck_assert_ptr_nonnull (strstr (reply->body.data, "\"ran\":\"no\""));
+    }
+  ck_assert_uint_eq (count_runs (), runs);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      ck_assert_int_eq (send_prompt (i, "s1")->status, 200);
+      ck_assert_int_eq (send_prompt (i, "s2")->status, 200);
+    }
+  ck_assert_uint_eq (count_runs (), runs + (size_t)2 * HOSTS);
+}
+END_TEST
+
+/* Guards against a host that starts when the others refuse the part already,
+   and crashes replicas with it again.  */
+START_TEST (a_host_that_starts_later_refuses_the_part)
+{
+  size_t runs;
+
+  crash_replicas ();
+  entry_start_host (HOSTS, "z");
+  entry_wait_ready (HOSTS);
+  test_sleep_ms (CONTACT_MS);
+  runs = count_runs ();
+  ck_assert_int_eq (send_prompt (HOSTS, DEADLY)->status, 503);
+  ck_assert_uint_eq (count_runs (), runs);
+  ck_assert_int_eq (send_prompt (HOSTS, "s1")->status, 200);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("entry_crash");
+  TCase *test_case = tcase_create ("entry_crash");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_set_timeout (test_case, 120);
+  tcase_add_test (test_case,
+                  a_part_that_crashes_replicas_is_refused_at_every_host);
+  tcase_add_test (test_case, a_host_that_starts_later_refuses_the_part);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -13,7 +13,7 @@
 /* One host and a peer that is played by the test.  */
 static struct tevent_context *ev;
 static struct ds_replica_set *replicas;
-static struct ds_crash_counter *crashes;
+static struct ds_crash_suspects *suspects;
 static struct ds_fleet_view *view;
 static char host_address[32];
 static char peer_address[32];
@@ -86,8 +86,8 @@
   struct ds_error error = DS_ERROR_NONE;
 
   talloc_free (view);
-  ck_assert_int_eq (ds_fleet_view_new (&view, ev, ev, &self, replicas, crashes,
-                                       &handlers, &error),
+  ck_assert_int_eq (ds_fleet_view_new (&view, ev, ev, &self, replicas,
+                                       suspects, &handlers, &error),
                     0);
 }
 
@@ -106,7 +106,7 @@
   ev = ds_event_context_new (NULL);
   ck_assert_ptr_nonnull (ev);
   ck_assert_int_eq (ds_replica_set_new (&replicas, ev), 0);
-  ck_assert_int_eq (ds_crash_counter_new (&crashes, ev), 0);
+  ck_assert_int_eq (ds_crash_suspects_new (&suspects, ev, 1), 0);
   ck_assert_int_eq (
       ds_socket_address_parse (&address, ds_str_from_c (peer_address)), 0);
   peer = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -1,5 +1,4 @@
 #include "core/address_choice.h"
-#include "core/crash_counter.h"
 #include "core/retry_budget.h"
 #include "daisystep/error.h"
 #include "entry/event_stream.h"
@@ -77,33 +76,6 @@
 }
 END_TEST
 
-/* A request crashes every engine it runs on and is repeated.  It is refused
-   after the third crash; requests that were in flight at one crash are
-   not.  */
-START_TEST (a_crashing_request_is_refused_after_three_crashes)
-{
-  struct ds_crash_counter *counter;
-  uint64_t digest;
-  uint64_t replica;
-  int count = 0;
-
-  ck_assert_int_eq (ds_crash_counter_new (&counter, owner), 0);
-  for (uint64_t crash = 1; crash <= 3; crash++)
-    {
-      ck_assert (!ds_crash_counter_is_blocked (counter, 99, 10));
-      (void)ds_crash_counter_record (counter, 99, crash, 10);
-      (void)ds_crash_counter_record (counter, 99, crash, 10);
-      (void)ds_crash_counter_record (counter, 1000 + crash, crash, 10);
-    }
-  ck_assert (ds_crash_counter_is_blocked (counter, 99, 10));
-  ck_assert (!ds_crash_counter_is_blocked (counter, 1001, 10));
-  ck_assert (!ds_crash_counter_is_blocked (counter, 99, 10000000));
-  while (ds_crash_counter_take_unsent (counter, &digest, &replica))
-    count++;
-  ck_assert_int_eq (count, 6);
-}
-END_TEST
-
 /* Guards against addresses in other zones while the zone of the caller has
    hosts, and against returning a single address.  */
 START_TEST (callers_get_the_hosts_of_their_zone)
@@ -228,8 +200,6 @@
   tcase_add_checked_fixture (test_case, set_up, tear_down);
   tcase_add_test (test_case, fleet_retries_stay_within_the_limit);
   tcase_add_test (test_case, services_have_separate_retry_budgets);
-  tcase_add_test (test_case,
-                  a_crashing_request_is_refused_after_three_crashes);
   tcase_add_test (test_case, callers_get_the_hosts_of_their_zone);
   tcase_add_test (test_case,
                   a_resumed_stream_continues_after_the_last_whole_event);
