Treat a stream that ends inside an event as broken off

What callers saw: a stream that its replica broke off inside an event, and sent without a length or chunks, arrived as a complete response.

Cause: without framing the end of the connection is the end of the body, and the bytes after the last whole event were passed on with it.

Responses without framing that are whole, or reset on the way, were right already; each has a case now.

Change: a stream whose response ends inside an event, or without framing before its first event, is resumed as after any broken connection, or ends the caller's response as broken. It is evidence of a crash like any other end.

--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -104,6 +104,25 @@
   return ds_byte_buffer_content (&stream->partial);
 }
 
+/* Whether the bytes after the last complete event begin another one.  Empty
+   lines and comments belong to none.  */
+bool
+ds_event_stream_is_inside_event (const struct ds_event_stream *stream)
+{
+  struct ds_str partial = ds_byte_buffer_content (&stream->partial);
+  bool line_start = true;
+
+  for (size_t i = 0; i < partial.length; i++)
+    {
+      char c = partial.data[i];
+
+      if (line_start && c != '\n' && c != '\r' && c != ':')
+        return true;
+      line_start = c == '\n';
+    }
+  return false;
+}
+
 /* Discards an event that a replica did not finish.  */
 void
 ds_event_stream_discard_partial (struct ds_event_stream *stream)
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -85,6 +85,7 @@
   unsigned status;
   struct ds_byte_buffer response_head;
   struct ds_byte_buffer held;
+  bool framed;    /* the response has a length or chunks */
   bool streaming; /* body bytes are forwarded as they arrive */
   bool head_sent; /* the response header was sent */
   bool resumed;
@@ -447,6 +448,7 @@
     return false;
   response.request_id = DS_STR_EMPTY;
   x->response = response;
+  x->framed = head->framed;
   x->answer_ms = ds_clock_ms ();
   x->status = head->status;
   x->streaming = false;
@@ -573,6 +575,33 @@
   ds_caller_finish_response (caller);
 }
 
+/* The replica broke the attempt off after the request had been sent.  */
+static void
+on_broken_off (struct ds_exchange *x, bool fell_silent, const char *how)
+{
+  ds_crash_evidence_add_failure (x->context->crashes,
+                                 &(struct ds_failed_attempt){
+                                     .request_id = x->request.id,
+                                     .keys = x->suspect_keys,
+                                     .key_count = x->suspect_key_count,
+                                     .replica = x->replica,
+                                     .answer_begun = x->beyond_crash,
+                                     .fell_silent = fell_silent,
+                                 });
+  on_attempt_failed (x, how);
+}
+
+/* Whether the stream whose response has ended is incomplete: inside an event
+   or, if the end of the connection is all that ends it, before the first.  */
+static bool
+ends_too_early (const struct ds_exchange *x)
+{
+  if (!x->streaming || !x->response.is_stream)
+    return false;
+  return ds_event_stream_is_inside_event (&x->events)
+         || (!x->framed && !x->request.resumes && x->events.events == 0);
+}
+
 static void
 on_end (void *user_data)
 {
@@ -596,6 +625,12 @@
       on_attempt_failed (x, "answer is not the replica's");
       return;
     }
+  if (ends_too_early (x))
+    {
+      ds_placement_record_failure (x->replica, now_ms);
+      on_broken_off (x, false, "stream ended inside an event");
+      return;
+    }
   return_connection (x);
   if (x->status >= 500)
     {
@@ -692,18 +727,11 @@
   if (!ds_pooled_connection_is_reused (x->pooled)
       || failure != DS_HTTP_FAILURE_NO_RESPONSE)
     ds_placement_record_failure (x->replica, now_ms);
-  if (failure != DS_HTTP_FAILURE_MALFORMED)
-    ds_crash_evidence_add_failure (
-        x->context->crashes,
-        &(struct ds_failed_attempt){
-            .request_id = x->request.id,
-            .keys = x->suspect_keys,
-            .key_count = x->suspect_key_count,
-            .replica = x->replica,
-            .answer_begun = x->beyond_crash,
-            .fell_silent = ds_http_connection_fell_silent (connection),
-        });
-  on_attempt_failed (x, failure_name (failure));
+  if (failure == DS_HTTP_FAILURE_MALFORMED)
+    on_attempt_failed (x, failure_name (failure));
+  else
+    on_broken_off (x, ds_http_connection_fell_silent (connection),
+                   failure_name (failure));
 }
 
 /* Returns the priority at an engine: the workspace's outweighs the route's;
--- a/tests/standins/platform_replica.c
+++ b/tests/standins/platform_replica.c
@@ -2,21 +2,27 @@
 
 #include <argtable2.h>
 #include <jansson.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* Stand-in for a replica of the platform.  It responds with its id and the
    body, or as set by POST /standin/faults: "shed", "fail" and "drop" are the
    numbers of requests that it rejects, fails, or executes without a response;
-   "cut_after" is the event after which the next stream is truncated; "endless"
+   "cut_after" is the event after which the next stream is truncated;
+   "unframed" is the number of responses with neither a length nor chunks,
+   which end with the connection, those that are truncated too; "reset" makes
+   truncated ones end with a reset; "endless"
    is the number of requests that get status 500 and a body without end;
    "deadly" is a part of prompts whose requests get the header of a response
    and then a reset.  GET /standin/runs returns the executed requests.  */
 
 #define EVENTS 6
 #define EVENT_BYTES 64
+#define RESET_DELAY_MS 100
 
 struct replica
 {
@@ -28,6 +34,8 @@
   json_int_t drop;
   json_int_t endless;
   json_int_t cut_after;
+  json_int_t unframed;
+  bool reset;
   char deadly[32]; /* empty for none */
 };
 
@@ -36,6 +44,8 @@
   char text[EVENTS * EVENT_BYTES];
   size_t length;
   bool cut;
+  bool unframed;
+  int reset_fd; /* of a connection to reset at the end; -1 for none */
 };
 
 static bool
@@ -74,15 +84,56 @@
   const struct stream *stream = state;
   size_t left = stream->length - (size_t)position;
 
+  if (left == 0 && stream->reset_fd >= 0)
+    {
+      struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+      /* Lets the bytes before the reset arrive.  */
+      (void)poll (NULL, 0, RESET_DELAY_MS);
+      /* Resets the connection; the server would close it in order.  */
+      (void)connect (stream->reset_fd, &none, sizeof none);
+    }
+  /* Only a framed response shows that it is truncated.  */
   if (left == 0)
-    return stream->cut ? MHD_CONTENT_READER_END_WITH_ERROR
-                       : MHD_CONTENT_READER_END_OF_STREAM;
+    return stream->cut && (!stream->unframed || stream->reset_fd >= 0)
+               ? MHD_CONTENT_READER_END_WITH_ERROR
+               : MHD_CONTENT_READER_END_OF_STREAM;
   if (left > size)
     left = size;
   memcpy (buffer, stream->text + position, left);
   return (ssize_t)left;
 }
 
+/* Prepares STREAM for a response that ends with the connection if the faults
+   ask for it.  */
+static void
+choose_framing (struct replica *replica, struct standin_request *request,
+                struct stream *stream)
+{
+  pthread_mutex_lock (&replica->lock);
+  stream->unframed = consume_fault (&replica->unframed);
+  stream->reset_fd = -1;
+  if (replica->reset && stream->cut)
+    stream->reset_fd
+        = MHD_get_connection_info (request->connection,
+                                   MHD_CONNECTION_INFO_CONNECTION_FD)
+              ->connect_fd;
+  pthread_mutex_unlock (&replica->lock);
+}
+
+static struct MHD_Response *
+make_response (struct stream *stream)
+{
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, 512, read_stream, stream, free);
+
+  /* Version 1.0 has no chunks.  */
+  if (stream->unframed)
+    (void)MHD_set_response_options (
+        response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
+  return response;
+}
+
 static enum MHD_Result
 respond_stream (struct replica *replica, struct standin_request *request)
 {
@@ -111,8 +162,8 @@
           += (size_t)snprintf (stream->text + stream->length, EVENT_BYTES,
                                "id: %d\ndata: piece %d\n\n", i, i);
     }
-  response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 512,
-                                                read_stream, stream, free);
+  choose_framing (replica, request, stream);
+  response = make_response (stream);
   (void)MHD_add_response_header (response, "Content-Type",
                                  "text/event-stream");
   (void)MHD_add_response_header (
@@ -123,6 +174,31 @@
   return result;
 }
 
+/* Responds with TEXT; with "cut_after" only to half of it.  */
+static enum MHD_Result
+respond_unframed (struct replica *replica, struct standin_request *request,
+                  const char *text)
+{
+  struct stream *stream = calloc (1, sizeof *stream);
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  pthread_mutex_lock (&replica->lock);
+  stream->cut = replica->cut_after > 0;
+  replica->cut_after = 0;
+  pthread_mutex_unlock (&replica->lock);
+  stream->length = strlen (text) / (stream->cut ? 2 : 1);
+  memcpy (stream->text, text, stream->length);
+  choose_framing (replica, request, stream);
+  response = make_response (stream);
+  (void)MHD_add_response_header (
+      response, "Request-Id", standin_request_header (request, "Request-Id"));
+  (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
 static ssize_t
 read_endless (void *state, uint64_t position, char *buffer, size_t size)
 {
@@ -204,6 +280,7 @@
   bool fail;
   bool drop;
   bool endless;
+  bool unframed;
   char text[128];
 
   if (expected != NULL && strcmp (expected, replica->id) != 0)
@@ -240,6 +317,11 @@
     return respond_stream (replica, request);
   (void)snprintf (text, sizeof text, "%s:%.*s", replica->id,
                   (int)request->body_length, request->body);
+  pthread_mutex_lock (&replica->lock);
+  unframed = replica->unframed > 0;
+  pthread_mutex_unlock (&replica->lock);
+  if (unframed)
+    return respond_unframed (replica, request, text);
   return respond (request, 200, text, false, replica->id);
 }
 
@@ -258,6 +340,8 @@
   replica->endless = json_integer_value (json_object_get (body, "endless"));
   replica->cut_after
       = json_integer_value (json_object_get (body, "cut_after"));
+  replica->unframed = json_integer_value (json_object_get (body, "unframed"));
+  replica->reset = json_is_true (json_object_get (body, "reset"));
   pthread_mutex_unlock (&replica->lock);
   json_decref (body);
   return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -114,7 +114,7 @@
   json_t *spec = json_pack (
       "{s:s,s:s,s:s,s:s,s:i,s:I}", "service", "pool", "address",
       entry_replicas[i]->address, "zone", "z", "state", state, "slots", 8,
-      "born", (json_int_t)1000 + i + entry_restarts[i] * ENTRY_REPLICAS);
+      "born", 1000 + i + (json_int_t)entry_restarts[i] * ENTRY_REPLICAS);
 
   (void)sprintf (id, "i-%d", i);
   (void)sprintf (path, exists ? OBJECTS "servers/%s" : OBJECTS "servers", id);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -134,6 +134,71 @@
 }
 END_TEST
 
+/* Guards against refusing responses without a length and chunks, which end
+   with the connection, or losing a part of them.  */
+START_TEST (responses_that_end_with_the_connection_are_whole)
+{
+  struct test_http_response *reply;
+
+  set_replica_faults ("{\"unframed\":2}");
+  reply = entry_request (0, "POST", "/book/1", "id-b", NULL);
+  ck_assert_int_eq (reply->code, 0);
+  ck_assert_int_eq (reply->status, 200);
+  ck_assert_ptr_nonnull (strstr (reply->body.data, ":hello"));
+  reply = entry_request (0, "POST", "/stream/1", "id-s", "100,24");
+  ck_assert_int_eq (reply->code, 0);
+  ck_assert_ptr_nonnull (strstr (reply->body.data, "piece 6\n\n"));
+}
+END_TEST
+
+/* Guards against passing on half a response as a whole one, since a connection
+   that is reset ends it as one that is closed does.  */
+START_TEST (a_response_without_length_that_is_reset_is_not_whole)
+{
+  struct test_http_response *reply;
+
+  set_replica_faults ("{\"unframed\":1,\"cut_after\":1,\"reset\":true}");
+  reply = entry_request (0, "POST", "/book/1", "id-b", NULL);
+  ck_assert (reply->code != 0 || reply->status == 502);
+  ck_assert_int_eq (entry_count_runs ("id-b"), 1);
+}
+END_TEST
+
+/* Guards against a stream that ends inside an event and looks complete:
+   without a length and chunks, the end of the connection is the end of the
+   stream.  */
+START_TEST (an_unframed_stream_that_ends_inside_an_event_is_resumed)
+{
+  struct test_http_response *reply;
+
+  for (int i = 0; i < 4; i++)
+    {
+      char id[16];
+
+      (void)sprintf (id, "id-%d", i);
+      entry_set_faults (entry_replicas[0], "{\"unframed\":1,\"cut_after\":2}");
+      reply = entry_request (0, "POST", "/stream/1", id, "100,24");
+      ck_assert_int_eq (reply->code, 0);
+      ck_assert_str_eq (reply->body.data,
+                        "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+                        "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+                        "id: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n");
+    }
+}
+END_TEST
+
+/* Guards against the same at both replicas: the response must then look broken
+   to the caller, too.  */
+START_TEST (an_unframed_stream_that_cannot_be_resumed_looks_broken)
+{
+  struct test_http_response *reply;
+
+  set_replica_faults ("{\"unframed\":1,\"cut_after\":2}");
+  reply = entry_request (0, "POST", "/stream/1", "id-s", "100,24");
+  ck_assert_int_ne (reply->code, 0);
+}
+END_TEST
+
 START_TEST (a_stream_cut_at_one_replica_is_resumed_at_the_other)
 {
   struct test_http_response *reply;
@@ -578,6 +643,13 @@
   tcase_add_test (test_case, a_lookup_whose_answer_is_lost_is_repeated);
   tcase_add_test (test_case,
                   a_rejected_booking_is_retried_or_reported_as_not_run);
+  tcase_add_test (test_case, responses_that_end_with_the_connection_are_whole);
+  tcase_add_test (test_case,
+                  a_response_without_length_that_is_reset_is_not_whole);
+  tcase_add_test (test_case,
+                  an_unframed_stream_that_ends_inside_an_event_is_resumed);
+  tcase_add_test (test_case,
+                  an_unframed_stream_that_cannot_be_resumed_looks_broken);
   tcase_add_test (test_case, a_broken_stream_resumes_at_another_replica);
   tcase_add_test (test_case,
                   a_stream_cut_at_one_replica_is_resumed_at_the_other);
