--- a/tests/standins/platform_replica.c
+++ b/tests/standins/platform_replica.c
@@ -229,8 +229,8 @@
 {
   (void)state;
   (void)position;
-  (void)buffer;
-  (void)size;
+  if (size > 0)
+    buffer[0] = '\0';
   return MHD_CONTENT_READER_END_WITH_ERROR;
 }
 
