--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -3,6 +3,12 @@
 #include <glib.h>
 #include <string.h>
 
+/* Time after which a reported departure no longer counts, also if this host
+   hears nothing from the store.  A replica that leaves has exited by then.  */
+#define REPORT_MS 30000
+/* Time in which no report about a replica is believed after a wrong one.  */
+#define REFUTED_MS 10000
+
 /* One replica and whether the current listing contains it.  */
 struct entry
 {
@@ -123,7 +129,6 @@
         {
           replica->record.slots = record->slots;
           replica->record.draining = record->draining;
-          replica->reported_leaving = false;
           replica->expiry_ms = 0;
           entry->listed = true;
           return 0;
@@ -173,14 +178,59 @@
       }
 }
 
-/* Drops the replicas whose expiry time has passed.  */
+/* Stops the use of the replica with HASH, which according to another host
+   leaves since REVISION of the store.  Returns false if it is unknown or
+   leaves already.  */
+bool
+ds_replica_set_report_departure (struct ds_replica_set *set, uint64_t hash,
+                                 uint64_t revision, uint64_t now_ms)
+{
+  struct ds_replica *replica = ds_replica_set_find_by_hash (set, hash);
+
+  if (replica == NULL || !ds_replica_accepts_requests (replica)
+      || (replica->left_refuted_ms > 0
+          && now_ms - replica->left_refuted_ms < REFUTED_MS))
+    return false;
+  replica->left_revision = revision;
+  replica->left_reported_ms = now_ms;
+  return true;
+}
+
+/* Ends the reports about what the store says up to REVISION, which this host
+   knows from a call begun at ASKED_MS.  Reports from before the call about
+   later revisions are wrong: the store does not have them.  */
+void
+ds_replica_set_end_reports (struct ds_replica_set *set, uint64_t revision,
+                            uint64_t asked_ms, uint64_t now_ms)
+{
+  for (size_t i = 0; i < set->count; i++)
+    {
+      struct ds_replica *replica = set->entries[i].replica;
+
+      if (replica->left_revision == 0)
+        continue;
+      if (replica->left_revision > revision
+          && replica->left_reported_ms >= asked_ms)
+        continue;
+      if (replica->left_revision > revision)
+        replica->left_refuted_ms = now_ms;
+      replica->left_revision = 0;
+    }
+}
+
+/* Drops the replicas whose expiry time has passed, and reports that are too
+   old.  */
 void
 ds_replica_set_remove_expired (struct ds_replica_set *set, uint64_t now_ms)
 {
   for (size_t i = set->count; i > 0; i--)
     {
-      uint64_t expiry = set->entries[i - 1].replica->expiry_ms;
+      struct ds_replica *replica = set->entries[i - 1].replica;
+      uint64_t expiry = replica->expiry_ms;
 
+      if (replica->left_revision > 0
+          && now_ms - replica->left_reported_ms > REPORT_MS)
+        replica->left_revision = 0;
       if (expiry != 0 && expiry <= now_ms)
         drop (set, i - 1);
     }
@@ -227,5 +277,5 @@
 ds_replica_accepts_requests (const struct ds_replica *replica)
 {
   return !replica->removed && !replica->record.draining
-         && !replica->reported_leaving;
+         && replica->left_revision == 0;
 }
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -48,9 +48,13 @@
   struct ds_cached_part *parts;         /* allocated on first use */
   uint64_t avoid_until_ms;              /* set after failures */
   uint32_t failures;                    /* consecutive */
-  uint64_t expiry_ms;    /* when it is dropped; 0 while listed */
-  float latency_factor;  /* observed / expected time to first event */
-  bool reported_leaving; /* another host has seen that it drains */
+  uint64_t expiry_ms;   /* when it is dropped; 0 while listed */
+  float latency_factor; /* observed / expected time to first event */
+  /* Another host has reported that it leaves, as the store says from this
+     revision on; 0 for none.  */
+  uint64_t left_revision;
+  uint64_t left_reported_ms;
+  uint64_t left_refuted_ms; /* when a report was last found wrong; or 0 */
   bool removed;
 };
 
@@ -75,6 +79,11 @@
 struct ds_replica *
 ds_replica_set_find_by_short_hash (const struct ds_replica_set *set,
                                    uint32_t hash);
+bool ds_replica_set_report_departure (struct ds_replica_set *set,
+                                      uint64_t hash, uint64_t revision,
+                                      uint64_t now_ms);
+void ds_replica_set_end_reports (struct ds_replica_set *set, uint64_t revision,
+                                 uint64_t asked_ms, uint64_t now_ms);
 bool ds_replica_accepts_requests (const struct ds_replica *replica);
 
 #endif
--- a/src/core/watch_pace.c
+++ b/src/core/watch_pace.c
@@ -6,9 +6,11 @@
 static uint32_t
 interval_ms (const struct ds_watch_place *place)
 {
-  return place->interval_ms > 0 && place->interval_ms < WAIT_MAX_MS
-             ? place->interval_ms
-             : WAIT_MAX_MS;
+  uint32_t interval = place->interval_ms;
+
+  if (interval == 0 || interval > WAIT_MAX_MS)
+    return WAIT_MAX_MS;
+  return interval;
 }
 
 /* Number of hosts whose watches end one after another.  */
@@ -17,6 +19,8 @@
 {
   size_t most = WAIT_MAX_MS / interval_ms (place);
 
+  if (place->hosts == 0)
+    return 1;
   return place->hosts < most ? place->hosts : most;
 }
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -29,9 +29,9 @@
    signal.  */
 #define SETTINGS_CHECK_MS 2000
 /* Replicas whose registrations expired in a store outage register again within
-   two seconds of its end.  */
-#define REREGISTRATION_MS 2000
-/* A deletion this soon after a reconnection may be such an expiry.  */
+   two seconds of its end, which is known to a gossip interval.  */
+#define REREGISTRATION_MS (2000 + DS_GOSSIP_INTERVAL_MS)
+/* A deletion this soon after an outage may be such an expiry.  */
 #define RECONNECTION_WINDOW_MS 2500
 /* Divisors of the time in which a configuration must take effect, and in which
    a draining replica may get requests: changes are batched for this part.  The
@@ -101,6 +101,8 @@
 
   uint64_t next_tick_ms;     /* when the next tick is due */
   uint64_t store_checked_ms; /* because other hosts have lost the store */
+  uint64_t doubted_since_ms; /* since when many others have lost it; or 0 */
+  uint64_t outage_ms;        /* when it was last seen out; 0 for never */
   uint64_t stopping_ms;      /* time of SIGTERM; 0 before */
   bool stopped;
 };
@@ -231,25 +233,35 @@
   ds_replica_set_begin_list (entry->replicas);
 }
 
+/* Notes an outage of the store: a call of this host has failed and none has
+   succeeded since, or many others have lost the store and this host, whose
+   watch may wait through the outage, has had no response since.  */
+static void
+note_outage (struct ds_entry *entry, uint64_t now_ms)
+{
+  if (!ds_fleet_view_others_lost_ledger (entry->fleet))
+    entry->doubted_since_ms = 0;
+  else if (entry->doubted_since_ms == 0)
+    entry->doubted_since_ms = now_ms;
+  if (!ds_store_client_is_reachable (entry->store)
+      || (entry->doubted_since_ms > 0
+          && ds_store_client_succeeded_ms (entry->store)
+                 < entry->doubted_since_ms))
+    entry->outage_ms = now_ms;
+}
+
 /* Returns when a missing replica counts as removed: 0 for at once, or later if
    its registration may have expired in a store outage.  */
 static uint64_t
 removal_time (const struct ds_entry *entry)
 {
-  uint64_t reconnected_ms
-      = ds_store_watcher_reconnected_ms (entry->replica_watcher);
-  uint64_t other_ms = ds_store_watcher_reconnected_ms (entry->config_watcher);
   uint64_t now_ms = ds_clock_ms ();
 
-  /* A response to either watcher shows that the store was reachable.  */
-  if (other_ms > ds_store_watcher_disconnected_ms (entry->replica_watcher)
-      && other_ms < reconnected_ms)
-    reconnected_ms = other_ms;
-
-  if (reconnected_ms == 0 || now_ms - reconnected_ms > RECONNECTION_WINDOW_MS)
+  if (entry->outage_ms == 0
+      || now_ms - entry->outage_ms > RECONNECTION_WINDOW_MS)
     return 0;
-  return reconnected_ms + REREGISTRATION_MS > now_ms
-             ? reconnected_ms + REREGISTRATION_MS
+  return entry->outage_ms + REREGISTRATION_MS > now_ms
+             ? entry->outage_ms + REREGISTRATION_MS
              : 0;
 }
 
@@ -262,16 +274,65 @@
   publish_state (entry);
 }
 
-/* Tells the other hosts that the replica ID drains or is gone.  One that is
-   missing after a store outage may return and is not reported.  */
+/* The state of the replicas is that of the store up to the watcher's revision,
+   which ends what other hosts have reported before.  */
+static void
+on_replicas_applied (void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  ds_replica_set_end_reports (
+      entry->replicas, ds_store_watcher_revision (entry->replica_watcher),
+      ds_store_watcher_asked_ms (entry->replica_watcher), ds_clock_ms ());
+}
+
+/* Tells the other hosts that the replica of OBJECT drains or is gone.  One
+   that is missing after a store outage may return and is not reported.  */
 static void
-announce_departure (struct ds_entry *entry, struct ds_str id)
+announce_departure (struct ds_entry *entry,
+                    const struct ds_store_object *object)
 {
-  const struct ds_replica *replica = ds_replica_set_find (entry->replicas, id);
+  const struct ds_replica *replica
+      = ds_replica_set_find (entry->replicas, object->name);
+  struct ds_departure departure
+      = { .revision = object->revision, .gone = object->deleted };
 
-  if (replica != NULL && ds_replica_accepts_requests (replica)
-      && removal_time (entry) == 0)
-    ds_fleet_view_announce_departure (entry->fleet, replica->hash);
+  if (replica == NULL || !ds_replica_accepts_requests (replica)
+      || (object->deleted && removal_time (entry) > 0))
+    return;
+  departure.replica = replica->hash;
+  ds_fleet_view_announce_departure (entry->fleet, &departure);
+}
+
+/* Stops the use of a replica that another host has seen leave, until this
+   host's own watch has come as far.  What the store said to this host later
+   goes before the report, and so does an outage that explains the removal.  */
+static bool
+on_peer_departure (const struct ds_departure *departure, struct ds_str sender,
+                   void *user_data)
+{
+  struct ds_entry *entry = user_data;
+  struct ds_decision_line line;
+
+  if (departure->revision <= ds_store_watcher_revision (entry->replica_watcher)
+      || (departure->gone && removal_time (entry) > 0)
+      || !ds_replica_set_report_departure (entry->replicas, departure->replica,
+                                           departure->revision,
+                                           ds_clock_ms ()))
+    return false;
+  line = ds_decision_line_begin ("replica", DS_STR_EMPTY);
+  ds_decision_line_add_text (
+      &line, "replica",
+      ds_replica_set_find_by_hash (entry->replicas, departure->replica)
+          ->record.id);
+  ds_decision_line_add_number (&line, "revision",
+                               (int64_t)departure->revision);
+  ds_decision_line_add_text (&line, "state",
+                             departure->gone ? DS_STR ("reported_gone")
+                                             : DS_STR ("reported_draining"));
+  ds_decision_line_add_text (&line, "peer", sender);
+  ds_decision_line_end (&line);
+  return true;
 }
 
 static void
@@ -287,7 +348,7 @@
   ds_decision_line_add_number (&line, "revision", (int64_t)object->revision);
   if (object->deleted)
     {
-      announce_departure (entry, object->name);
+      announce_departure (entry, object);
       ds_replica_set_remove (entry->replicas, object->name,
                              removal_time (entry));
       ds_decision_line_add_text (&line, "state", DS_STR ("gone"));
@@ -298,7 +359,7 @@
   else
     {
       if (record.draining)
-        announce_departure (entry, object->name);
+        announce_departure (entry, object);
       (void)ds_replica_set_put (entry->replicas, &record);
       ds_decision_line_add_text (&line, "state",
                                  record.draining ? DS_STR ("draining")
@@ -698,12 +759,14 @@
   ds_replica_set_remove_expired (entry->replicas, now_ms);
   ds_connection_pool_close_expired (entry->exchanges.pool, now_ms);
   count_hosts (entry, now_ms);
+  note_outage (entry, now_ms);
   update_watches (entry, now_ms);
   ds_budget_manager_tick (entry->budgets, now_ms);
   ds_fleet_view_set_ledger_reachable (
       entry->fleet, ds_store_client_is_reachable (entry->store));
   ds_fleet_view_tick (entry->fleet, now_ms);
-  if (ds_fleet_view_doubts_ledger (entry->fleet)
+  if (ds_store_client_is_reachable (entry->store)
+      && ds_fleet_view_others_lost_ledger (entry->fleet)
       && now_ms - entry->store_checked_ms >= STORE_CHECK_INTERVAL_MS)
     {
       entry->store_checked_ms = now_ms;
@@ -791,6 +854,7 @@
     .on_token_transfer = receive_from_peer,
     .on_holdings = on_peer_holdings,
     .on_suspect = on_peer_suspect,
+    .on_departure = on_peer_departure,
     .user_data = entry,
   };
 
@@ -885,6 +949,7 @@
     .on_begin = on_replicas_begin,
     .on_object = on_replica_object,
     .on_end = on_replicas_end,
+    .on_applied = on_replicas_applied,
     .user_data = entry,
     .batch_ms = (uint32_t)(entry->settings->drain_ms / DRAIN_BATCH_DIVISOR),
   };
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -207,58 +207,86 @@
     }
 }
 
-/* Announces that the replica incarnation with the hash REPLICA drains or is
-   gone, so that hosts whose watch is slow or cut off stop using it as well. */
+/* Announces that a replica leaves, so that hosts whose watch is slow or cut
+   off stop using it as well.  */
 void
-ds_fleet_view_announce_departure (struct ds_fleet_view *view, uint64_t replica)
+ds_fleet_view_announce_departure (struct ds_fleet_view *view,
+                                  const struct ds_departure *departure)
 {
+  struct ds_fleet_departure announced
+      = { .departure = *departure, .sends_left = DEPARTURE_SENDS };
+
   for (size_t i = 0; i < view->departure_count; i++)
-    if (view->departures[i].replica == replica)
-      return;
+    if (view->departures[i].departure.replica == departure->replica)
+      {
+        if (view->departures[i].departure.revision < departure->revision)
+          view->departures[i] = announced;
+        return;
+      }
   if (view->departure_count < PENDING_DEPARTURES_MAX)
-    view->departures[view->departure_count++]
-        = (struct ds_fleet_departure){ .replica = replica,
-                                       .sends_left = DEPARTURE_SENDS };
+    view->departures[view->departure_count++] = announced;
 }
 
 /* Returns the departures to send with a datagram and stores their number in
    COUNT.  */
-uint64_t *
+Daisystep__Gossip__Departure **
 ds_fleet_take_departures (struct ds_fleet_view *view, TALLOC_CTX *owner,
                           size_t *count)
 {
-  uint64_t *replicas = talloc_array (owner, uint64_t, PENDING_DEPARTURES_MAX);
+  Daisystep__Gossip__Departure **messages = talloc_array (
+      owner, Daisystep__Gossip__Departure *, PENDING_DEPARTURES_MAX);
   size_t kept = 0;
 
   *count = 0;
-  for (size_t i = 0; i < view->departure_count && replicas != NULL; i++)
+  for (size_t i = 0; i < view->departure_count && messages != NULL; i++)
     {
-      struct ds_fleet_departure departure = view->departures[i];
-
-      replicas[(*count)++] = departure.replica;
-      if (--departure.sends_left > 0)
-        view->departures[kept++] = departure;
+      struct ds_fleet_departure announced = view->departures[i];
+      Daisystep__Gossip__Departure *message
+          = talloc (messages, Daisystep__Gossip__Departure);
+
+      if (message == NULL)
+        break;
+      daisystep__gossip__departure__init (message);
+      message->replica = announced.departure.replica;
+      message->revision = announced.departure.revision;
+      message->gone = announced.departure.gone;
+      messages[(*count)++] = message;
+      if (--announced.sends_left > 0)
+        view->departures[kept++] = announced;
     }
-  if (replicas != NULL)
+  if (messages != NULL)
     view->departure_count = kept;
-  return replicas;
+  return messages;
+}
+
+static void
+receive_revision (struct ds_fleet_view *view, enum ds_store_subject subject,
+                  uint64_t revision)
+{
+  if (revision > view->heard_revisions[subject])
+    view->heard_revisions[subject] = revision;
 }
 
-/* Stops the use of replicas that another host has seen leave, and passes the
-   news on.  */
+/* Takes the departures that MEMBER reports, and passes on what is news.  */
 void
 ds_fleet_receive_departures (struct ds_fleet_view *view,
-                             const uint64_t *replicas, size_t count)
+                             const struct ds_fleet_peer *member,
+                             Daisystep__Gossip__Departure *const *departures,
+                             size_t count)
 {
   for (size_t i = 0; i < count; i++)
     {
-      struct ds_replica *replica
-          = ds_replica_set_find_by_hash (view->replicas, replicas[i]);
+      struct ds_departure departure = {
+        .replica = departures[i]->replica,
+        .revision = departures[i]->revision,
+        .gone = departures[i]->gone,
+      };
 
-      if (replica == NULL || !ds_replica_accepts_requests (replica))
-        continue;
-      replica->reported_leaving = true;
-      ds_fleet_view_announce_departure (view, replicas[i]);
+      /* A host that has not read this yet asks the store soon.  */
+      receive_revision (view, DS_STORE_REPLICAS, departure.revision);
+      if (view->handlers.on_departure (&departure, member->info.host,
+                                       view->handlers.user_data))
+        ds_fleet_view_announce_departure (view, &departure);
     }
 }
 
@@ -324,8 +352,8 @@
   ds_fleet_fill_reports (view, owner, datagram);
   ds_fleet_fill_suspects (view, owner, datagram);
   fill_cached_parts (view, owner, datagram);
-  datagram->leaving
-      = ds_fleet_take_departures (view, owner, &datagram->n_leaving);
+  datagram->departures
+      = ds_fleet_take_departures (view, owner, &datagram->n_departures);
 }
 
 /* Adds transfers and acknowledgements for MEMBER.  */
@@ -489,14 +517,6 @@
   return true;
 }
 
-static void
-receive_revision (struct ds_fleet_view *view, enum ds_store_subject subject,
-                  uint64_t revision)
-{
-  if (revision > view->heard_revisions[subject])
-    view->heard_revisions[subject] = revision;
-}
-
 /* Handles a datagram of another host.  */
 void
 ds_fleet_receive (struct ds_fleet_view *view,
@@ -520,7 +540,8 @@
     receive_loads (member, datagram);
   ds_fleet_record_parts (view, datagram->reads, datagram->n_reads, now_ms);
   receive_suspects (view, member, datagram, now_ms);
-  ds_fleet_receive_departures (view, datagram->leaving, datagram->n_leaving);
+  ds_fleet_receive_departures (view, member, datagram->departures,
+                               datagram->n_departures);
   if (datagram->summary != NULL)
     ds_fleet_receive_summary (view, member, datagram->summary, now_ms);
   ds_fleet_receive_tokens (view, member, datagram);
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -379,8 +379,8 @@
   fill_parts (view, owner, summary, fleet);
   fill_records (view, owner, summary, fleet, now_ms);
   ds_fleet_fill_suspects (view, owner, datagram);
-  summary->leaving
-      = ds_fleet_take_departures (view, owner, &summary->n_leaving);
+  summary->departures
+      = ds_fleet_take_departures (view, owner, &summary->n_departures);
   datagram->summary = summary;
 }
 
@@ -639,7 +639,8 @@
     receive_hosts (view, summary->other_hosts, summary->other_ages,
                    summary->n_other_hosts, false, now_ms);
   receive_conditions (view, summary);
-  ds_fleet_receive_departures (view, summary->leaving, summary->n_leaving);
+  ds_fleet_receive_departures (view, sender, summary->departures,
+                               summary->n_departures);
   ds_fleet_record_parts (view, summary->reads, summary->n_reads, now_ms);
   if (zone.length > 0)
     {
--- a/src/entry/fleet_tokens.c
+++ b/src/entry/fleet_tokens.c
@@ -120,10 +120,10 @@
     view->membership_version++;
 }
 
-/* Returns whether many hosts, but not this one, have lost the ledger lately:
-   its own watch may wait on a connection that is dead.  */
+/* Returns whether many other hosts have lost the ledger.  The own watch of
+   this host may then wait on a connection that is dead.  */
 bool
-ds_fleet_view_doubts_ledger (const struct ds_fleet_view *view)
+ds_fleet_view_others_lost_ledger (const struct ds_fleet_view *view)
 {
   size_t without_ledger = 0;
   size_t hosts = 1;
@@ -136,7 +136,7 @@
       if (!view->members[i]->ledger_reachable)
         without_ledger++;
     }
-  return view->ledger_reachable && without_ledger * DOUBT_DIVISOR >= hosts;
+  return without_ledger * DOUBT_DIVISOR >= hosts;
 }
 
 /* Finds the home of PAGE by weighted rendezvous hashing among the eligible
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -66,13 +66,23 @@
 /* Holdings in one datagram; of more, home budgets, then the largest.  */
 #define DS_HOLDINGS_MAX 32
 
+/* A replica, given by the hash of its incarnation, that drains or is GONE
+   since REVISION of the store.  */
+struct ds_departure
+{
+  uint64_t replica;
+  uint64_t revision;
+  bool gone;
+};
+
 /* LIST_HOLDINGS writes up to DS_HOLDINGS_MAX of this host's holdings and
    returns their number; GET_HOLDING returns that of one workspace.
    ON_TOKEN_REQUEST handles a request for tokens of a workspace, of which the
    other host needs some at once, and returns how many it grants.
    ON_TOKEN_TRANSFER receives a transfer from another host.  ON_HOLDINGS is
    called after a datagram with holdings.  ON_SUSPECT is told what a report
-   about a cause of crashes has changed.  */
+   about a cause of crashes has changed.  ON_DEPARTURE takes a report of a
+   departure and returns whether it is news, which is passed on.  */
 struct ds_fleet_handlers
 {
   size_t (*list_holdings) (struct ds_token_holding *out, void *user_data);
@@ -86,6 +96,8 @@
   void (*on_holdings) (void *user_data);
   void (*on_suspect) (struct ds_suspect_key key, enum ds_suspect_change change,
                       struct ds_str sender, void *user_data);
+  bool (*on_departure) (const struct ds_departure *departure,
+                        struct ds_str sender, void *user_data);
   void *user_data;
 };
 
@@ -114,7 +126,7 @@
 void ds_fleet_view_set_strained (struct ds_fleet_view *view, bool strained);
 void ds_fleet_view_set_ledger_reachable (struct ds_fleet_view *view,
                                          bool reachable);
-bool ds_fleet_view_doubts_ledger (const struct ds_fleet_view *view);
+bool ds_fleet_view_others_lost_ledger (const struct ds_fleet_view *view);
 enum ds_allotment_home ds_fleet_view_home (struct ds_fleet_view *view,
                                            uint32_t page);
 struct ds_budget_peer_state
@@ -134,7 +146,7 @@
                                   const struct ds_replica *replica,
                                   uint64_t part);
 void ds_fleet_view_announce_departure (struct ds_fleet_view *view,
-                                       uint64_t replica);
+                                       const struct ds_departure *departure);
 void ds_fleet_view_set_store_revision (struct ds_fleet_view *view,
                                        enum ds_store_subject subject,
                                        uint64_t revision);
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -93,7 +93,7 @@
 /* A replica whose departure is announced.  */
 struct ds_fleet_departure
 {
-  uint64_t replica;
+  struct ds_departure departure;
   size_t sends_left;
 };
 
@@ -191,10 +191,12 @@
                           Daisystep__Gossip__Datagram *datagram);
 void ds_fleet_fill_suspects (struct ds_fleet_view *view, TALLOC_CTX *owner,
                              Daisystep__Gossip__Datagram *datagram);
-uint64_t *ds_fleet_take_departures (struct ds_fleet_view *view,
-                                    TALLOC_CTX *owner, size_t *count);
-void ds_fleet_receive_departures (struct ds_fleet_view *view,
-                                  const uint64_t *replicas, size_t count);
+Daisystep__Gossip__Departure **
+ds_fleet_take_departures (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                          size_t *count);
+void ds_fleet_receive_departures (
+    struct ds_fleet_view *view, const struct ds_fleet_peer *member,
+    Daisystep__Gossip__Departure *const *departures, size_t count);
 void ds_fleet_add_holding (TALLOC_CTX *owner,
                            Daisystep__Gossip__Datagram *datagram,
                            const struct ds_token_holding *holding);
--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -1,5 +1,6 @@
 #include "entry/store_client.h"
 #include "daisystep/metrics.h"
+#include "io/clock.h"
 #include "io/http_connection.h"
 #include "io/timer.h"
 
@@ -42,6 +43,7 @@
   struct channel *idle;
   size_t idle_count;
   uint64_t calls;
+  uint64_t succeeded_ms; /* end of the last successful call; 0 for none */
   uint32_t connect_timeout_ms;
   bool unreachable; /* the last call that ended failed */
 };
@@ -191,6 +193,8 @@
     release_channel (pending->channel);
   TALLOC_FREE (pending->timer);
   on_done (&result, user_data);
+  if (outcome != DS_STORE_UNKNOWN && outcome != DS_STORE_REFUSED)
+    pending->client->succeeded_ms = ds_clock_ms ();
   talloc_free (pending);
 }
 
@@ -384,6 +388,13 @@
   return !client->unreachable;
 }
 
+/* Time when the last successful call had been handled; 0 for none.  */
+uint64_t
+ds_store_client_succeeded_ms (const struct ds_store_client *client)
+{
+  return client->succeeded_ms;
+}
+
 /* Number of calls since the start.  */
 uint64_t
 ds_store_client_calls (const struct ds_store_client *client)
--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -40,8 +40,7 @@
   uint64_t list_revision;
   uint64_t object_revision; /* the highest of an object or its removal */
   struct ds_watch_place place;
-  uint64_t disconnected_ms;
-  uint64_t reconnected_ms;
+  uint64_t asked_ms;     /* start of the last call */
   uint64_t responded_ms; /* when the last response arrived; 0 before */
   uint32_t retry_ms;
   uint32_t primary_checks; /* since the last call */
@@ -91,11 +90,6 @@
   if (watcher->connected == connected)
     return;
   watcher->connected = connected;
-  /* The first connection is no reconnection.  */
-  if (connected && watcher->listed)
-    watcher->reconnected_ms = ds_clock_ms ();
-  else if (!connected)
-    watcher->disconnected_ms = ds_clock_ms ();
   line = ds_decision_line_begin (connected ? "store_regained" : "store_lost",
                                  DS_STR_EMPTY);
   ds_decision_line_add_text (&line, "kind", ds_str_from_c (watcher->kind));
@@ -235,6 +229,8 @@
   watcher->idle = !watcher->listing && page->count == 0;
   apply_page (watcher, page);
   talloc_free (page);
+  if (!watcher->listing && watcher->handlers.on_applied != NULL)
+    watcher->handlers.on_applied (watcher->handlers.user_data);
   if (several)
     list_newest (watcher);
   if (changed && watcher->handlers.batch_ms > 0)
@@ -275,6 +271,7 @@
     .wait_ms = watch_wait_ms (watcher),
   };
 
+  watcher->asked_ms = ds_clock_ms ();
   if (ds_store_client_call (
           &watcher->pending, watcher->store, watcher->listing ? &list : &watch,
           call_timeout_ms (watcher, watch.wait_ms), on_done, watcher)
@@ -368,25 +365,18 @@
   return watcher->listed;
 }
 
-/* Time when the store was last disconnected; 0 if it never was.  */
-uint64_t
-ds_store_watcher_disconnected_ms (const struct ds_store_watcher *watcher)
-{
-  return watcher->disconnected_ms;
-}
-
-/* Time when the store was last reconnected; 0 if it never was.  */
+/* Time of the last complete response of the store; 0 before the first.  */
 uint64_t
-ds_store_watcher_reconnected_ms (const struct ds_store_watcher *watcher)
+ds_store_watcher_responded_ms (const struct ds_store_watcher *watcher)
 {
-  return watcher->reconnected_ms;
+  return watcher->responded_ms;
 }
 
-/* Time of the last complete response of the store; 0 before the first.  */
+/* Time when the last call began.  */
 uint64_t
-ds_store_watcher_responded_ms (const struct ds_store_watcher *watcher)
+ds_store_watcher_asked_ms (const struct ds_store_watcher *watcher)
 {
-  return watcher->responded_ms;
+  return watcher->asked_ms;
 }
 
 /* Highest revision of an object that the store has reported, or of its
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -7,8 +7,9 @@
 struct ds_store_watcher;
 
 /* ON_OBJECT is called for each object of a list, between ON_BEGIN and ON_END,
-   and for each later change.  ON_CONNECTION_CHANGE reports that the store was
-   disconnected or reconnected.  Changes are batched for BATCH_MS.  While
+   and for each later change; ON_APPLIED after the objects of each response
+   that ends a list or a watch.  ON_CONNECTION_CHANGE reports that the store
+   was disconnected or reconnected.  Changes are batched for BATCH_MS.  While
    PRIMARY is disconnected, this watcher delays its retries.  With LIST_NEWEST,
    several changes at once are followed by a list of the objects as they are
    instead of a watch, whose events hold every version of them.  */
@@ -17,6 +18,7 @@
   void (*on_begin) (void *user_data);
   void (*on_object) (const struct ds_store_object *object, void *user_data);
   void (*on_end) (void *user_data);
+  void (*on_applied) (void *user_data); /* may be null */
   void (*on_connection_change) (bool connected, void *user_data);
   void *user_data;
   uint32_t batch_ms;
@@ -36,11 +38,8 @@
 bool ds_store_watcher_is_connected (const struct ds_store_watcher *watcher);
 bool ds_store_watcher_has_listed (const struct ds_store_watcher *watcher);
 uint64_t
-ds_store_watcher_disconnected_ms (const struct ds_store_watcher *watcher);
-uint64_t
-ds_store_watcher_reconnected_ms (const struct ds_store_watcher *watcher);
-uint64_t
 ds_store_watcher_responded_ms (const struct ds_store_watcher *watcher);
+uint64_t ds_store_watcher_asked_ms (const struct ds_store_watcher *watcher);
 uint64_t ds_store_watcher_revision (const struct ds_store_watcher *watcher);
 uint64_t
 ds_store_watcher_object_revision (const struct ds_store_watcher *watcher);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &daisystep__gossip__host_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisystep__gossip__departure__init
+                     (Daisystep__Gossip__Departure         *message)
+{
+  static const Daisystep__Gossip__Departure init_value = DAISYSTEP__GOSSIP__DEPARTURE__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__departure__get_packed_size
+                     (const Daisystep__Gossip__Departure *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__departure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__departure__pack
+                     (const Daisystep__Gossip__Departure *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__departure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__departure__pack_to_buffer
+                     (const Daisystep__Gossip__Departure *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__departure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__Departure *
+       daisystep__gossip__departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__Departure *)
+     protobuf_c_message_unpack (&daisystep__gossip__departure__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__departure__free_unpacked
+                     (Daisystep__Gossip__Departure *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__departure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisystep__gossip__summary__init
                      (Daisystep__Gossip__Summary         *message)
 {
@@ -1151,7 +1196,71 @@
   (ProtobufCMessageInit) daisystep__gossip__host_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[13] =
+static const ProtobufCFieldDescriptor daisystep__gossip__departure__field_descriptors[3] =
+{
+  {
+    "replica",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Departure, replica),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Departure, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Departure, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__departure__field_indices_by_name[] = {
+  2,   /* field[2] = gone */
+  0,   /* field[0] = replica */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange daisystep__gossip__departure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__departure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.Departure",
+  "Departure",
+  "Daisystep__Gossip__Departure",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__Departure),
+  3,
+  daisystep__gossip__departure__field_descriptors,
+  daisystep__gossip__departure__field_indices_by_name,
+  1,  daisystep__gossip__departure__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__departure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[14] =
 {
   {
     "zone",
@@ -1309,9 +1418,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departures",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Summary, n_departures),
+    offsetof(Daisystep__Gossip__Summary, departures),
+    &daisystep__gossip__departure__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__summary__field_indices_by_name[] = {
   8,   /* field[8] = cut_hosts */
+  13,   /* field[13] = departures */
   10,   /* field[10] = leaving */
   12,   /* field[12] = other_ages */
   2,   /* field[2] = other_hosts */
@@ -1328,7 +1450,7 @@
 static const ProtobufCIntRange daisystep__gossip__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor =
 {
@@ -1338,14 +1460,14 @@
   "Daisystep__Gossip__Summary",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Summary),
-  13,
+  14,
   daisystep__gossip__summary__field_descriptors,
   daisystep__gossip__summary__field_indices_by_name,
   1,  daisystep__gossip__summary__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[27] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[28] =
 {
   {
     "host",
@@ -1671,6 +1793,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departures",
+    28,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Datagram, n_departures),
+    offsetof(Daisystep__Gossip__Datagram, departures),
+    &daisystep__gossip__departure__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -1678,6 +1812,7 @@
   19,   /* field[19] = capacity */
   24,   /* field[24] = config_revision */
   9,   /* field[9] = crashes */
+  27,   /* field[27] = departures */
   6,   /* field[6] = draining */
   5,   /* field[5] = gossip_address */
   23,   /* field[23] = hello */
@@ -1704,7 +1839,7 @@
 static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1714,7 +1849,7 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  27,
+  28,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
   1,  daisystep__gossip__datagram__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Daisystep__Gossip__TokenHolding Daisystep__Gossip__TokenHolding;
 typedef struct Daisystep__Gossip__PartRead Daisystep__Gossip__PartRead;
 typedef struct Daisystep__Gossip__HostRecord Daisystep__Gossip__HostRecord;
+typedef struct Daisystep__Gossip__Departure Daisystep__Gossip__Departure;
 typedef struct Daisystep__Gossip__Summary Daisystep__Gossip__Summary;
 typedef struct Daisystep__Gossip__Datagram Daisystep__Gossip__Datagram;
 
@@ -192,6 +193,22 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A replica that drains or, with gone, is no longer registered since a revision
+ * of the store.
+ */
+struct  Daisystep__Gossip__Departure
+{
+  ProtobufCMessage base;
+  uint64_t replica;
+  uint64_t revision;
+  protobuf_c_boolean gone;
+};
+#define DAISYSTEP__GOSSIP__DEPARTURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__departure__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * What a relay knows of one zone or, with an empty zone, of the fleet. Hosts
  * and replicas are given by the low 32 bits of their hashes. Only live hosts are
@@ -231,6 +248,9 @@
    */
   size_t n_strained_hosts;
   uint32_t *strained_hosts;
+  /*
+   * Sent by hosts of an earlier version, without a revision; ignored.
+   */
   size_t n_leaving;
   uint64_t *leaving;
   /*
@@ -241,10 +261,12 @@
   uint32_t *ready_ages;
   size_t n_other_ages;
   uint32_t *other_ages;
+  size_t n_departures;
+  Daisystep__Gossip__Departure **departures;
 };
 #define DAISYSTEP__GOSSIP__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__summary__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Daisystep__Gossip__Datagram
@@ -300,7 +322,7 @@
    */
   protobuf_c_boolean strained;
   /*
-   * Replicas, by the hashes of their incarnations, that drain or are gone.
+   * Sent by hosts of an earlier version, without a revision; ignored.
    */
   size_t n_leaving;
   uint64_t *leaving;
@@ -324,10 +346,12 @@
   uint64_t replica_revision;
   size_t n_suspects;
   Daisystep__Gossip__Suspect **suspects;
+  size_t n_departures;
+  Daisystep__Gossip__Departure **departures;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
@@ -482,6 +506,25 @@
 void   daisystep__gossip__host_record__free_unpacked
                      (Daisystep__Gossip__HostRecord *message,
                       ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__Departure methods */
+void   daisystep__gossip__departure__init
+                     (Daisystep__Gossip__Departure         *message);
+size_t daisystep__gossip__departure__get_packed_size
+                     (const Daisystep__Gossip__Departure   *message);
+size_t daisystep__gossip__departure__pack
+                     (const Daisystep__Gossip__Departure   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__departure__pack_to_buffer
+                     (const Daisystep__Gossip__Departure   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__Departure *
+       daisystep__gossip__departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__departure__free_unpacked
+                     (Daisystep__Gossip__Departure *message,
+                      ProtobufCAllocator *allocator);
 /* Daisystep__Gossip__Summary methods */
 void   daisystep__gossip__summary__init
                      (Daisystep__Gossip__Summary         *message);
@@ -546,6 +589,9 @@
 typedef void (*Daisystep__Gossip__HostRecord_Closure)
                  (const Daisystep__Gossip__HostRecord *message,
                   void *closure_data);
+typedef void (*Daisystep__Gossip__Departure_Closure)
+                 (const Daisystep__Gossip__Departure *message,
+                  void *closure_data);
 typedef void (*Daisystep__Gossip__Summary_Closure)
                  (const Daisystep__Gossip__Summary *message,
                   void *closure_data);
@@ -566,6 +612,7 @@
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_holding__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__part_read__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__host_record__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__departure__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor;
 
--- a/tests/standins/platform_store.c
+++ b/tests/standins/platform_store.c
@@ -12,9 +12,10 @@
    calls about this kind), "silent" (no response), "endless" (lists without
    end), "lose_answers" (the number of ledger writes that take effect without a
    response), "lose_watches" (the number of watches of "lose_kind" whose events
-   are not sent, while the connection stays open) and "compact" (discards the
-   history).  GET /standin/counts returns
-   the number of watch requests and of ledger writes.  */
+   are not sent, while the connection stays open), "lapse" (removes the
+   registrations of replicas at once) and "compact" (discards the history). GET
+   /standin/counts returns the number of watch requests and of ledger writes.
+ */
 
 #define OBJECTS_PREFIX "/daisystep/objects/"
 #define WATCH_POLL_MS 10
@@ -274,29 +275,49 @@
   return standin_respond_json (request, MHD_HTTP_OK, NULL, object);
 }
 
+/* Removes the object KEY; the lock is held.  */
+static void
+remove_object (struct store *store, const char *key)
+{
+  json_t *object = json_deep_copy (json_object_get (store->objects, key));
+
+  if (object == NULL)
+    return;
+  store->revision++;
+  json_object_set_new (json_object_get (object, "metadata"), "revision",
+                       json_integer (store->revision));
+  add_event (store, object, true);
+  json_object_del (store->objects, key);
+  json_decref (object);
+}
+
 static enum MHD_Result
 delete_object (struct store *store, struct standin_request *request,
                const char *kind, const char *name)
 {
   char key[256];
-  json_t *object;
 
   (void)snprintf (key, sizeof key, "%s/%s", kind, name);
   pthread_mutex_lock (&store->lock);
-  object = json_deep_copy (json_object_get (store->objects, key));
-  if (object != NULL)
-    {
-      store->revision++;
-      json_object_set_new (json_object_get (object, "metadata"), "revision",
-                           json_integer (store->revision));
-      add_event (store, object, true);
-      json_object_del (store->objects, key);
-      json_decref (object);
-    }
+  remove_object (store, key);
   pthread_mutex_unlock (&store->lock);
   return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
 }
 
+static void
+remove_registrations (struct store *store)
+{
+  const char *key;
+  json_t *object;
+  void *next;
+
+  json_object_foreach_safe (store->objects, next, key, object)
+  {
+    if (is_of_kind (object, "servers"))
+      remove_object (store, key);
+  }
+}
+
 static enum MHD_Result
 set_faults (struct store *store, struct standin_request *request)
 {
@@ -318,6 +339,8 @@
   store->endless = json_is_true (json_object_get (body, "endless"));
   store->lose_answers
       = json_integer_value (json_object_get (body, "lose_answers"));
+  if (json_is_true (json_object_get (body, "lapse")))
+    remove_registrations (store);
   if (json_is_true (json_object_get (body, "compact")))
     {
       store->revision++;
--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -19,6 +19,8 @@
 static char peer_address[32];
 static int peer;
 static uint64_t tokens; /* received by the host */
+static struct ds_departure departure_reported;
+static bool departure_is_news;
 
 static size_t
 list_holdings (struct ds_token_holding *out, void *user_data)
@@ -63,6 +65,16 @@
   (void)user_data;
 }
 
+static bool
+on_departure (const struct ds_departure *departure, struct ds_str sender,
+              void *user_data)
+{
+  (void)sender;
+  (void)user_data;
+  departure_reported = *departure;
+  return departure_is_news;
+}
+
 /* Starts the host, or its next incarnation.  */
 static void
 start (uint64_t incarnation)
@@ -82,6 +94,7 @@
     .on_token_request = on_token_request,
     .on_token_transfer = on_token_transfer,
     .on_holdings = on_holdings,
+    .on_departure = on_departure,
   };
   struct ds_error error = DS_ERROR_NONE;
 
@@ -264,44 +277,42 @@
 }
 END_TEST
 
-/* Guards against requests to a replica that has left, at a host whose watch of
-   the store is late: another host's report counts, and is passed on.  */
-START_TEST (a_reported_departure_ends_the_use_of_a_replica)
+/* Guards against a departure that this host gets wrong from another one, that
+   it does not pass on, or that it passes on although it is no news.  */
+START_TEST (departures_are_passed_on_as_long_as_they_are_news)
 {
-  struct ds_replica_record record = {
-    .id = DS_STR ("i-1"),
-    .start_time_ms = 5,
-    .service = DS_STR ("pool"),
-    .address = DS_STR ("127.0.0.1:9"),
-    .zone = DS_STR ("z"),
-    .slots = 8,
-  };
+  Daisystep__Gossip__Departure message = DAISYSTEP__GOSSIP__DEPARTURE__INIT;
+  Daisystep__Gossip__Departure *messages[] = { &message };
   Daisystep__Gossip__Datagram datagram;
   Daisystep__Gossip__Datagram *received;
-  struct ds_replica *replica;
-  uint64_t hash;
-  bool passed_on = false;
 
-  ck_assert_int_eq (ds_replica_set_put (replicas, &record), 0);
-  replica = ds_replica_set_at (replicas, 0);
-  hash = replica->hash;
-  init_datagram (&datagram);
-  datagram.leaving = &hash;
-  datagram.n_leaving = 1;
-  send_datagram (&datagram);
-  ck_assert (!ds_replica_accepts_requests (replica));
-  ds_fleet_view_tick (view, 1000);
-  while ((received = receive_datagram ()) != NULL)
+  for (int news = 0; news < 2; news++)
     {
-      for (size_t i = 0; i < received->n_leaving; i++)
-        passed_on = passed_on || received->leaving[i] == hash;
-      daisystep__gossip__datagram__free_unpacked (received, NULL);
+      bool passed_on = false;
+
+      departure_is_news = news != 0;
+      message.replica = 77 + (uint64_t)news;
+      message.revision = 9;
+      message.gone = true;
+      init_datagram (&datagram);
+      datagram.departures = messages;
+      datagram.n_departures = 1;
+      send_datagram (&datagram);
+      ck_assert_uint_eq (departure_reported.replica, message.replica);
+      ck_assert_uint_eq (departure_reported.revision, 9);
+      ck_assert (departure_reported.gone);
+      ds_fleet_view_tick (view, 1000);
+      while ((received = receive_datagram ()) != NULL)
+        {
+          for (size_t i = 0; i < received->n_departures; i++)
+            passed_on = passed_on
+                        || (received->departures[i]->replica == message.replica
+                            && received->departures[i]->revision == 9
+                            && received->departures[i]->gone);
+          daisystep__gossip__datagram__free_unpacked (received, NULL);
+        }
+      ck_assert (passed_on == (news != 0));
     }
-  ck_assert (passed_on);
-  /* Its next incarnation is another replica.  */
-  record.start_time_ms = 6;
-  ck_assert_int_eq (ds_replica_set_put (replicas, &record), 0);
-  ck_assert (ds_replica_accepts_requests (ds_replica_set_at (replicas, 0)));
 }
 END_TEST
 
@@ -359,7 +370,8 @@
   tcase_add_test (test_case,
                   a_transfer_to_an_earlier_incarnation_does_not_count);
   tcase_add_test (test_case, nothing_is_transferred_before_the_first_contact);
-  tcase_add_test (test_case, a_reported_departure_ends_the_use_of_a_replica);
+  tcase_add_test (test_case,
+                  departures_are_passed_on_as_long_as_they_are_news);
   tcase_add_test (test_case, malformed_datagrams_are_ignored);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -106,6 +106,73 @@
 }
 END_TEST
 
+static bool
+is_used (void)
+{
+  return ds_replica_accepts_requests (ds_replica_set_at (set, 0));
+}
+
+static bool
+report (uint64_t revision, uint64_t now_ms)
+{
+  return ds_replica_set_report_departure (
+      set, ds_replica_set_at (set, 0)->hash, revision, now_ms);
+}
+
+/* Guards against requests to a replica that has left, at a host whose watch of
+   the store is late, and against a report that outlives its incarnation.  */
+START_TEST (a_reported_departure_ends_the_use_of_a_replica)
+{
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert (report (20, 1000));
+  ck_assert (!is_used ());
+  ck_assert (!report (20, 1100));
+  put ("a", 11, "10.0.0.1:80");
+  ck_assert (is_used ());
+}
+END_TEST
+
+/* Guards against a report that outweighs what the store says later: after an
+   outage the registration is there again.  */
+START_TEST (the_store_ends_a_report_once_the_host_knows_as_much)
+{
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert (report (20, 1000));
+  /* The response of a call from before the report, and of an older state.  */
+  ds_replica_set_end_reports (set, 19, 900, 1050);
+  ck_assert (!is_used ());
+  ds_replica_set_end_reports (set, 20, 900, 1100);
+  ck_assert (is_used ());
+}
+END_TEST
+
+/* Guards against one host that is wrong, again and again, about a replica of
+   which the store knows no departure.  */
+START_TEST (a_report_that_the_store_does_not_confirm_is_wrong)
+{
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert (report (999, 1000));
+  ds_replica_set_end_reports (set, 20, 1400, 1410);
+  ck_assert (is_used ());
+  ck_assert (!report (999, 1500));
+  ck_assert (!report (1000, 5000));
+  ck_assert (is_used ());
+  ck_assert (report (1000, 20000));
+}
+END_TEST
+
+/* Guards against a replica that a host without the store never uses again.  */
+START_TEST (a_report_expires_without_a_word_of_the_store)
+{
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert (report (20, 1000));
+  ds_replica_set_remove_expired (set, 20000);
+  ck_assert (!is_used ());
+  ds_replica_set_remove_expired (set, 31001);
+  ck_assert (is_used ());
+}
+END_TEST
+
 int
 main (void)
 {
@@ -120,6 +187,12 @@
   tcase_add_test (test_case, missing_replicas_are_used_until_they_expire);
   tcase_add_test (test_case, a_removed_replica_is_dropped_at_once);
   tcase_add_test (test_case, a_list_drops_only_replicas_it_does_not_contain);
+  tcase_add_test (test_case, a_reported_departure_ends_the_use_of_a_replica);
+  tcase_add_test (test_case,
+                  the_store_ends_a_report_once_the_host_knows_as_much);
+  tcase_add_test (test_case,
+                  a_report_that_the_store_does_not_confirm_is_wrong);
+  tcase_add_test (test_case, a_report_expires_without_a_word_of_the_store);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_store_watcher.c
+++ b/tests/test_store_watcher.c
@@ -120,57 +120,105 @@
 }
 END_TEST
 
-/* Sends datagrams of a host that claims a revision that the store does not
-   have.  */
+/* Another host that is wrong about what the store has.  */
+struct wrong_host
+{
+  int socket_fd;
+  struct ds_socket_address to;
+  Daisystep__Gossip__Datagram datagram;
+};
+
 static void
-send_wrong_revisions (int socket_fd, const struct ds_socket_address *to)
+init_wrong_host (struct wrong_host *wrong)
 {
   static char empty[] = "";
   static char host[] = "wrong";
   static char zone[] = "z";
   static char gossip[] = "127.0.0.1:9";
-  Daisystep__Gossip__Datagram datagram = DAISYSTEP__GOSSIP__DATAGRAM__INIT;
+  char address[ENTRY_ADDRESS_BYTES];
+
+  entry_format_address (address, 0, 8083);
+  ck_assert_int_eq (
+      ds_socket_address_parse (&wrong->to, ds_str_from_c (address)), 0);
+  wrong->socket_fd = socket (AF_INET, SOCK_DGRAM, 0);
+  daisystep__gossip__datagram__init (&wrong->datagram);
+  wrong->datagram.host = host;
+  wrong->datagram.incarnation = 1;
+  wrong->datagram.zone = zone;
+  wrong->datagram.region = empty;
+  wrong->datagram.caller_address = empty;
+  wrong->datagram.gossip_address = gossip;
+  wrong->datagram.ready = true;
+}
+
+/* Sends the datagram of WRONG to the host for DURATION_MS.  */
+static void
+send_wrong_reports (const struct wrong_host *wrong, long duration_ms)
+{
+  long start_ms = now_ms ();
   uint8_t bytes[512];
-  size_t size;
-
-  datagram.host = host;
-  datagram.incarnation = 1;
-  datagram.zone = zone;
-  datagram.region = empty;
-  datagram.caller_address = empty;
-  datagram.gossip_address = gossip;
-  datagram.ready = true;
-  datagram.config_revision = UINT64_MAX;
-  datagram.replica_revision = UINT64_MAX;
-  size = daisystep__gossip__datagram__pack (&datagram, bytes);
-  ck_assert_int_eq (sendto (socket_fd, bytes, size, 0,
-                            (const struct sockaddr *)&to->storage, to->length),
-                    (ssize_t)size);
+  size_t size = daisystep__gossip__datagram__pack (&wrong->datagram, bytes);
+
+  while (now_ms () - start_ms < duration_ms)
+    {
+      ck_assert_int_eq (sendto (wrong->socket_fd, bytes, size, 0,
+                                (const struct sockaddr *)&wrong->to.storage,
+                                wrong->to.length),
+                        (ssize_t)size);
+      test_sleep_ms (100);
+    }
 }
 
 /* Guards against one host with a wrong revision that makes another call the
    store without pause, or that hides a change from it.  */
 START_TEST (a_wrong_revision_of_another_host_costs_few_calls)
 {
-  int socket_fd = socket (AF_INET, SOCK_DGRAM, 0);
-  struct ds_socket_address to;
-  char address[ENTRY_ADDRESS_BYTES];
+  struct wrong_host wrong;
   json_int_t before = count_watches ();
-  long start_ms = now_ms ();
   long accepted_ms;
 
-  entry_format_address (address, 0, 8083);
-  ck_assert_int_eq (ds_socket_address_parse (&to, ds_str_from_c (address)), 0);
-  while (now_ms () - start_ms < CONTACT_MS)
-    {
-      send_wrong_revisions (socket_fd, &to);
-      test_sleep_ms (100);
-    }
+  init_wrong_host (&wrong);
+  wrong.datagram.config_revision = UINT64_MAX;
+  wrong.datagram.replica_revision = UINT64_MAX;
+  send_wrong_reports (&wrong, CONTACT_MS);
   ck_assert_int_le (count_watches () - before, CALLS_MAX);
   entry_put_config_with_route (PREPAID, "/new/");
   accepted_ms = now_ms ();
   ck_assert_int_le (wait_for_route ("/new/1") - accepted_ms, CONTACT_MS);
-  (void)close (socket_fd);
+  (void)close (wrong.socket_fd);
+}
+END_TEST
+
+/* Guards against one host that reports replicas as gone, again and again, and
+   takes them out of service at another that can ask the store.  */
+START_TEST (a_wrong_departure_of_another_host_ends_soon)
+{
+  struct wrong_host wrong;
+  Daisystep__Gossip__Departure departures[ENTRY_REPLICAS];
+  Daisystep__Gossip__Departure *messages[ENTRY_REPLICAS];
+  char id[16];
+
+  init_wrong_host (&wrong);
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    {
+      (void)snprintf (id, sizeof id, "i-%d", i);
+      daisystep__gossip__departure__init (&departures[i]);
+      departures[i].replica
+          = ds_str_hash (ds_str_from_c (id), 1000 + (uint64_t)i);
+      departures[i].revision = UINT64_MAX - 1;
+      departures[i].gone = true;
+      messages[i] = &departures[i];
+    }
+  wrong.datagram.departures = messages;
+  wrong.datagram.n_departures = ENTRY_REPLICAS;
+  send_wrong_reports (&wrong, 150);
+  /* The reports count at first.  */
+  ck_assert_int_eq (entry_request (0, "GET", "/look/1", "id-1", NULL)->status,
+                    503);
+  send_wrong_reports (&wrong, CONTACT_MS);
+  ck_assert_int_eq (entry_request (0, "GET", "/look/1", "id-2", NULL)->status,
+                    200);
+  (void)close (wrong.socket_fd);
 }
 END_TEST
 
@@ -189,6 +237,7 @@
   tcase_add_test (test_case,
                   a_drain_whose_watch_response_is_lost_takes_effect);
   tcase_add_test (test_case, a_wrong_revision_of_another_host_costs_few_calls);
+  tcase_add_test (test_case, a_wrong_departure_of_another_host_ends_soon);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
