Take only this host's own calls as a sign of an outage

Cause: while the store turned some hosts away, healthy hosts took that for an outage that may explain a removal, and went on using the replica for 2.2 s.

Change: an outage is that the calls of this host have failed for 600 ms, or that a check of its watch has had no response; others that have lost the store only cause the check, which is no longer skipped for three seconds if the watch has just answered.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -31,6 +31,8 @@
 /* Replicas whose registrations expired in a store outage register again within
    two seconds of its end, which is known to a gossip interval.  */
 #define REREGISTRATION_MS (2000 + DS_GOSSIP_INTERVAL_MS)
+/* Registrations do not expire in a shorter outage.  */
+#define OUTAGE_MIN_MS 600
 /* A deletion this soon after an outage may be such an expiry.  */
 #define RECONNECTION_WINDOW_MS 2500
 /* Divisors of the time in which a configuration must take effect, and in which
@@ -101,7 +103,7 @@
 
   uint64_t next_tick_ms;     /* when the next tick is due */
   uint64_t store_checked_ms; /* because other hosts have lost the store */
-  uint64_t doubted_since_ms; /* since when many others have lost it; or 0 */
+  uint64_t trouble_since_ms; /* since when it may be out; or 0 */
   uint64_t outage_ms;        /* when it was last seen out; 0 for never */
   uint64_t stopping_ms;      /* time of SIGTERM; 0 before */
   bool stopped;
@@ -233,20 +235,22 @@
   ds_replica_set_begin_list (entry->replicas);
 }
 
-/* Notes an outage of the store: a call of this host has failed and none has
-   succeeded since, or many others have lost the store and this host, whose
-   watch may wait through the outage, has had no response since.  */
+/* Notes an outage of the store: the calls of this host have failed for a
+   while, or a check of its watch, as many others have lost the store, has had
+   no response.  That others are turned away is no outage for this host.  */
 static void
 note_outage (struct ds_entry *entry, uint64_t now_ms)
 {
-  if (!ds_fleet_view_others_lost_ledger (entry->fleet))
-    entry->doubted_since_ms = 0;
-  else if (entry->doubted_since_ms == 0)
-    entry->doubted_since_ms = now_ms;
-  if (!ds_store_client_is_reachable (entry->store)
-      || (entry->doubted_since_ms > 0
-          && ds_store_client_succeeded_ms (entry->store)
-                 < entry->doubted_since_ms))
+  bool trouble = !ds_store_client_is_reachable (entry->store)
+                 || ds_store_watcher_is_checking (entry->config_watcher);
+
+  if (!trouble)
+    entry->trouble_since_ms = 0;
+  else if (entry->trouble_since_ms == 0
+           || ds_store_client_succeeded_ms (entry->store)
+                  >= entry->trouble_since_ms)
+    entry->trouble_since_ms = now_ms;
+  else if (now_ms - entry->trouble_since_ms >= OUTAGE_MIN_MS)
     entry->outage_ms = now_ms;
 }
 
@@ -767,12 +771,10 @@
   ds_fleet_view_tick (entry->fleet, now_ms);
   if (ds_store_client_is_reachable (entry->store)
       && ds_fleet_view_others_lost_ledger (entry->fleet)
-      && now_ms - entry->store_checked_ms >= STORE_CHECK_INTERVAL_MS)
-    {
-      entry->store_checked_ms = now_ms;
-      (void)ds_store_watcher_check (entry->config_watcher,
-                                    "other hosts have lost the store");
-    }
+      && now_ms - entry->store_checked_ms >= STORE_CHECK_INTERVAL_MS
+      && ds_store_watcher_check (entry->config_watcher,
+                                 "other hosts have lost the store"))
+    entry->store_checked_ms = now_ms;
   reload_if_changed (entry, now_ms);
   if (entry->stopping_ms > 0)
     advance_shutdown (entry, now_ms);
--- a/tests/test_store_watcher.c
+++ b/tests/test_store_watcher.c
@@ -16,6 +16,9 @@
    store has accepted: "contact_ms" of the users' platform.  */
 #define CONTACT_MS 3000
 #define PREPAID 1000000
+/* Time after which a replica that has left gets no requests: "drain_ms" of the
+   users' platform.  */
+#define DRAIN_MS 2000
 /* Calls of the two watches within CONTACT_MS, checked once in an interval of a
    second and ending by themselves as often.  */
 #define CALLS_MAX 24
@@ -222,6 +225,30 @@
 }
 END_TEST
 
+/* Guards against a host that uses a replica longer than allowed after it has
+   left, since the store turns other hosts away, for a moment or for long, but
+   not this one.  */
+START_TEST (a_removal_counts_at_once_while_others_are_turned_away)
+{
+  struct wrong_host turned_away;
+  struct test_http_call removal = { .method = "DELETE",
+                                    .address = entry_store->address,
+                                    .path = ENTRY_OBJECTS "servers/i-0" };
+
+  init_wrong_host (&turned_away);
+  turned_away.datagram.ledger_near = false;
+  send_wrong_reports (&turned_away, _i == 0 ? 500 : CONTACT_MS);
+  ck_assert_int_eq (test_http (&removal)->status, 200);
+  send_wrong_reports (&turned_away, DRAIN_MS / 2);
+  /* Only the replica that has left would take the request.  */
+  entry_set_faults (entry_replicas[1], "{\"shed\":10}");
+  ck_assert_int_eq (entry_request (0, "GET", "/look/1", "id", NULL)->status,
+                    503);
+  ck_assert_int_eq (entry_count_runs ("id"), 0);
+  (void)close (turned_away.socket_fd);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -238,6 +265,8 @@
                   a_drain_whose_watch_response_is_lost_takes_effect);
   tcase_add_test (test_case, a_wrong_revision_of_another_host_costs_few_calls);
   tcase_add_test (test_case, a_wrong_departure_of_another_host_ends_soon);
+  tcase_add_loop_test (
+      test_case, a_removal_counts_at_once_while_others_are_turned_away, 0, 2);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
