--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -1,4 +1,6 @@
+#include "core/placement.h"
 #include "entry/fleet_view.h"
+#include "io/clock.h"
 #include "io/event_context.h"
 #include "io/socket_address.h"
 #include "proto/gossip.pb-c.h"
@@ -277,6 +279,104 @@
 }
 END_TEST
 
+static struct ds_replica *
+add_replica (void)
+{
+  struct ds_replica_record record = {
+    .id = DS_STR ("i-1"),
+    .start_time_ms = 5,
+    .service = DS_STR ("pool"),
+    .address = DS_STR ("127.0.0.1:9"),
+    .zone = DS_STR ("z"),
+    .slots = 8,
+  };
+
+  ck_assert_int_eq (ds_replica_set_put (replicas, &record), 0);
+  return ds_replica_set_at (replicas, 0);
+}
+
+/* Guards against the load that one host reports wrongly, or whose requests
+   have ended with it, and that keeps others away from a replica for good.  */
+START_TEST (a_wrong_load_lasts_as_long_as_its_host)
+{
+  struct ds_replica *replica = add_replica ();
+  Daisystep__Gossip__ReplicaLoad load = DAISYSTEP__GOSSIP__REPLICA_LOAD__INIT;
+  Daisystep__Gossip__ReplicaLoad *loads[] = { &load };
+  Daisystep__Gossip__Datagram datagram;
+
+  load.replica = replica->hash;
+  load.running = 1000000;
+  load.prefill_tokens = 1000000000;
+  init_datagram (&datagram);
+  datagram.partial = false;
+  datagram.loads = loads;
+  datagram.n_loads = 1;
+  send_datagram (&datagram);
+  ds_fleet_view_tick (view, ds_clock_ms ());
+  ck_assert_uint_eq (replica->remote_load.running, 1000000);
+  /* Its next datagram replaces the report, and its silence ends it.  */
+  datagram.n_loads = 0;
+  send_datagram (&datagram);
+  ds_fleet_view_tick (view, ds_clock_ms ());
+  ck_assert_uint_eq (replica->remote_load.running, 0);
+  datagram.n_loads = 1;
+  send_datagram (&datagram);
+  ds_fleet_view_tick (view, ds_clock_ms () + 1001);
+  ck_assert_uint_eq (replica->remote_load.running, 0);
+}
+END_TEST
+
+/* Guards against a replica that is taken for having a part for good because
+   one host was wrong.  */
+START_TEST (a_wrong_cached_part_expires)
+{
+  struct ds_replica *replica = add_replica ();
+  Daisystep__Gossip__PartRead read = DAISYSTEP__GOSSIP__PART_READ__INIT;
+  Daisystep__Gossip__PartRead *reads[] = { &read };
+  Daisystep__Gossip__Datagram datagram;
+  struct ds_placement_request request = {
+    .parts = { { .id = 42, .tokens = 500 }, { .id = 43, .tokens = 100 } },
+    .part_count = 2,
+    .prompt_tokens = 600,
+  };
+
+  read.replica = replica->hash;
+  read.part = 42;
+  init_datagram (&datagram);
+  datagram.reads = reads;
+  datagram.n_reads = 1;
+  send_datagram (&datagram);
+  ck_assert_uint_eq (
+      ds_placement_uncached_tokens (replica, &request, ds_clock_ms ()), 100);
+  ck_assert_uint_eq (
+      ds_placement_uncached_tokens (replica, &request, ds_clock_ms () + 60001),
+      600);
+}
+END_TEST
+
+/* Guards against a host that has lost the store alone and keeps the others in
+   doubt of it, or as a home of budgets, after it has fallen silent.  */
+START_TEST (doubt_of_the_store_ends_with_its_host)
+{
+  Daisystep__Gossip__Datagram datagram;
+
+  init_datagram (&datagram);
+  datagram.ready = true;
+  datagram.ledger_near = false;
+  send_datagram (&datagram);
+  ds_fleet_view_tick (view, ds_clock_ms ());
+  ck_assert (ds_fleet_view_others_lost_ledger (view));
+  datagram.ledger_near = true;
+  send_datagram (&datagram);
+  ds_fleet_view_tick (view, ds_clock_ms ());
+  ck_assert (!ds_fleet_view_others_lost_ledger (view));
+  datagram.ledger_near = false;
+  send_datagram (&datagram);
+  ds_fleet_view_tick (view, ds_clock_ms () + 5000);
+  ck_assert (!ds_fleet_view_others_lost_ledger (view));
+}
+END_TEST
+
 /* Guards against a departure that this host gets wrong from another one, that
    it does not pass on, or that it passes on although it is no news.  */
 START_TEST (departures_are_passed_on_as_long_as_they_are_news)
@@ -370,6 +470,9 @@
   tcase_add_test (test_case,
                   a_transfer_to_an_earlier_incarnation_does_not_count);
   tcase_add_test (test_case, nothing_is_transferred_before_the_first_contact);
+  tcase_add_test (test_case, a_wrong_load_lasts_as_long_as_its_host);
+  tcase_add_test (test_case, a_wrong_cached_part_expires);
+  tcase_add_test (test_case, doubt_of_the_store_ends_with_its_host);
   tcase_add_test (test_case,
                   departures_are_passed_on_as_long_as_they_are_news);
   tcase_add_test (test_case, malformed_datagrams_are_ignored);
