Believe departures also while this host's own calls to the store fail

Cause: a host that took the store for out did not believe a removal that others reported, and a check without a response for 600 ms counted as an outage, which a slow link causes.

Evidence: front-kelheim-20, on a slow link, has neither 'gone' nor 'reported_gone' for the two replicas that 60 others log as gone at 8.6 s, and sends to them at 11.6 and 12.0.

Change: reports always count, until the host's own watch has come to their revision; only calls that have failed are an outage. If a host was wrong and the replica is registered again, the watch ends the report.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -236,15 +236,11 @@
 }
 
 /* Notes an outage of the store: the calls of this host have failed for a
-   while, or a check of its watch, as many others have lost the store, has had
-   no response.  That others are turned away is no outage for this host.  */
+   while. That others are turned away is no outage for this host.  */
 static void
 note_outage (struct ds_entry *entry, uint64_t now_ms)
 {
-  bool trouble = !ds_store_client_is_reachable (entry->store)
-                 || ds_store_watcher_is_checking (entry->config_watcher);
-
-  if (!trouble)
+  if (ds_store_client_is_reachable (entry->store))
     entry->trouble_since_ms = 0;
   else if (entry->trouble_since_ms == 0
            || ds_store_client_succeeded_ms (entry->store)
@@ -310,7 +306,7 @@
 
 /* Stops the use of a replica that another host has seen leave, until this
    host's own watch has come as far.  What the store said to this host later
-   goes before the report, and so does an outage that explains the removal.  */
+   goes before the report.  */
 static bool
 on_peer_departure (const struct ds_departure *departure, struct ds_str sender,
                    void *user_data)
@@ -319,7 +315,6 @@
   struct ds_decision_line line;
 
   if (departure->revision <= ds_store_watcher_revision (entry->replica_watcher)
-      || (departure->gone && removal_time (entry) > 0)
       || !ds_replica_set_report_departure (entry->replicas, departure->replica,
                                            departure->revision,
                                            ds_clock_ms ()))
--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -352,13 +352,6 @@
   start_call (watcher);
 }
 
-/* True while a check that was due has no response.  */
-bool
-ds_store_watcher_is_checking (const struct ds_store_watcher *watcher)
-{
-  return watcher->checking;
-}
-
 /* True once all objects of the kind have been listed.  */
 bool
 ds_store_watcher_has_listed (const struct ds_store_watcher *watcher)
--- a/tests/test_store_watcher.c
+++ b/tests/test_store_watcher.c
@@ -225,6 +225,31 @@
 }
 END_TEST
 
+/* Guards against a host that has lost the store, uses replicas that have left
+   meanwhile, and does not believe the others, whose store works.  */
+START_TEST (a_departure_counts_at_a_host_that_has_lost_the_store)
+{
+  struct wrong_host other;
+  Daisystep__Gossip__Departure departure = DAISYSTEP__GOSSIP__DEPARTURE__INIT;
+  Daisystep__Gossip__Departure *messages[] = { &departure };
+
+  init_wrong_host (&other);
+  departure.replica = ds_str_hash (DS_STR ("i-0"), 1000);
+  departure.revision = 1000000;
+  departure.gone = true;
+  entry_set_faults (entry_store, "{\"busy\":true}");
+  test_sleep_ms (CONTACT_MS);
+  other.datagram.departures = messages;
+  other.datagram.n_departures = 1;
+  send_wrong_reports (&other, 300);
+  entry_set_faults (entry_replicas[1], "{\"shed\":10}");
+  ck_assert_int_eq (entry_request (0, "GET", "/look/1", "id", NULL)->status,
+                    503);
+  ck_assert_int_eq (entry_count_runs ("id"), 0);
+  (void)close (other.socket_fd);
+}
+END_TEST
+
 /* Guards against a host that uses a replica longer than allowed after it has
    left, since the store turns other hosts away, for a moment or for long, but
    not this one.  */
@@ -267,6 +292,8 @@
   tcase_add_test (test_case, a_wrong_departure_of_another_host_ends_soon);
   tcase_add_loop_test (
       test_case, a_removal_counts_at_once_while_others_are_turned_away, 0, 2);
+  tcase_add_test (test_case,
+                  a_departure_counts_at_a_host_that_has_lost_the_store);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
