Do not use a missing replica that other hosts saw leave

Cause: a host whose own calls to the store had failed keeps a replica for two seconds after its watch shows it as removed, since the registration may have lapsed in an outage. As the watch had come to the revision of the other hosts' reports, these ended.

Change: a report about a replica that is missing in this host's own state stays, and counts whenever it arrives; the replica is used again once it is registered.

--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -179,15 +179,19 @@
 }
 
 /* Stops the use of the replica with HASH, which according to another host
-   leaves since REVISION of the store.  Returns false if it is unknown or
-   leaves already.  */
+   leaves since REVISION of the store.  This host has read the store up to
+   KNOWN_REVISION: a replica that is there counts as reported only by something
+   later, one that is missing, and may return after an outage, by anything.
+   Returns false if the report changes nothing.  */
 bool
 ds_replica_set_report_departure (struct ds_replica_set *set, uint64_t hash,
-                                 uint64_t revision, uint64_t now_ms)
+                                 uint64_t revision, uint64_t known_revision,
+                                 uint64_t now_ms)
 {
   struct ds_replica *replica = ds_replica_set_find_by_hash (set, hash);
 
   if (replica == NULL || !ds_replica_accepts_requests (replica)
+      || (revision <= known_revision && replica->expiry_ms == 0)
       || (replica->left_refuted_ms > 0
           && now_ms - replica->left_refuted_ms < REFUTED_MS))
     return false;
@@ -207,7 +211,7 @@
     {
       struct ds_replica *replica = set->entries[i].replica;
 
-      if (replica->left_revision == 0)
+      if (replica->left_revision == 0 || replica->expiry_ms > 0)
         continue;
       if (replica->left_revision > revision
           && replica->left_reported_ms >= asked_ms)
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -81,6 +81,7 @@
                                    uint32_t hash);
 bool ds_replica_set_report_departure (struct ds_replica_set *set,
                                       uint64_t hash, uint64_t revision,
+                                      uint64_t known_revision,
                                       uint64_t now_ms);
 void ds_replica_set_end_reports (struct ds_replica_set *set, uint64_t revision,
                                  uint64_t asked_ms, uint64_t now_ms);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -314,10 +314,9 @@
   struct ds_entry *entry = user_data;
   struct ds_decision_line line;
 
-  if (departure->revision <= ds_store_watcher_revision (entry->replica_watcher)
-      || !ds_replica_set_report_departure (entry->replicas, departure->replica,
-                                           departure->revision,
-                                           ds_clock_ms ()))
+  if (!ds_replica_set_report_departure (
+          entry->replicas, departure->replica, departure->revision,
+          ds_store_watcher_revision (entry->replica_watcher), ds_clock_ms ()))
     return false;
   line = ds_decision_line_begin ("replica", DS_STR_EMPTY);
   ds_decision_line_add_text (
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -116,7 +116,7 @@
 report (uint64_t revision, uint64_t now_ms)
 {
   return ds_replica_set_report_departure (
-      set, ds_replica_set_at (set, 0)->hash, revision, now_ms);
+      set, ds_replica_set_at (set, 0)->hash, revision, 10, now_ms);
 }
 
 /* Guards against requests to a replica that has left, at a host whose watch of
@@ -132,6 +132,24 @@
 }
 END_TEST
 
+/* Guards against a host that uses a replica for two more seconds, since its
+   own calls to the store have failed, although others have seen it leave.  */
+START_TEST (a_missing_replica_that_others_saw_leave_is_not_used)
+{
+  put ("a", 10, "10.0.0.1:80");
+  ds_replica_set_remove (set, DS_STR ("a"), 5000);
+  ck_assert (is_used ());
+  ck_assert (report (9, 1000));
+  ds_replica_set_end_reports (set, 20, 1100, 1110);
+  ck_assert (!is_used ());
+  /* It is registered again.  */
+  put ("a", 10, "10.0.0.1:80");
+  ds_replica_set_end_reports (set, 30, 1100, 1200);
+  ck_assert (is_used ());
+  ck_assert (!report (9, 1300));
+}
+END_TEST
+
 /* Guards against a report that outweighs what the store says later: after an
    outage the registration is there again.  */
 START_TEST (the_store_ends_a_report_once_the_host_knows_as_much)
@@ -192,6 +210,8 @@
                   the_store_ends_a_report_once_the_host_knows_as_much);
   tcase_add_test (test_case,
                   a_report_that_the_store_does_not_confirm_is_wrong);
+  tcase_add_test (test_case,
+                  a_missing_replica_that_others_saw_leave_is_not_used);
   tcase_add_test (test_case, a_report_expires_without_a_word_of_the_store);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
