Name the evidence of crashes by what it does

Cause: 'guilty' and 'innocent' are no terms of the field.

Change: a static function, three comments and an unused include; no behaviour.

--- a/src/core/crash_suspects.c
+++ b/src/core/crash_suspects.c
@@ -9,9 +9,9 @@
 /* Crashes this close together have one cause: a rack that fails, or a host
    whose connections are reset.  */
 #define ONE_CAUSE_MS 100
-/* Time after the last crash in which a suspect is blocked at every host.  A
-   further crash doubles the doubt: the replica that runs the next trial is
-   lost to all its requests.  */
+/* Time after the last crash in which a suspect is blocked at every host, after
+   three, four and more crashes.  Each trial may cost a replica all its
+   requests.  */
 #define BLOCK_3_CRASHES_MS 10000
 #define BLOCK_4_CRASHES_MS 30000
 #define BLOCK_MS 120000
@@ -174,8 +174,9 @@
   return ds_str_hash (host, entry->key.hash) % most_ms;
 }
 
+/* Whether the evidence suffices to refuse requests with the key of ENTRY.  */
 static bool
-is_guilty (const struct ds_crash_suspects *suspects, const struct entry *entry)
+is_cause (const struct ds_crash_suspects *suspects, const struct entry *entry)
 {
   return active_crashes (entry) >= CRASHES_TO_BLOCK
          && is_confirmed (suspects, entry);
@@ -274,18 +275,18 @@
   struct entry *entry = find_or_replace (suspects, key, now_ms);
   struct crash crash
       = { .replica = replica, .host = suspects->host, .time_ms = crashed_ms };
-  bool before = is_guilty (suspects, entry);
+  bool before = is_cause (suspects, entry);
 
   (void)add_crash (entry, &crash, now_ms);
-  return !before && is_guilty (suspects, entry) ? DS_SUSPECT_BLOCKED
-                                                : DS_SUSPECT_UNCHANGED;
+  return !before && is_cause (suspects, entry) ? DS_SUSPECT_BLOCKED
+                                               : DS_SUSPECT_UNCHANGED;
 }
 
 static enum ds_suspect_change
 clear (struct ds_crash_suspects *suspects, struct entry *entry,
        uint64_t began_ms, uint64_t now_ms)
 {
-  bool before = is_guilty (suspects, entry);
+  bool before = is_cause (suspects, entry);
   size_t crashes = active_crashes (entry);
 
   if (began_ms <= entry->cleared_ms)
@@ -293,8 +294,8 @@
   entry->cleared_ms = began_ms;
   if (active_crashes (entry) < crashes)
     entry->changed_ms = now_ms;
-  return before && !is_guilty (suspects, entry) ? DS_SUSPECT_CLEARED
-                                                : DS_SUSPECT_UNCHANGED;
+  return before && !is_cause (suspects, entry) ? DS_SUSPECT_CLEARED
+                                               : DS_SUSPECT_UNCHANGED;
 }
 
 /* Records that an answer to a request with KEY, which began at BEGAN_MS, has
@@ -344,14 +345,15 @@
       for (size_t k = 0; k < count && !in_request; k++)
         in_request = keys_are_equal (other->key, keys[k]);
       if (!in_request && other->key.kind == DS_SUSPECT_PART
-          && is_guilty (suspects, other) && covers (other, entry))
+          && is_cause (suspects, other) && covers (other, entry))
         return true;
     }
   return false;
 }
 
 /* Returns the time in which the request with KEYS may not be sent because of
-   ENTRY, one of them.  A part that may be innocent is tried soon.  */
+   ENTRY, one of them.  A part whose crashes another one explains is tried
+   soon.  */
 static uint64_t
 wait_of_entry_ms (const struct ds_crash_suspects *suspects,
                   const struct entry *entry, const struct ds_suspect_key *keys,
@@ -359,7 +361,7 @@
 {
   uint64_t allowed_ms;
 
-  if (!is_guilty (suspects, entry))
+  if (!is_cause (suspects, entry))
     return 0;
   allowed_ms
       = last_crash_ms (entry)
@@ -411,7 +413,7 @@
     {
       struct entry *entry = find (suspects, keys[i]);
 
-      if (entry != NULL && is_guilty (suspects, entry))
+      if (entry != NULL && is_cause (suspects, entry))
         entry->trial_ms = now_ms;
     }
 }
@@ -485,7 +487,7 @@
     return DS_SUSPECT_UNCHANGED;
   if (entry == NULL)
     entry = find_or_replace (suspects, report->key, now_ms);
-  before = is_guilty (suspects, entry);
+  before = is_cause (suspects, entry);
   for (size_t i = 0; i < report->crash_count; i++)
     {
       const struct ds_suspect_crash *reported = &report->crashes[i];
@@ -501,7 +503,7 @@
     }
   if (report->cleared && report->cleared_age_ms < now_ms)
     (void)clear (suspects, entry, now_ms - report->cleared_age_ms, now_ms);
-  after = is_guilty (suspects, entry);
+  after = is_cause (suspects, entry);
   if (before == after)
     return DS_SUSPECT_UNCHANGED;
   return after ? DS_SUSPECT_BLOCKED : DS_SUSPECT_CLEARED;
--- a/src/entry/crash_evidence.c
+++ b/src/entry/crash_evidence.c
@@ -3,8 +3,6 @@
 #include "io/clock.h"
 #include "io/timer.h"
 
-#include <string.h>
-
 /* Time in which this host sees all its connections to a crashed replica end:
    the operating system closes them at once.  */
 #define CRASH_SEEN_MS 50
