--- a/review/harness/harness.c
+++ b/review/harness/harness.c
@@ -20,6 +20,9 @@
 #define PROGRAM "target/daisystep"
 #define HOSTS_MAX 64
 #define READINESS_TIMEOUT_MS 500
+/* Ports of the hosts.  */
+#define FIRST_PORT 20000
+#define PORTS 12000
 
 static FILE *record_file;
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -152,36 +155,62 @@
   return folder;
 }
 
-/* Binds a socket to a free port of the loopback address.  */
-int
-review_listen (uint16_t *port, bool datagram)
+/* Binds a socket to PORT of the loopback address, 0 for any; -1 if that
+   fails.  */
+static int
+try_listen (uint16_t port, bool datagram)
 {
   int fd = socket (AF_INET,
                    (datagram ? SOCK_DGRAM : SOCK_STREAM) | SOCK_CLOEXEC, 0);
   struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_port = htons (*port) };
-  socklen_t size = sizeof address;
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
   int on = 1;
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  (void)setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
-      || (!datagram && listen (fd, 512) != 0)
-      || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
+  if (fd >= 0 && !datagram)
+    (void)setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd >= 0
+      && (bind (fd, (struct sockaddr *)&address, sizeof address) != 0
+          || (!datagram && listen (fd, 512) != 0)))
+    {
+      (void)close (fd);
+      return -1;
+    }
+  return fd;
+}
+
+/* Binds a socket to *PORT or, if that is 0, to a free port.  */
+int
+review_listen (uint16_t *port, bool datagram)
+{
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+  int fd = try_listen (*port, datagram);
+
+  if (fd < 0 || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
     review_give_up ("no free port");
   *port = ntohs (address.sin_port);
   return fd;
 }
 
-/* Finds a free port.  */
+/* Finds a free port below those that the system gives to connections.  */
 void
 review_free_address (char *out, bool datagram)
 {
-  uint16_t port = 0;
-  int fd = review_listen (&port, datagram);
+  static uint16_t next;
+  int fd = -1;
 
+  if (next == 0)
+    next = (uint16_t)(FIRST_PORT + 7 * (unsigned)getpid () % PORTS);
+  for (int i = 0; i < PORTS && fd < 0; i++)
+    {
+      next = next + 1 < FIRST_PORT + PORTS ? next + 1 : FIRST_PORT;
+      fd = try_listen (next, datagram);
+    }
+  if (fd < 0)
+    review_give_up ("no free port");
   (void)close (fd);
-  (void)snprintf (out, REVIEW_ADDRESS_BYTES, "127.0.0.1:%u", port);
+  (void)snprintf (out, REVIEW_ADDRESS_BYTES, "127.0.0.1:%u", next);
 }
 
 /* Connects to "IP:PORT"; -1 when that fails.  */
