--- a/review/harness/store.c
+++ b/review/harness/store.c
@@ -151,22 +151,33 @@
     (void)review_send (fd, body, strlen (body));
 }
 
+static int
+compare_names (const void *a, const void *b)
+{
+  const struct object *const *left = a;
+  const struct object *const *right = b;
+
+  return strcmp ((*left)->name, (*right)->name);
+}
+
+/* Lists the objects of KIND by name.  */
 static void
 list (int fd, const char *kind)
 {
   char *body = NULL;
   size_t size = 0;
   FILE *out = open_memstream (&body, &size);
-  bool first = true;
+  const struct object *found[OBJECTS_MAX];
+  size_t count = 0;
 
   pthread_mutex_lock (&lock);
-  (void)fputs ("{\"items\":[", out);
   for (size_t i = 0; i < object_count; i++)
     if (objects[i].exists && strcmp (objects[i].kind, kind) == 0)
-      {
-        (void)fprintf (out, "%s%s", first ? "" : ",", objects[i].text);
-        first = false;
-      }
+      found[count++] = &objects[i];
+  qsort (found, count, sizeof found[0], compare_names);
+  (void)fputs ("{\"items\":[", out);
+  for (size_t i = 0; i < count; i++)
+    (void)fprintf (out, "%s%s", i > 0 ? "," : "", found[i]->text);
   (void)fprintf (out, "],\"has_more\":false,\"current_rev\":%llu}",
                  (unsigned long long)revision);
   pthread_mutex_unlock (&lock);
