--- a/tests/standins/common_server.c
+++ b/tests/standins/common_server.c
@@ -141,9 +141,10 @@
   return server->handle (server->state, request);
 }
 
-/* Parses IP:PORT into ADDRESS; only loopback addresses are accepted.  */
-static int
-parse_address (struct sockaddr_in *address, const char *text)
+/* Parses IP:PORT into ADDRESS; only loopback addresses are accepted.  Returns
+   0, or -1 for another text.  */
+int
+standin_parse_address (struct sockaddr_in *address, const char *text)
 {
   char ip[INET_ADDRSTRLEN];
   const char *colon = strchr (text, ':');
@@ -165,13 +166,11 @@
 }
 
 /* Writes the bound address to a temporary file and renames it to PATH, so that
-   a reader never sees a partial address.  */
-static int
-write_ready_file (const char *path, struct MHD_Daemon *daemon,
-                  const struct sockaddr_in *address)
+   a reader never sees a partial address.  Returns 0, or -1 on failure.  */
+int
+standin_write_ready_file (const char *path, const struct sockaddr_in *address,
+                          uint16_t port)
 {
-  uint16_t port
-      = MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
   char *temporary = talloc_asprintf (NULL, "%s.new", path);
   char ip[INET_ADDRSTRLEN];
   FILE *file = fopen (temporary, "w");
@@ -190,8 +189,8 @@
 }
 
 /* Waits for SIGTERM or SIGINT, for STOP_AFTER_MS at most unless it is 0.  */
-static void
-wait_for_stop (const sigset_t *signals, int stop_after_ms)
+void
+standin_wait_for_stop (const sigset_t *signals, int stop_after_ms)
 {
   struct timespec limit = {
     .tv_sec = stop_after_ms / 1000,
@@ -280,7 +279,7 @@
   sigaddset (&signals, SIGINT);
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   (void)signal (SIGPIPE, SIG_IGN);
-  if (parse_address (&address, text) != 0)
+  if (standin_parse_address (&address, text) != 0)
     {
       (void)fprintf (stderr, "%s is not a loopback address IP:PORT\n", text);
       goto out;
@@ -292,16 +291,18 @@
       goto out;
     }
   if (arguments->ready_file->count > 0
-      && write_ready_file (arguments->ready_file->sval[0], daemon, &address)
+      && standin_write_ready_file (
+             arguments->ready_file->sval[0], &address,
+             MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port)
              != 0)
     {
       (void)fprintf (stderr, "cannot write the ready file %s\n",
                      arguments->ready_file->sval[0]);
       goto out;
     }
-  wait_for_stop (&signals, arguments->stop_after_ms->count > 0
-                               ? arguments->stop_after_ms->ival[0]
-                               : 0);
+  standin_wait_for_stop (&signals, arguments->stop_after_ms->count > 0
+                                       ? arguments->stop_after_ms->ival[0]
+                                       : 0);
   status = EXIT_SUCCESS;
 out:
   if (daemon != NULL)
--- a/tests/standins/common_server.h
+++ b/tests/standins/common_server.h
@@ -5,6 +5,8 @@
 
 #include <jansson.h>
 #include <microhttpd.h>
+#include <netinet/in.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -45,6 +47,13 @@
                                             struct standin_request *request),
                  void *state);
 
+/* For programs that serve their connections themselves.  */
+int standin_parse_address (struct sockaddr_in *address, const char *text);
+int standin_write_ready_file (const char *path,
+                              const struct sockaddr_in *address,
+                              uint16_t port);
+void standin_wait_for_stop (const sigset_t *signals, int stop_after_ms);
+
 void standin_server_close_connections (struct standin_server *server,
                                        struct MHD_Connection *except);
 
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -3,6 +3,7 @@
 
 #include <check.h>
 #include <jansson.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -258,10 +259,8 @@
   return tokens;
 }
 
-/* Starts the store and two ready replicas, and writes a configuration with
-   PREPAID tokens for the workspace.  */
-void
-entry_start_standins (long prepaid)
+static void
+start_standins (long prepaid, const char *replica_program)
 {
   char address[32];
   char id[16];
@@ -282,10 +281,68 @@
       entry_format_address (address, 5 + i, 7000);
       (void)sprintf (id, "i-%d", i);
       ck_assert_int_eq (test_standin_start (&entry_replicas[i], id,
-                                            TEST_STANDIN ("platform_replica"),
-                                            arguments),
+                                            replica_program, arguments),
                         0);
       entry_put_replica (i, "ready");
     }
   entry_put_config (prepaid);
 }
+
+/* Starts the store and two ready replicas, and writes a configuration with
+   PREPAID tokens for the workspace.  */
+void
+entry_start_standins (long prepaid)
+{
+  start_standins (prepaid, TEST_STANDIN ("platform_replica"));
+}
+
+/* Does the same with replicas that send what their scripts say.  */
+void
+entry_start_scripted_standins (long prepaid)
+{
+  start_standins (prepaid, TEST_STANDIN ("scripted_replica"));
+}
+
+static void
+add_response (const struct test_process *replica, bool runs, va_list steps)
+{
+  json_t *list = json_array ();
+  json_t *response;
+  const char *step;
+  char *text;
+
+  while ((step = va_arg (steps, const char *)) != NULL)
+    json_array_append_new (list,
+                           json_pack ("{s:s}", step, va_arg (steps, char *)));
+  response = json_pack ("{s:b,s:o}", "not_run", !runs, "steps", list);
+  text = json_dumps (response, JSON_COMPACT);
+  ck_assert_ptr_nonnull (text);
+  ck_assert_int_eq (test_post (replica->address, "/standin/responses", text),
+                    200);
+  free (text);
+  json_decref (response);
+}
+
+/* Adds a response to the script of the scripted REPLICA: pairs of a step and
+   its text, ended by a null pointer.  The request that gets it is executed.
+   */
+void
+entry_add_response (const struct test_process *replica, ...)
+{
+  va_list steps;
+
+  va_start (steps, replica);
+  add_response (replica, true, steps);
+  va_end (steps);
+}
+
+/* Does the same with a response whose request is not executed.  */
+void
+entry_add_refusal (const struct test_process *replica, ...)
+{
+  va_list steps;
+
+  va_start (steps, replica);
+  add_response (replica, false, steps);
+  va_end (steps);
+}
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -24,6 +24,11 @@
 extern char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 
 void entry_start_standins (long prepaid);
+void entry_start_scripted_standins (long prepaid);
+void entry_add_response (const struct test_process *replica, ...)
+    __attribute__ ((sentinel));
+void entry_add_refusal (const struct test_process *replica, ...)
+    __attribute__ ((sentinel));
 void entry_put_config (long prepaid);
 void entry_put_config_with_route (long prepaid, const char *path_prefix);
 void entry_format_address (char *out, int number, int port);
