--- /dev/null
+++ b/tests/test_entry_streams.c
@@ -0,0 +1,110 @@
+#include "support/entry_site.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Streams of faulty replicas, as a caller of an entry host gets them.  */
+
+#define UNFRAMED_HEAD                                                         \
+  "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"            \
+  "Content-Type: text/event-stream\r\n\r\n"
+#define CHUNKED_HEAD                                                          \
+  "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"            \
+  "Content-Type: text/event-stream\r\n"                                       \
+  "Transfer-Encoding: chunked\r\n\r\n"
+#define LAST_CHUNK "0\r\n\r\n"
+#define EVENT(n) "id: " #n "\ndata: piece " #n "\n\n"
+#define GARBAGE "!\x01 garbage\n\n"
+#define REJECTION                                                             \
+  "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"                   \
+  "Content-Length: 0\r\n\r\n"
+
+static const char all_events[]
+    = EVENT (1) EVENT (2) EVENT (3) EVENT (4) EVENT (5) EVENT (6);
+
+static void
+set_up (void)
+{
+  entry_start_scripted_standins (1000000);
+  entry_start_host (0, "z");
+  entry_wait_ready (0);
+}
+
+static void
+tear_down (void)
+{
+  test_processes_clean_up ();
+}
+
+/* Adds the same response to both replicas.  */
+#define ADD_RESPONSES(...)                                                    \
+  do                                                                          \
+    for (int i = 0; i < ENTRY_REPLICAS; i++)                                  \
+      entry_add_response (entry_replicas[i], __VA_ARGS__, NULL);              \
+  while (0)
+
+/* Sends requests until the replicas have used their scripts and beyond, and
+   checks that each response holds only events of the sound stream, from the
+   first one on, and all of them if it looks complete.  */
+static void
+check_streams (void)
+{
+  for (int i = 0; i < 6; i++)
+    {
+      struct test_http_response *reply;
+      char id[16];
+
+      (void)snprintf (id, sizeof id, "id-%d", i);
+      reply = entry_request (0, "POST", "/stream/1", id, "100,24");
+      ck_assert_msg (strncmp (reply->body.data, all_events, reply->body.length)
+                         == 0,
+                     "caller got: %s", reply->body.data);
+      if (reply->code == 0)
+        ck_assert_str_eq (reply->body.data, all_events);
+    }
+}
+
+/* Guards against forwarding bytes of a faulty replica that are no event and
+   end with an empty line.  */
+START_TEST (garbage_between_events_does_not_reach_the_caller)
+{
+  ADD_RESPONSES ("send", CHUNKED_HEAD, "chunk", EVENT (1) EVENT (2) EVENT (3),
+                 "chunk", GARBAGE, "chunk", EVENT (4) EVENT (5) EVENT (6),
+                 "send", LAST_CHUNK);
+  check_streams ();
+}
+END_TEST
+
+/* Guards against forwarding the head of a second response as an event of a
+   stream that ends with its connection.  */
+START_TEST (a_second_response_in_an_unframed_stream_does_not_reach_the_caller)
+{
+  ADD_RESPONSES ("send", UNFRAMED_HEAD EVENT (1) EVENT (2) EVENT (3), "send",
+                 REJECTION, "close", "");
+  check_streams ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("entry_streams");
+  TCase *test_case = tcase_create ("entry_streams");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_set_timeout (test_case, 60);
+  tcase_add_test (test_case, garbage_between_events_does_not_reach_the_caller);
+  tcase_add_test (
+      test_case,
+      a_second_response_in_an_unframed_stream_does_not_reach_the_caller);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
