Log events without an id and the answers of resumed attempts

Cause: the logs told neither that an event without an id was passed on, nor its bytes, nor whether it came in a framed response or from a resumed attempt, so the three hypotheses of the incident looked alike. Change: event_without_id, with replica, place and the first 64 bytes; resume_answered, with status and kind of the answer; attempt_failed says whether the response had a length or chunks. ds_event_stream_feed reports the id of each event. No decision changes.

--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -73,24 +73,24 @@
   remaining = ds_byte_buffer_content (&stream->partial);
   while ((length = event_length (remaining)) > 0)
     {
-      struct ds_str event = { .data = remaining.data, .length = length };
-      uint64_t id;
-      bool numbered = read_id (&id, event);
+      struct ds_event event
+          = { .text = { .data = remaining.data, .length = length } };
 
+      event.has_id = read_id (&event.id, event.text);
       remaining.data += length;
       remaining.length -= length;
       stream->partial.start += length;
-      if (numbered && stream->has_id && id <= stream->last_id)
+      if (event.has_id && stream->has_id && event.id <= stream->last_id)
         continue;
-      if (numbered && stream->has_id && id != stream->last_id + 1)
+      if (event.has_id && stream->has_id && event.id != stream->last_id + 1)
         return DS_EPROTOCOL;
-      if (numbered)
+      if (event.has_id)
         {
-          stream->last_id = id;
+          stream->last_id = event.id;
           stream->has_id = true;
           stream->events++;
         }
-      on_event (event, user_data);
+      on_event (&event, user_data);
     }
   if (stream->partial.end == stream->partial.start)
     ds_byte_buffer_release (&stream->partial);
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -35,6 +35,8 @@
 /* Events of an attempt after which its request no longer counts as a cause of
    a crash of its replica: such a request crashes it as the answer begins.  */
 #define EVENTS_BEYOND_CRASH 3
+/* Bytes of an unexpected event that are logged.  */
+#define EXCERPT_BYTES 64
 
 enum phase
 {
@@ -332,6 +334,7 @@
   ds_decision_line_add_number (&line, "after_ms",
                                (int64_t)(ds_clock_ms () - x->attempt_ms));
   ds_decision_line_add_number (&line, "events", (int64_t)x->events.events);
+  ds_decision_line_add_number (&line, "framed", x->framed);
   ds_decision_line_end (&line);
 }
 
@@ -425,6 +428,22 @@
   x->head_sent = true;
 }
 
+/* Logs the answer to an attempt that resumes the response.  */
+static void
+log_resume (const struct ds_exchange *x)
+{
+  struct ds_decision_line line
+      = ds_decision_line_begin ("resume_answered", x->request.id);
+
+  ds_decision_line_add_text (&line, "replica", x->replica->record.id);
+  ds_decision_line_add_number (&line, "after_event",
+                               (int64_t)x->events.last_id);
+  ds_decision_line_add_number (&line, "status", x->status);
+  ds_decision_line_add_number (&line, "is_stream", x->response.is_stream);
+  ds_decision_line_add_number (&line, "framed", x->framed);
+  ds_decision_line_end (&line);
+}
+
 /* False for another request's response, or a success without an id.  */
 static bool
 on_head (const struct ds_http_head *head, void *user_data)
@@ -452,6 +471,8 @@
   x->answer_ms = ds_clock_ms ();
   x->status = head->status;
   x->streaming = false;
+  if (x->head_sent)
+    log_resume (x);
   if (head->status < 300 && response.has_mac && !response.encoded)
     {
       bool short_body
@@ -504,12 +525,33 @@
     x->first_event_ms = now_ms;
 }
 
+/* Logs an event without an id, with the first of its bytes.  */
+static void
+log_event_without_id (const struct ds_exchange *x, struct ds_str event)
+{
+  struct ds_decision_line line
+      = ds_decision_line_begin ("event_without_id", x->request.id);
+
+  ds_decision_line_add_text (&line, "replica", x->replica->record.id);
+  ds_decision_line_add_number (&line, "after_event",
+                               (int64_t)x->events.last_id);
+  ds_decision_line_add_number (&line, "framed", x->framed);
+  ds_decision_line_add_number (&line, "resumed", x->resumed);
+  ds_decision_line_add_number (&line, "bytes", (int64_t)event.length);
+  if (event.length > EXCERPT_BYTES)
+    event.length = EXCERPT_BYTES;
+  ds_decision_line_add_text (&line, "excerpt", event);
+  ds_decision_line_end (&line);
+}
+
 static void
-forward_bytes (struct ds_str bytes, void *user_data)
+forward_event (const struct ds_event *event, void *user_data)
 {
   struct ds_exchange *x = user_data;
 
-  ds_caller_write_chunk (x->caller, bytes);
+  if (!event->has_id)
+    log_event_without_id (x, event->text);
+  ds_caller_write_chunk (x->caller, event->text);
 }
 
 static void
@@ -528,8 +570,8 @@
   if (x->prefill_counted)
     record_first_event (x);
   if (!x->response.is_stream)
-    forward_bytes (bytes, x);
-  else if (ds_event_stream_feed (x, &x->events, bytes, forward_bytes, x) != 0)
+    ds_caller_write_chunk (x->caller, bytes);
+  else if (ds_event_stream_feed (x, &x->events, bytes, forward_event, x) != 0)
     {
       on_attempt_failed (x, "events are out of order");
       return;
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -100,13 +100,13 @@
 static char forwarded[512];
 
 static void
-forward (struct ds_str events, void *user_data)
+forward (const struct ds_event *event, void *user_data)
 {
   size_t length = strlen (forwarded);
 
   (void)user_data;
-  memcpy (forwarded + length, events.data, events.length);
-  forwarded[length + events.length] = '\0';
+  memcpy (forwarded + length, event->text.data, event->text.length);
+  forwarded[length + event->text.length] = '\0';
 }
 
 static int
