Refuse bytes in a stream that are not its next event

Cause: the relay of events checked ids only where it found one. Whatever ended with an empty line and had no number in an id field was forwarded. The class: bytes of an upstream pass as a part of the response because nothing contradicts them, instead of because they are what must come next. Change: an event is forwarded only if all its lines are fields or comments and it has exactly one id, which is the next one, and data. Comments and a reconnection time may stand alone. Anything else fails the attempt like a broken connection: the stream is resumed where the route allows it, and is cut off otherwise. The replica is used less, as after other failures. malformed_event and malformed_streams_total say what came; they replace event_without_id. A line with a zero byte or a bare carriage return is refused, since it may end an event for the caller's parser. Evidence: test_entry_streams, whose first two cases were red before; all five fail on the code before.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -46,6 +46,10 @@
                                 .help = "Answers delivered to their end." },
   [DS_METRIC_ANSWERS_CUT] = { .name = "answers_cut_total",
                               .help = "Answers ended early with an error." },
+  [DS_METRIC_MALFORMED_STREAMS]
+  = { .name = "malformed_streams_total",
+      .help = "Streams in which an upstream sent something else than the next "
+              "event." },
   [DS_METRIC_UPSTREAM_RETRIES]
   = { .name = "upstream_retries_total", .help = "Attempts after the first." },
   [DS_METRIC_UPSTREAM_SILENT]
--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -3,40 +3,113 @@
 
 #include <string.h>
 
-/* Name of the field with the id of an event.  */
-#define ID_FIELD "id:"
+/* What the lines of an event say.  FAULT is null for a sound event.  */
+struct event_fields
+{
+  uint64_t id;
+  bool has_id;
+  bool has_data;
+  bool has_other;
+  const char *fault;
+};
 
-/* Reads the id of one event; false when it has none.  */
+/* Whether NAME can be the name of a field: letters, digits, "-" and "_".  */
 static bool
-read_id (uint64_t *out, struct ds_str event)
+is_field_name (struct ds_str name)
+{
+  for (size_t i = 0; i < name.length; i++)
+    {
+      char c = name.data[i];
+
+      if (!((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+            || (c >= '0' && c <= '9') || c == '-' || c == '_'))
+        return false;
+    }
+  return name.length > 0;
+}
+
+static void
+read_id (struct event_fields *fields, struct ds_str value)
+{
+  uint64_t id;
+
+  while (value.length > 0 && value.data[value.length - 1] == ' ')
+    value.length--;
+  if (ds_str_to_u64 (&id, value) != 0)
+    fields->fault = "the id of an event is no number";
+  else if (fields->has_id && id != fields->id)
+    fields->fault = "an event has two ids";
+  fields->id = id;
+  fields->has_id = true;
+}
+
+/* Reads a line without its end.  A carriage return or a zero byte inside a
+   line would end it, or the event, for some parsers of callers.  */
+static void
+read_line (struct event_fields *fields, struct ds_str line)
 {
-  size_t start = 0;
+  const char *colon
+      = line.length > 0 ? memchr (line.data, ':', line.length) : NULL;
+  struct ds_str name = line;
+  struct ds_str value = DS_STR_EMPTY;
 
-  while (start < event.length)
+  if (line.length == 0)
+    return;
+  if (memchr (line.data, '\r', line.length) != NULL
+      || memchr (line.data, '\0', line.length) != NULL)
     {
-      const char *line = event.data + start;
-      const char *line_end = memchr (line, '\n', event.length - start);
-      size_t length = line_end != NULL ? (size_t)(line_end - line)
-                                       : event.length - start;
-      struct ds_str value;
-
-      start += length + 1;
-      if (length < strlen (ID_FIELD)
-          || memcmp (line, ID_FIELD, strlen (ID_FIELD)) != 0)
-        continue;
-      value = (struct ds_str){ .data = line + strlen (ID_FIELD),
-                               .length = length - strlen (ID_FIELD) };
-      while (value.length > 0 && value.data[0] == ' ')
-        {
-          value.data++;
-          value.length--;
-        }
-      while (value.length > 0
-             && strchr (" \r", value.data[value.length - 1]) != NULL)
-        value.length--;
-      return ds_str_to_u64 (out, value) == 0;
+      fields->fault = "a line of an event has a control character";
+      return;
     }
-  return false;
+  if (colon == line.data)
+    return; /* a comment */
+  if (colon != NULL)
+    {
+      name.length = (size_t)(colon - line.data);
+      value.data = colon + 1;
+      value.length = line.length - name.length - 1;
+    }
+  while (value.length > 0 && value.data[0] == ' ')
+    {
+      value.data++;
+      value.length--;
+    }
+  if (!is_field_name (name))
+    fields->fault = "a line of an event is no field";
+  else if (ds_str_equal (name, DS_STR ("id")))
+    read_id (fields, value);
+  else if (ds_str_equal (name, DS_STR ("data")))
+    fields->has_data = true;
+  else if (!ds_str_equal (name, DS_STR ("retry")))
+    fields->has_other = true;
+}
+
+/* Reads the lines of an event.  Each event of an upstream has an id and data;
+   only comments and the reconnection time may stand alone.  */
+static struct event_fields
+read_event (struct ds_str event)
+{
+  struct event_fields fields = { .fault = NULL };
+
+  while (event.length > 0 && fields.fault == NULL)
+    {
+      const char *end = memchr (event.data, '\n', event.length);
+      struct ds_str line = event;
+
+      if (end != NULL)
+        line.length = (size_t)(end - event.data);
+      event.data += line.length + (end != NULL ? 1 : 0);
+      event.length -= line.length + (end != NULL ? 1 : 0);
+      if (line.length > 0 && line.data[line.length - 1] == '\r')
+        line.length--;
+      read_line (&fields, line);
+    }
+  if (fields.fault == NULL && !fields.has_id
+      && (fields.has_data || fields.has_other))
+    fields.fault = "an event has no id";
+  if (fields.fault == NULL && fields.has_id && !fields.has_data)
+    fields.fault = "an event has no data";
+  return fields;
 }
 
 /* Returns the length of the first complete event in BYTES with its empty line,
@@ -57,9 +130,19 @@
   return 0;
 }
 
+static int
+fail (struct ds_event_stream *stream, const char *fault, struct ds_str event)
+{
+  stream->fault = fault;
+  stream->fault_text = event;
+  return DS_EPROTOCOL;
+}
+
 /* Parses bytes of a stream and calls ON_EVENT with each complete event.  An
-   event whose id was already forwarded is dropped.  Returns DS_EPROTOCOL when
-   the ids have a gap, DS_ERANGE when an event is too long.  */
+   event whose id was already forwarded is dropped.  Returns DS_EPROTOCOL for
+   bytes that are no event, for ids with a gap and for an event that is too
+   long; FAULT of STREAM says which, and FAULT_TEXT holds the bytes until the
+   next call.  */
 int
 ds_event_stream_feed (TALLOC_CTX *owner, struct ds_event_stream *stream,
                       struct ds_str bytes, ds_event_stream_fn *on_event,
@@ -73,28 +156,31 @@
   remaining = ds_byte_buffer_content (&stream->partial);
   while ((length = event_length (remaining)) > 0)
     {
-      struct ds_event event
-          = { .text = { .data = remaining.data, .length = length } };
+      struct ds_str event = { .data = remaining.data, .length = length };
+      struct event_fields fields = read_event (event);
 
-      event.has_id = read_id (&event.id, event.text);
+      if (fields.fault != NULL)
+        return fail (stream, fields.fault, event);
       remaining.data += length;
       remaining.length -= length;
       stream->partial.start += length;
-      if (event.has_id && stream->has_id && event.id <= stream->last_id)
-        continue;
-      if (event.has_id && stream->has_id && event.id != stream->last_id + 1)
-        return DS_EPROTOCOL;
-      if (event.has_id)
+      if (fields.has_id)
         {
-          stream->last_id = event.id;
+          if (stream->has_id && fields.id <= stream->last_id)
+            continue;
+          if (stream->has_id && fields.id != stream->last_id + 1)
+            return fail (stream, "events are out of order", event);
+          stream->last_id = fields.id;
           stream->has_id = true;
           stream->events++;
         }
-      on_event (&event, user_data);
+      on_event (event, user_data);
     }
+  if (remaining.length > DS_EVENT_BYTES_MAX)
+    return fail (stream, "an event is too long", remaining);
   if (stream->partial.end == stream->partial.start)
     ds_byte_buffer_release (&stream->partial);
-  return remaining.length > DS_EVENT_BYTES_MAX ? DS_ERANGE : 0;
+  return 0;
 }
 
 /* Returns the bytes after the last complete event.  */
--- a/src/entry/event_stream.h
+++ b/src/entry/event_stream.h
@@ -14,21 +14,15 @@
   uint64_t last_id;              /* of the forwarded events */
   uint64_t events;               /* forwarded, with an id */
   bool has_id;
+  const char *fault; /* why the last call failed */
+  struct ds_str fault_text;
 };
 
 /* Largest event; a replica that sends more without an end is faulty.  */
 #define DS_EVENT_BYTES_MAX ((size_t)1 << 20)
 
-/* One complete event with its empty line.  ID is valid if HAS_ID is set.  */
-struct ds_event
-{
-  struct ds_str text;
-  uint64_t id;
-  bool has_id;
-};
-
-typedef void ds_event_stream_fn (const struct ds_event *event,
-                                 void *user_data);
+/* EVENT is one complete event with its empty line.  */
+typedef void ds_event_stream_fn (struct ds_str event, void *user_data);
 
 int ds_event_stream_feed (TALLOC_CTX *owner, struct ds_event_stream *stream,
                           struct ds_str bytes, ds_event_stream_fn *on_event,
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -525,33 +525,55 @@
     x->first_event_ms = now_ms;
 }
 
-/* Logs an event without an id, with the first of its bytes.  */
 static void
-log_event_without_id (const struct ds_exchange *x, struct ds_str event)
+forward_event (struct ds_str event, void *user_data)
 {
+  struct ds_exchange *x = user_data;
+
+  ds_caller_write_chunk (x->caller, event);
+}
+
+/* Logs what the replica sent in place of the next event, with the first of its
+   bytes.  */
+static void
+log_malformed_event (const struct ds_exchange *x)
+{
+  struct ds_str excerpt = x->events.fault_text;
   struct ds_decision_line line
-      = ds_decision_line_begin ("event_without_id", x->request.id);
+      = ds_decision_line_begin ("malformed_event", x->request.id);
 
   ds_decision_line_add_text (&line, "replica", x->replica->record.id);
+  ds_decision_line_add_text (&line, "fault", ds_str_from_c (x->events.fault));
   ds_decision_line_add_number (&line, "after_event",
                                (int64_t)x->events.last_id);
   ds_decision_line_add_number (&line, "framed", x->framed);
   ds_decision_line_add_number (&line, "resumed", x->resumed);
-  ds_decision_line_add_number (&line, "bytes", (int64_t)event.length);
-  if (event.length > EXCERPT_BYTES)
-    event.length = EXCERPT_BYTES;
-  ds_decision_line_add_text (&line, "excerpt", event);
+  ds_decision_line_add_number (&line, "bytes", (int64_t)excerpt.length);
+  if (excerpt.length > EXCERPT_BYTES)
+    excerpt.length = EXCERPT_BYTES;
+  ds_decision_line_add_text (&line, "excerpt", excerpt);
   ds_decision_line_end (&line);
 }
 
-static void
-forward_event (const struct ds_event *event, void *user_data)
+/* Forwards the complete events among BYTES; false if the attempt has failed
+   for what the replica sent.  */
+static bool
+forward_events (struct ds_exchange *x, struct ds_str bytes)
 {
-  struct ds_exchange *x = user_data;
-
-  if (!event->has_id)
-    log_event_without_id (x, event->text);
-  ds_caller_write_chunk (x->caller, event->text);
+  switch (ds_event_stream_feed (x, &x->events, bytes, forward_event, x))
+    {
+    case 0:
+      return true;
+    case DS_EPROTOCOL:
+      ds_metric_add (DS_METRIC_MALFORMED_STREAMS, 1);
+      log_malformed_event (x);
+      ds_placement_record_failure (x->replica, ds_clock_ms ());
+      on_attempt_failed (x, x->events.fault);
+      return false;
+    default:
+      on_attempt_failed (x, "no memory for an event");
+      return false;
+    }
 }
 
 static void
@@ -571,11 +593,8 @@
     record_first_event (x);
   if (!x->response.is_stream)
     ds_caller_write_chunk (x->caller, bytes);
-  else if (ds_event_stream_feed (x, &x->events, bytes, forward_event, x) != 0)
-    {
-      on_attempt_failed (x, "events are out of order");
-      return;
-    }
+  else if (!forward_events (x, bytes))
+    return;
   if (x->events.events - x->earlier_events >= EVENTS_BEYOND_CRASH)
     record_beyond_crash (x);
   if (!x->paused && ds_caller_unsent (x->caller) > UNSENT_BYTES_MAX)
--- a/tests/standins/scripted_replica.c
+++ b/tests/standins/scripted_replica.c
@@ -357,7 +357,7 @@
   }
   if (response == NULL && c->open)
     {
-      if (strstr (c->head, " /stream/") != NULL)
+      if (strstr (c->head, "/stream/") != NULL)
         respond_stream (c, last);
       else
         respond (c, c->body);
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -68,6 +68,7 @@
   json_t *spec = json_pack (
       "{s:i,"
       "s:[{s:s,s:s,s:s,s:s,s:i,s:i,s:s},{s:s,s:s,s:s,s:s,s:i,s:i,s:s},"
+      "{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:b,s:b},"
       "{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:b,s:b}],"
       "s:[{s:s,s:s,s:{s:i,s:i}}],"
       "s:{s:i,s:i,s:i,s:i},"
@@ -79,11 +80,13 @@
       "timeout_ms", 4000, "max_attempts", 1, "service", "pool", "name",
       "stream", "host", "d.example", "path_prefix", "/stream/", "kind",
       "streaming", "timeout_ms", 8000, "max_attempts", 2, "service", "pool",
-      "resumable", 1, "sticky", 1, "services", "name", "pool", "health_path",
-      "/health", "engine", "slots", 8, "stride", 4, "limits",
-      "max_header_bytes", 4000, "max_body_bytes", 20000, "header_timeout_ms",
-      3000, "idle_timeout_ms", 15000, "tenants", "name", "north", "api_keys",
-      "key-1", "prepaid", (json_int_t)prepaid);
+      "resumable", 1, "sticky", 1, "name", "once", "host", "d.example",
+      "path_prefix", "/once/", "kind", "streaming", "timeout_ms", 8000,
+      "max_attempts", 2, "service", "pool", "resumable", 0, "sticky", 1,
+      "services", "name", "pool", "health_path", "/health", "engine", "slots",
+      8, "stride", 4, "limits", "max_header_bytes", 4000, "max_body_bytes",
+      20000, "header_timeout_ms", 3000, "idle_timeout_ms", 15000, "tenants",
+      "name", "north", "api_keys", "key-1", "prepaid", (json_int_t)prepaid);
 
   ck_assert_ptr_nonnull (spec);
   if (path_prefix != NULL)
--- a/tests/test_entry_streams.c
+++ b/tests/test_entry_streams.c
@@ -21,6 +21,9 @@
   "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"                   \
   "Content-Length: 0\r\n\r\n"
 
+/* More than the replicas have responses in their scripts.  */
+#define REQUESTS 6
+
 static const char all_events[]
     = EVENT (1) EVENT (2) EVENT (3) EVENT (4) EVENT (5) EVENT (6);
 
@@ -45,27 +48,34 @@
       entry_add_response (entry_replicas[i], __VA_ARGS__, NULL);              \
   while (0)
 
-/* Sends requests until the replicas have used their scripts and beyond, and
-   checks that each response holds only events of the sound stream, from the
-   first one on, and all of them if it looks complete.  */
+/* Sends requests to PATH until the replicas have used their scripts and
+   beyond, and checks that each response holds only events of the sound stream,
+   from the first one on, and all of them if it looks complete.  */
 static void
-check_streams (void)
+check_streams_of (const char *path)
 {
-  for (int i = 0; i < 6; i++)
+  for (int i = 0; i < REQUESTS; i++)
     {
       struct test_http_response *reply;
       char id[16];
 
       (void)snprintf (id, sizeof id, "id-%d", i);
-      reply = entry_request (0, "POST", "/stream/1", id, "100,24");
+      reply = entry_request (0, "POST", path, id, "100,24");
       ck_assert_msg (strncmp (reply->body.data, all_events, reply->body.length)
                          == 0,
                      "caller got: %s", reply->body.data);
-      if (reply->code == 0)
+      if (reply->code == 0 || i == REQUESTS - 1)
         ck_assert_str_eq (reply->body.data, all_events);
     }
 }
 
+/* The same for a route whose streams may be resumed.  */
+static void
+check_streams (void)
+{
+  check_streams_of ("/stream/1");
+}
+
 /* Guards against forwarding bytes of a faulty replica that are no event and
    end with an empty line.  */
 START_TEST (garbage_between_events_does_not_reach_the_caller)
@@ -87,6 +97,43 @@
 }
 END_TEST
 
+/* Guards against losing a stream that another replica can continue.  */
+START_TEST (a_stream_with_garbage_is_resumed_at_another_replica)
+{
+  struct test_http_response *reply;
+  char id[16];
+
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      entry_add_response (entry_replicas[0], "send", CHUNKED_HEAD, "chunk",
+                          EVENT (1) EVENT (2), "chunk", GARBAGE, NULL);
+      (void)snprintf (id, sizeof id, "id-%d", i);
+      reply = entry_request (0, "POST", "/stream/1", id, "100,24");
+      ck_assert_int_eq (reply->code, 0);
+      ck_assert_str_eq (reply->body.data, all_events);
+    }
+  ck_assert_int_gt (entry_count_runs ("id-0") + entry_count_runs ("id-1"), 2);
+}
+END_TEST
+
+/* Guards against the same on a route whose streams may not be resumed.  */
+START_TEST (garbage_ends_a_stream_that_cannot_be_resumed)
+{
+  ADD_RESPONSES ("send", CHUNKED_HEAD, "chunk", EVENT (1) EVENT (2), "chunk",
+                 GARBAGE, "chunk", EVENT (3) EVENT (4), "send", LAST_CHUNK);
+  check_streams_of ("/once/stream/1");
+}
+END_TEST
+
+/* Guards against a response that ends with bytes which are no event.  */
+START_TEST (garbage_after_the_last_event_does_not_reach_the_caller)
+{
+  ADD_RESPONSES ("send", UNFRAMED_HEAD EVENT (1) EVENT (2) EVENT (3), "send",
+                 EVENT (4) EVENT (5) EVENT (6) GARBAGE, "close", "");
+  check_streams ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -101,6 +148,11 @@
   tcase_add_test (
       test_case,
       a_second_response_in_an_unframed_stream_does_not_reach_the_caller);
+  tcase_add_test (test_case,
+                  a_stream_with_garbage_is_resumed_at_another_replica);
+  tcase_add_test (test_case, garbage_ends_a_stream_that_cannot_be_resumed);
+  tcase_add_test (test_case,
+                  garbage_after_the_last_event_does_not_reach_the_caller);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- /dev/null
+++ b/tests/test_event_stream.c
@@ -0,0 +1,140 @@
+#include "daisystep/error.h"
+#include "entry/event_stream.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define OUTPUT_BYTES 1024
+
+static TALLOC_CTX *owner;
+static char output[OUTPUT_BYTES];
+
+static void
+set_up (void)
+{
+  owner = talloc_new (NULL);
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (owner);
+}
+
+static void
+append_output (struct ds_str event, void *user_data)
+{
+  size_t length = strlen (output);
+
+  (void)user_data;
+  ck_assert_uint_lt (length + event.length, sizeof output);
+  memcpy (output + length, event.data, event.length);
+  output[length + event.length] = '\0';
+}
+
+static int
+feed (struct ds_event_stream *stream, struct ds_str bytes)
+{
+  return ds_event_stream_feed (owner, stream, bytes, append_output, NULL);
+}
+
+/* Guards against cutting or changing streams that are sound.  Each comes at
+   once, and byte by byte.  */
+START_TEST (sound_streams_are_forwarded_unchanged)
+{
+  static const char *const streams[]
+      = { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+          "id: 0\ndata: a\n\nid: 1\ndata: b\n\n",
+          "id:1\ndata:a\n\n",
+          "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+          "weight-versions: 7\nid: 1\ndata: a\n\n",
+          "event: token\nid: 1\ndata: a\ndata: b\ndata\n\n",
+          ": comment\n\nid: 1\ndata: a\n\n: \x01 any bytes\n\n",
+          ": comment\nid: 1\ndata: a\n\n",
+          "retry: 3000\n\nid: 1\ndata: a\n\n",
+          "\nid: 1\ndata: a\n\n\nid: 2\ndata: b\n\n",
+          "id: 1\ndata: \xc3\xa9 {\"a\":\"b: c\"}\n\n",
+          "id: 1\ndata: HTTP/1.1 200 OK\n\n" };
+
+  for (size_t i = 0; i < sizeof streams / sizeof streams[0]; i++)
+    for (int at_once = 0; at_once <= 1; at_once++)
+      {
+        struct ds_event_stream stream = { .last_id = 0 };
+        size_t length = strlen (streams[i]);
+        size_t step = at_once ? length : 1;
+
+        output[0] = '\0';
+        for (size_t k = 0; k < length; k += step)
+          ck_assert_int_eq (
+              feed (&stream,
+                    (struct ds_str){ .data = streams[i] + k, .length = step }),
+              0);
+        ck_assert (!ds_event_stream_is_inside_event (&stream));
+        append_output (ds_event_stream_partial (&stream), NULL);
+        ck_assert_str_eq (output, streams[i]);
+      }
+}
+END_TEST
+
+/* Guards against forwarding bytes of a faulty replica: nothing after the event
+   with id 2 reaches the caller.  */
+START_TEST (bytes_that_are_no_event_are_refused)
+{
+  static const char sound[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  static const struct ds_str bad[] = {
+    DS_STR ("!\x01 garbage\n\n"),
+    DS_STR ("\xff\xfe\n\n"),
+    DS_STR ("data: c\n\n"),
+    DS_STR ("id:\ndata: c\n\n"),
+    DS_STR ("id: x3\ndata: c\n\n"),
+    DS_STR ("id: -3\ndata: c\n\n"),
+    DS_STR ("id: 99999999999999999999999\ndata: c\n\n"),
+    DS_STR ("id: 4\ndata: d\n\n"),
+    DS_STR ("id: 3\n\n"),
+    DS_STR ("id: 3\nid: 4\ndata: c\n\n"),
+    DS_STR ("id: 3\n!\x01 garbage\ndata: c\n\n"),
+    DS_STR ("id: 3\nda\0ta: c\n\n"),
+    DS_STR ("id: 3\ndata: c\r\rid: 4\ndata: d\n\n"),
+    DS_STR ("event: token\n\n"),
+    DS_STR ("HTTP/1.1 503 Service Unavailable\r\n"
+            "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+    DS_STR ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+            "id: 3\ndata: c\n\n"),
+    DS_STR ("id: 3\ndaHTTP/1.1 200 OK\r\nid: 3\ndata: c\n\n"),
+    DS_STR ("Content-Type: text/plain\r\n\r\n"),
+    DS_STR ("{\"error\":\"failed\"}\n\n"),
+  };
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct ds_event_stream stream = { .last_id = 0 };
+
+      output[0] = '\0';
+      ck_assert_int_eq (feed (&stream, ds_str_from_c (sound)), 0);
+      ck_assert_int_eq (feed (&stream, bad[i]), DS_EPROTOCOL);
+      ck_assert_ptr_nonnull (stream.fault);
+      ck_assert_uint_gt (stream.fault_text.length, 0);
+      ck_assert_str_eq (output, sound);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("event_stream");
+  TCase *test_case = tcase_create ("event_stream");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_add_test (test_case, sound_streams_are_forwarded_unchanged);
+  tcase_add_test (test_case, bytes_that_are_no_event_are_refused);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -100,13 +100,13 @@
 static char forwarded[512];
 
 static void
-forward (const struct ds_event *event, void *user_data)
+forward (struct ds_str event, void *user_data)
 {
   size_t length = strlen (forwarded);
 
   (void)user_data;
-  memcpy (forwarded + length, event->text.data, event->text.length);
-  forwarded[length + event->text.length] = '\0';
+  memcpy (forwarded + length, event.data, event.length);
+  forwarded[length + event.length] = '\0';
 }
 
 static int
