Continue streams after the event that the caller names

What callers saw: a caller that resumed with Last-Event-Id got events again, if the replica began the stream anew, and a stream whose first events were missing passed as a whole one. Cause: the relay knew the last id only once an event had passed; the caller's Last-Event-Id was sent to the replica and not checked against its answer. Change: the state of the stream begins with the caller's id; without one the first id is 0 or 1. Result: a_caller_that_resumes_gets_no_event_twice fails on the code before and passes now, a_stream_begins_with_its_first_event as well.

--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/* Streams count their events from 0 or 1.  */
+#define FIRST_ID_MAX 1
+
 /* What the lines of an event say.  FAULT is null for a sound event.  */
 struct event_fields
 {
@@ -130,6 +133,23 @@
   return 0;
 }
 
+/* Makes STREAM continue after the event LAST_ID.  */
+void
+ds_event_stream_set_last_id (struct ds_event_stream *stream, uint64_t last_id)
+{
+  stream->last_id = last_id;
+  stream->has_id = true;
+}
+
+/* Whether an event with ID may come next.  */
+static bool
+is_next (const struct ds_event_stream *stream, uint64_t id)
+{
+  if (stream->has_id)
+    return id == stream->last_id + 1;
+  return id <= FIRST_ID_MAX;
+}
+
 static int
 fail (struct ds_event_stream *stream, const char *fault, struct ds_str event)
 {
@@ -168,10 +188,9 @@
         {
           if (stream->has_id && fields.id <= stream->last_id)
             continue;
-          if (stream->has_id && fields.id != stream->last_id + 1)
+          if (!is_next (stream, fields.id))
             return fail (stream, "events are out of order", event);
-          stream->last_id = fields.id;
-          stream->has_id = true;
+          ds_event_stream_set_last_id (stream, fields.id);
           stream->events++;
         }
       on_event (event, user_data);
--- a/src/entry/event_stream.h
+++ b/src/entry/event_stream.h
@@ -24,6 +24,8 @@
 /* EVENT is one complete event with its empty line.  */
 typedef void ds_event_stream_fn (struct ds_str event, void *user_data);
 
+void ds_event_stream_set_last_id (struct ds_event_stream *stream,
+                                  uint64_t last_id);
 int ds_event_stream_feed (TALLOC_CTX *owner, struct ds_event_stream *stream,
                           struct ds_str bytes, ds_event_stream_fn *on_event,
                           void *user_data);
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -828,9 +828,8 @@
     .replica_id = placement->replica->record.id,
     .workspace = x->workspace,
     .deadline_ms = time_left (x, now_ms),
-    .last_event_id
-    = x->events.has_id ? x->events.last_id : x->request.last_event_id,
-    .resumes = x->request.resumes || x->events.has_id,
+    .last_event_id = x->events.last_id,
+    .resumes = x->events.has_id,
     .priority = engine_priority (x),
     .body_length = x->body.length,
   };
@@ -1150,6 +1149,8 @@
       refuse (x, 503, RETRY_UNAVAILABLE_MS, "the route has no service");
       return;
     }
+  if (x->request.resumes)
+    ds_event_stream_set_last_id (&x->events, x->request.last_event_id);
   fill_suspect_keys (x);
   if (!check_suspects (x, now_ms))
     return;
--- a/tests/test_entry_streams.c
+++ b/tests/test_entry_streams.c
@@ -134,6 +134,32 @@
 }
 END_TEST
 
+/* Guards against repeating events when a caller resumes a stream at a replica
+   that starts anew.  */
+START_TEST (a_caller_that_resumes_gets_no_event_twice)
+{
+  const char *headers[] = { "Host: d.example",
+                            "Authorization: Bearer key-1",
+                            "Deadline-Ms: 6000",
+                            "Request-Id: id-1",
+                            "Token-Count: 100,24",
+                            "Last-Event-Id: 2",
+                            NULL };
+  struct test_http_call call = { .method = "POST",
+                                 .address = entry_caller_addresses[0],
+                                 .path = "/stream/1",
+                                 .headers = headers,
+                                 .body = "hello" };
+  struct test_http_response *reply;
+
+  ADD_RESPONSES ("send", CHUNKED_HEAD, "chunk", EVENT (1) EVENT (2), "chunk",
+                 EVENT (3) EVENT (4) EVENT (5) EVENT (6), "send", LAST_CHUNK);
+  reply = test_http (&call);
+  ck_assert_int_eq (reply->code, 0);
+  ck_assert_str_eq (reply->body.data, EVENT (3) EVENT (4) EVENT (5) EVENT (6));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -153,6 +179,7 @@
   tcase_add_test (test_case, garbage_ends_a_stream_that_cannot_be_resumed);
   tcase_add_test (test_case,
                   garbage_after_the_last_event_does_not_reach_the_caller);
+  tcase_add_test (test_case, a_caller_that_resumes_gets_no_event_twice);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -120,6 +120,39 @@
 }
 END_TEST
 
+/* Guards against a stream whose first events are missing.  */
+START_TEST (a_stream_begins_with_its_first_event)
+{
+  struct ds_event_stream stream = { .last_id = 0 };
+
+  output[0] = '\0';
+  ck_assert_int_eq (feed (&stream, DS_STR ("id: 2\ndata: b\n\n")),
+                    DS_EPROTOCOL);
+  ck_assert_str_eq (output, "");
+}
+END_TEST
+
+/* Guards against repeating events to a caller that resumes a stream at a
+   replica that starts anew, and against a hole after the last one.  */
+START_TEST (a_stream_continues_after_the_event_that_the_caller_names)
+{
+  struct ds_event_stream stream = { .last_id = 0 };
+  struct ds_event_stream other = { .last_id = 0 };
+
+  output[0] = '\0';
+  ds_event_stream_set_last_id (&stream, 2);
+  ck_assert_int_eq (feed (&stream, DS_STR ("id: 1\ndata: a\n\n"
+                                           "id: 2\ndata: b\n\n"
+                                           "id: 3\ndata: c\n\n")),
+                    0);
+  ck_assert_str_eq (output, "id: 3\ndata: c\n\n");
+  ck_assert_uint_eq (stream.events, 1);
+  ds_event_stream_set_last_id (&other, 2);
+  ck_assert_int_eq (feed (&other, DS_STR ("id: 4\ndata: d\n\n")),
+                    DS_EPROTOCOL);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -131,6 +164,9 @@
   tcase_add_checked_fixture (test_case, set_up, tear_down);
   tcase_add_test (test_case, sound_streams_are_forwarded_unchanged);
   tcase_add_test (test_case, bytes_that_are_no_event_are_refused);
+  tcase_add_test (test_case, a_stream_begins_with_its_first_event);
+  tcase_add_test (test_case,
+                  a_stream_continues_after_the_event_that_the_caller_names);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
