Scan each byte of a stream's event once

Cause: for each part that arrives, the search for the end of the current event began at the event's start. A replica that sends an event of 1 MiB in parts of 40 bytes made the host compare about 13 thousand million bytes. Change: the search continues where the last one ended.

--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -116,11 +116,14 @@
 }
 
 /* Returns the length of the first complete event in BYTES with its empty line,
-   or 0.  */
+   or 0.  The event does not end within the first SCANNED bytes.  */
 static size_t
-event_length (struct ds_str bytes)
+event_length (struct ds_str bytes, size_t scanned)
 {
-  for (size_t i = 0; i + 1 < bytes.length; i++)
+  /* The end takes up to three bytes, which may arrive one by one.  */
+  size_t start = scanned > 2 ? scanned - 2 : 0;
+
+  for (size_t i = start; i + 1 < bytes.length; i++)
     {
       if (bytes.data[i] != '\n')
         continue;
@@ -169,18 +172,20 @@
                       void *user_data)
 {
   struct ds_str remaining;
+  size_t scanned = ds_byte_buffer_content (&stream->partial).length;
   size_t length;
 
   if (ds_byte_buffer_append (owner, &stream->partial, bytes) != 0)
     return DS_ENOMEM;
   remaining = ds_byte_buffer_content (&stream->partial);
-  while ((length = event_length (remaining)) > 0)
+  while ((length = event_length (remaining, scanned)) > 0)
     {
       struct ds_str event = { .data = remaining.data, .length = length };
       struct event_fields fields = read_event (event);
 
       if (fields.fault != NULL)
         return fail (stream, fields.fault, event);
+      scanned = 0;
       remaining.data += length;
       remaining.length -= length;
       stream->partial.start += length;
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -153,6 +153,24 @@
 }
 END_TEST
 
+/* Guards against buffering an event without an end, and against scanning it
+   from its start again for each part that arrives: the replica that sends it
+   must not use up the host's processor.  */
+START_TEST (an_event_that_is_too_long_is_refused)
+{
+  struct ds_event_stream stream = { .last_id = 0 };
+  struct ds_str line = DS_STR ("data: 0123456789012345678901234567890123\n");
+  int status = 0;
+  size_t sent;
+
+  for (sent = 0; status == 0 && sent <= DS_EVENT_BYTES_MAX;
+       sent += line.length)
+    status = feed (&stream, line);
+  ck_assert_int_eq (status, DS_EPROTOCOL);
+  ck_assert_uint_le (sent, DS_EVENT_BYTES_MAX + line.length);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -167,6 +185,7 @@
   tcase_add_test (test_case, a_stream_begins_with_its_first_event);
   tcase_add_test (test_case,
                   a_stream_continues_after_the_event_that_the_caller_names);
+  tcase_add_test (test_case, an_event_that_is_too_long_is_refused);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
