Do not take a stream without an event for a complete one

Cause: only the end of the framing was asked for. A response that its connection ends was held to be too early only before the first event of the whole stream. Change: an attempt that brings no event is incomplete, unless the caller itself resumes and the response says where it ends: then there may be nothing left. What was weighed: a stream may break off after its last event, before its end, and its resumption is then rightly empty; nobody tells the host so, since the tokens asked for are only a bound. Its caller gets a broken response, and can resume it, rather than one that may lack its end. A response that ended where it said is no sign of a crash of its replica. Result: a_resumed_stream_without_an_event_is_not_complete failed in 4 of 4 cases on the code before, a_stream_without_an_event_is_not_complete in 2 of 4; all pass.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -653,15 +653,21 @@
   on_attempt_failed (x, how);
 }
 
-/* Whether the stream whose response has ended is incomplete: inside an event
-   or, if the end of the connection is all that ends it, before the first.  */
-static bool
-ends_too_early (const struct ds_exchange *x)
+/* Says why the stream whose response has ended is incomplete, or returns null.
+   An attempt without an event continues nothing, so it is complete only if the
+   caller itself resumes after the last event, and the replica says that the
+   response has ended.  */
+static const char *
+early_stream_end (const struct ds_exchange *x)
 {
   if (!x->streaming || !x->response.is_stream)
-    return false;
-  return ds_event_stream_is_inside_event (&x->events)
-         || (!x->framed && !x->request.resumes && x->events.events == 0);
+    return NULL;
+  if (ds_event_stream_is_inside_event (&x->events))
+    return "stream ended inside an event";
+  if (x->events.events == x->earlier_events
+      && !(x->framed && x->request.resumes && x->events.events == 0))
+    return "stream ended without an event";
+  return NULL;
 }
 
 static void
@@ -670,6 +676,7 @@
   struct ds_exchange *x = user_data;
   struct ds_caller *caller = x->caller;
   uint64_t now_ms = ds_clock_ms ();
+  const char *early_end;
 
   if (x->response.not_run)
     {
@@ -687,10 +694,15 @@
       on_attempt_failed (x, "answer is not the replica's");
       return;
     }
-  if (ends_too_early (x))
+  early_end = early_stream_end (x);
+  if (early_end != NULL)
     {
       ds_placement_record_failure (x->replica, now_ms);
-      on_broken_off (x, false, "stream ended inside an event");
+      /* A response that says where it ends is no sign of a crash.  */
+      if (x->framed)
+        on_attempt_failed (x, early_end);
+      else
+        on_broken_off (x, false, early_end);
       return;
     }
   return_connection (x);
--- a/tests/test_entry_streams.c
+++ b/tests/test_entry_streams.c
@@ -249,6 +249,32 @@
 }
 END_TEST
 
+static const char *const empty_streams[] = {
+  ANSWER_HEAD ("200 OK") "Content-Type: text/event-stream\r\n\r\n",
+  ANSWER_HEAD ("200 OK") "Content-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+  ANSWER_HEAD ("200 OK") "Content-Type: text/event-stream\r\n"
+                         "Content-Length: 0\r\n\r\n",
+  ANSWER_HEAD ("200 OK") "Content-Type: text/event-stream\r\n\r\n" COMMENT,
+};
+
+/* Guards against a stream that broke off and ends as if it were complete,
+   since the next replica sent no event.  */
+START_TEST (a_resumed_stream_without_an_event_is_not_complete)
+{
+  check_resume (empty_streams[_i]);
+}
+END_TEST
+
+/* Guards against a complete response without an event for a request that is
+   not resumed.  */
+START_TEST (a_stream_without_an_event_is_not_complete)
+{
+  ADD_RESPONSES ("send", empty_streams[_i], "close", "");
+  check_streams ();
+}
+END_TEST
+
 /* Guards against joining events to a response that is no stream and broke
    off.  */
 START_TEST (a_broken_response_that_is_no_stream_is_not_resumed)
@@ -294,6 +320,11 @@
   tcase_add_test (test_case, a_caller_that_resumes_gets_no_event_twice);
   tcase_add_loop_test (test_case, a_resumed_stream_takes_events_only, 0,
                        sizeof other_answers / sizeof other_answers[0]);
+  tcase_add_loop_test (test_case,
+                       a_resumed_stream_without_an_event_is_not_complete, 0,
+                       sizeof empty_streams / sizeof empty_streams[0]);
+  tcase_add_loop_test (test_case, a_stream_without_an_event_is_not_complete, 0,
+                       sizeof empty_streams / sizeof empty_streams[0]);
   tcase_add_test (test_case,
                   a_broken_response_that_is_no_stream_is_not_resumed);
   suite_add_tcase (suite, test_case);
