Refuse an event that the head of another response completes

What callers would see: in a response without length or chunks, an event that broke off inside its data, completed by the head of a second response. Cause: header lines look like unknown fields of an event, which are allowed. Change: unknown fields are allowed before the data of an event only, where the platform's have their place. Result: the added row of bytes_that_are_no_event_are_refused fails on the code before.

--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -47,7 +47,9 @@
 }
 
 /* Reads a line without its end.  A carriage return or a zero byte inside a
-   line would end it, or the event, for some parsers of callers.  */
+   line would end it, or the event, for some parsers of callers.  Unknown
+   fields precede the data; after a data line they may be the head of another
+   response that follows an event without its end.  */
 static void
 read_line (struct event_fields *fields, struct ds_str line)
 {
@@ -83,7 +85,11 @@
     read_id (fields, value);
   else if (ds_str_equal (name, DS_STR ("data")))
     fields->has_data = true;
-  else if (!ds_str_equal (name, DS_STR ("retry")))
+  else if (ds_str_equal (name, DS_STR ("retry")))
+    return;
+  else if (fields->has_data && !ds_str_equal (name, DS_STR ("event")))
+    fields->fault = "an unknown field follows the data of an event";
+  else
     fields->has_other = true;
 }
 
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -50,6 +50,7 @@
           "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
           "weight-versions: 7\nid: 1\ndata: a\n\n",
           "event: token\nid: 1\ndata: a\ndata: b\ndata\n\n",
+          "data: a\nid: 1\nevent: token\nretry: 10\n\n",
           ": comment\n\nid: 1\ndata: a\n\n: \x01 any bytes\n\n",
           ": comment\nid: 1\ndata: a\n\n",
           "retry: 3000\n\nid: 1\ndata: a\n\n",
@@ -102,6 +103,8 @@
     DS_STR ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
             "id: 3\ndata: c\n\n"),
     DS_STR ("id: 3\ndaHTTP/1.1 200 OK\r\nid: 3\ndata: c\n\n"),
+    DS_STR ("id: 3\ndata: cHTTP/1.1 503 Service Unavailable\r\n"
+            "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
     DS_STR ("Content-Type: text/plain\r\n\r\n"),
     DS_STR ("{\"error\":\"failed\"}\n\n"),
   };
