Check the framing of bodies in chunks

Bytes that are no chunk stood in the place of a chunk's size. Cause: http_parser takes a byte above 0x7f for the hexadecimal digit 0, so such bytes end the body; it ignores what follows the digits up to the end of the line, and does not check the line end after the data of a chunk. The same holds for requests of callers and responses of the store. Change: ds_chunk_framing follows the framing as RFC 9112 has it, and http_parser gets a body in chunks part by part after the check.

--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -1,4 +1,5 @@
 #include "io/http_message.h"
+#include "io/chunk_framing.h"
 
 #include <http_parser.h>
 #include <limits.h>
@@ -28,7 +29,10 @@
   uint64_t body_limit;
   uint64_t body_bytes;
   enum ds_http_parse_error error;
+  struct ds_chunk_framing chunks;
   bool in_message;
+  bool in_chunks; /* in a body in chunks */
+  bool complete;  /* the message has ended within the last bytes */
   bool in_value;
   bool head_done;
   bool head_only;
@@ -72,6 +76,7 @@
   struct ds_http_reader *reader = reader_of (parser);
 
   reader->in_message = true;
+  reader->in_chunks = false;
   reader->in_value = false;
   reader->head_done = false;
   reader->interim = false;
@@ -257,7 +262,16 @@
     reader->handlers.on_head (&reader->head, reader->handlers.user_data);
   if (reader->interim)
     return 0;
-  return reader->head_only ? 1 : 0;
+  if (reader->head_only)
+    return 1;
+  if ((parser->flags & F_CHUNKED) != 0)
+    {
+      reader->in_chunks = true;
+      reader->chunks = (struct ds_chunk_framing){ .size = 0 };
+      /* The line feed that ends the head is not read yet.  */
+      http_parser_pause (parser, 1);
+    }
+  return 0;
 }
 
 static int
@@ -281,6 +295,8 @@
   if (reader->interim)
     return 0;
   reader->in_message = false;
+  reader->in_chunks = false;
+  reader->complete = true;
   http_parser_pause (parser, 1);
   reader->handlers.on_end (reader->handlers.user_data);
   return 0;
@@ -334,16 +350,12 @@
   reader->head_only = head_only;
 }
 
-/* Parses BYTES up to the end of a message and returns how many were consumed;
-   the rest belongs to the next message.  Check ds_http_reader_error
-   afterwards.  */
-size_t
-ds_http_reader_feed (struct ds_http_reader *reader, struct ds_str bytes)
+/* Passes BYTES to the parser and returns how many were consumed.  */
+static size_t
+parse (struct ds_http_reader *reader, struct ds_str bytes)
 {
   size_t taken;
 
-  if (reader->error != DS_HTTP_PARSE_ERROR_NONE || bytes.length == 0)
-    return 0;
   if (HTTP_PARSER_ERRNO (&reader->parser) == HPE_PAUSED)
     http_parser_pause (&reader->parser, 0);
   taken = http_parser_execute (&reader->parser, &callbacks, bytes.data,
@@ -363,6 +375,53 @@
   return taken;
 }
 
+/* Returns the part of BYTES that is passed to the parser next.  In a body in
+   chunks that is one part of the framing, after a check: http_parser takes
+   bytes above 0x7f for the digit 0 and ignores what follows a size, so that
+   other bytes could end the body.  */
+static struct ds_str
+next_part (struct ds_http_reader *reader, struct ds_str bytes)
+{
+  bool valid;
+
+  if (!reader->in_chunks)
+    return bytes;
+  bytes.length = ds_chunk_framing_advance (&reader->chunks, bytes, &valid);
+  if (!valid)
+    (void)set_error (reader, DS_HTTP_PARSE_ERROR_MALFORMED);
+  return bytes;
+}
+
+/* Parses BYTES up to the end of a message and returns how many were consumed;
+   the rest belongs to the next message.  Check ds_http_reader_error
+   afterwards.  */
+size_t
+ds_http_reader_feed (struct ds_http_reader *reader, struct ds_str bytes)
+{
+  size_t taken = 0;
+
+  reader->complete = false;
+  while (reader->error == DS_HTTP_PARSE_ERROR_NONE && !reader->complete
+         && taken < bytes.length)
+    {
+      bool was_in_chunks = reader->in_chunks;
+      struct ds_str rest
+          = { .data = bytes.data + taken, .length = bytes.length - taken };
+      struct ds_str part = next_part (reader, rest);
+
+      if (reader->error != DS_HTTP_PARSE_ERROR_NONE)
+        break;
+      taken += parse (reader, part);
+      if (!was_in_chunks && reader->in_chunks && taken < bytes.length)
+        {
+          part.data = bytes.data + taken;
+          part.length = 1;
+          taken += parse (reader, part);
+        }
+    }
+  return taken;
+}
+
 /* Signals that the peer has closed the connection in order.  This completes a
    body without a declared length; any other message is truncated.  */
 void
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -115,6 +115,77 @@
 }
 END_TEST
 
+#define CHUNKED_RESPONSE                                                      \
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc"
+
+static const char *const sound_chunks[] = {
+  "\r\n0\r\n\r\n",
+  "\r\n00a\r\n0123456789\r\n000\r\n\r\n",
+  "\r\nB\r\n0123456789a\r\n0\r\n\r\n",
+  "\r\n1;name=value\r\n\xff\r\n0;last\r\n\r\n",
+  "\r\n1 \t;name=\"\xc3\xa9\"\r\nx\r\n0 \r\n\r\n",
+  "\r\n0\r\nTrailer: value\r\n\r\n",
+};
+
+/* Guards against refusing a body in chunks that is sound.  */
+START_TEST (sound_chunks_are_read_whole)
+{
+  struct ds_http_reader *reader = new_reader (false);
+  const char *rest = sound_chunks[_i];
+
+  ck_assert_uint_eq (feed (reader, CHUNKED_RESPONSE),
+                     strlen (CHUNKED_RESPONSE));
+  for (const char *at = rest; *at != '\0'; at++)
+    ck_assert_uint_eq (ds_http_reader_feed (
+                           reader, (struct ds_str){ .data = at, .length = 1 }),
+                       1);
+  ck_assert_int_eq (ds_http_reader_error (reader), DS_HTTP_PARSE_ERROR_NONE);
+  ck_assert_int_eq (observed.ends, 1);
+}
+END_TEST
+
+static const char *const bad_chunks[] = {
+  "\r\n\xc3\xa9 bytes\r\n\r\n",
+  "\r\n\xff\r\n\r\n",
+  "\r\n0 bytes\r\n\r\n",
+  "\r\n1 bytes\r\nx\r\n0\r\n\r\n",
+  "\r\n0\xc3\r\n\r\n",
+  "\r\n-1\r\n\r\n",
+  "\r\n0x1\r\nx\r\n0\r\n\r\n",
+  "\r\n\r\n\r\n",
+  "\r\n;name\r\n\r\n",
+  "\r\n0\n\r\n",
+  "\r\n1;na\nme\r\nx\r\n0\r\n\r\n",
+  "\r\nfffffffffffffffff\r\nx\r\n0\r\n\r\n",
+  "xx0\r\n\r\n",
+  "\n\n0\r\n\r\n",
+  "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* Guards against ending a body at bytes of a faulty peer that stand in the
+   place of a chunk, at once and byte by byte.  */
+START_TEST (bytes_that_are_no_chunk_are_malformed)
+{
+  for (int at_once = 0; at_once <= 1; at_once++)
+    {
+      struct ds_http_reader *reader = new_reader (false);
+      size_t length = strlen (bad_chunks[_i]);
+      size_t step = at_once ? length : 1;
+
+      observed.ends = 0;
+      (void)feed (reader, CHUNKED_RESPONSE);
+      for (size_t k = 0; k < length; k += step)
+        (void)ds_http_reader_feed (
+            reader,
+            (struct ds_str){ .data = bad_chunks[_i] + k, .length = step });
+      ck_assert_int_eq (ds_http_reader_error (reader),
+                        DS_HTTP_PARSE_ERROR_MALFORMED);
+      ck_assert_int_eq (observed.ends, 0);
+      ck_assert_uint_le (observed.body_bytes, 2 * (3 + 1));
+    }
+}
+END_TEST
+
 /* Guards against request smuggling: one request parsed as two.  */
 START_TEST (ambiguous_requests_are_malformed)
 {
@@ -230,6 +301,10 @@
   tcase_add_checked_fixture (test_case, set_up, tear_down);
   tcase_add_test (test_case, a_message_ends_where_its_length_says);
   tcase_add_test (test_case, a_message_may_arrive_byte_by_byte);
+  tcase_add_loop_test (test_case, sound_chunks_are_read_whole, 0,
+                       sizeof sound_chunks / sizeof sound_chunks[0]);
+  tcase_add_loop_test (test_case, bytes_that_are_no_chunk_are_malformed, 0,
+                       sizeof bad_chunks / sizeof bad_chunks[0]);
   tcase_add_test (test_case, ambiguous_requests_are_malformed);
   tcase_add_test (test_case, enforces_head_and_body_limits);
   tcase_add_test (test_case,
