Leave out empty lines between events

What callers saw: a replica that sends empty lines between two events had them forwarded as an event of its own, which a caller's parser may count as a piece without an id. Change: the relay of events drops empty lines before an event. Result: empty_lines_between_events_are_left_out fails on the code before.

--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -121,6 +121,20 @@
   return fields;
 }
 
+/* Returns the length of the empty lines at the start of BYTES.  */
+static size_t
+empty_lines_length (struct ds_str bytes)
+{
+  size_t length = 0;
+
+  while (length < bytes.length
+         && (bytes.data[length] == '\n'
+             || (bytes.data[length] == '\r' && length + 1 < bytes.length
+                 && bytes.data[length + 1] == '\n')))
+    length += bytes.data[length] == '\n' ? 1 : 2;
+  return length;
+}
+
 /* Returns the length of the first complete event in BYTES with its empty line,
    or 0.  The event does not end within the first SCANNED bytes.  */
 static size_t
@@ -184,8 +198,17 @@
   if (ds_byte_buffer_append (owner, &stream->partial, bytes) != 0)
     return DS_ENOMEM;
   remaining = ds_byte_buffer_content (&stream->partial);
-  while ((length = event_length (remaining, scanned)) > 0)
+  for (;;)
     {
+      size_t empty = empty_lines_length (remaining);
+
+      remaining.data += empty;
+      remaining.length -= empty;
+      stream->partial.start += empty;
+      scanned = empty < scanned ? scanned - empty : 0;
+      length = event_length (remaining, scanned);
+      if (length == 0)
+        break;
       struct ds_str event = { .data = remaining.data, .length = length };
       struct event_fields fields = read_event (event);
 
