--- a/tests/standins/scripted_replica.c
+++ b/tests/standins/scripted_replica.c
@@ -339,6 +339,16 @@
   return taken;
 }
 
+/* Writes the id of the request and its response to standard error.  */
+static void
+log_response (const struct connection *c, const json_t *response)
+{
+  char *text = response != NULL ? json_dumps (response, JSON_COMPACT) : NULL;
+
+  (void)fprintf (stderr, "%s %s\n", c->id, text != NULL ? text : "sound");
+  free (text);
+}
+
 static void
 handle_request (struct connection *c)
 {
@@ -350,6 +360,7 @@
 
   copy_header (last, c, "Last-Event-Id");
   response = take_response (c->replica, last[0] != '\0');
+  log_response (c, response);
   steps = json_object_get (response, "steps");
   if (!json_is_true (json_object_get (response, "not_run")))
     record_run (c, last);
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -306,20 +306,16 @@
   start_standins (prepaid, TEST_STANDIN ("scripted_replica"));
 }
 
-static void
-add_response (const struct test_process *replica, const char *condition,
-              va_list steps)
+/* Adds a response to the script of the scripted REPLICA.  STEPS is a list of
+   objects with one step each, which is released; CONDITION is the name of a
+   flag of the response, see the stand-in.  */
+void
+entry_add_steps (const struct test_process *replica, const char *condition,
+                 json_t *steps)
 {
-  json_t *list = json_array ();
-  json_t *response;
-  const char *step;
-  char *text;
+  json_t *response = json_pack ("{s:b,s:o}", condition, 1, "steps", steps);
+  char *text = json_dumps (response, JSON_COMPACT);
 
-  while ((step = va_arg (steps, const char *)) != NULL)
-    json_array_append_new (list,
-                           json_pack ("{s:s}", step, va_arg (steps, char *)));
-  response = json_pack ("{s:b,s:o}", condition, 1, "steps", list);
-  text = json_dumps (response, JSON_COMPACT);
   ck_assert_ptr_nonnull (text);
   ck_assert_int_eq (test_post (replica->address, "/standin/responses", text),
                     200);
@@ -327,6 +323,19 @@
   json_decref (response);
 }
 
+static void
+add_response (const struct test_process *replica, const char *condition,
+              va_list arguments)
+{
+  json_t *steps = json_array ();
+  const char *step;
+
+  while ((step = va_arg (arguments, const char *)) != NULL)
+    json_array_append_new (
+        steps, json_pack ("{s:s}", step, va_arg (arguments, char *)));
+  entry_add_steps (replica, condition, steps);
+}
+
 /* Adds a response to the script of the scripted REPLICA: pairs of a step and
    its text, ended by a null pointer.  The request that gets it is executed.
    */
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -25,6 +25,8 @@
 
 void entry_start_standins (long prepaid);
 void entry_start_scripted_standins (long prepaid);
+void entry_add_steps (const struct test_process *replica,
+                      const char *condition, json_t *steps);
 void entry_add_response (const struct test_process *replica, ...)
     __attribute__ ((sentinel));
 void entry_add_resume_response (const struct test_process *replica, ...)
