--- a/tests/test_entry_stream_faults.c
+++ b/tests/test_entry_stream_faults.c
@@ -81,19 +81,26 @@
   (void)snprintf (out, 64, "id: %d\ndata: piece %d\n\n", number, number);
 }
 
+static void
+append_text (char text[static TEXT_BYTES], const char *more)
+{
+  size_t length = strlen (text);
+
+  (void)snprintf (text + length, TEXT_BYTES - length, "%s", more);
+}
+
 /* Appends an event to TEXT, as a chunk if asked for.  */
 static void
 append_event (char text[static TEXT_BYTES], int number, bool chunked)
 {
-  size_t length = strlen (text);
   char event[64];
+  char size[16];
 
   format_event (event, number);
-  if (chunked)
-    (void)snprintf (text + length, TEXT_BYTES - length, "%zx\r\n%s\r\n",
-                    strlen (event), event);
-  else
-    (void)snprintf (text + length, TEXT_BYTES - length, "%s", event);
+  (void)snprintf (size, sizeof size, "%zx\r\n", strlen (event));
+  append_text (text, chunked ? size : "");
+  append_text (text, event);
+  append_text (text, chunked ? "\r\n" : "");
 }
 
 /* Breaks a sound response off at any byte.  One that its connection ends is
@@ -112,7 +119,7 @@
   for (int i = 1; i <= EVENTS; i++)
     append_event (text, i, chunked);
   if (chunked)
-    (void)strcat (text, LAST_CHUNK);
+    append_text (text, LAST_CHUNK);
   cut = draw (strlen (text) - head) + head;
   if (!chunked && text[cut - 1] == '\n' && text[cut] == 'i')
     cut++;
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -172,7 +172,7 @@
       size_t length = strlen (bad_chunks[_i]);
       size_t step = at_once ? length : 1;
 
-      observed.ends = 0;
+      observed = (struct observed){ .heads = 0 };
       (void)feed (reader, CHUNKED_RESPONSE);
       for (size_t k = 0; k < length; k += step)
         (void)ds_http_reader_feed (
@@ -181,7 +181,7 @@
       ck_assert_int_eq (ds_http_reader_error (reader),
                         DS_HTTP_PARSE_ERROR_MALFORMED);
       ck_assert_int_eq (observed.ends, 0);
-      ck_assert_uint_le (observed.body_bytes, 2 * (3 + 1));
+      ck_assert_uint_le (observed.body_bytes, 4);
     }
 }
 END_TEST
