--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -3,7 +3,6 @@
 
 #include <check.h>
 #include <jansson.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -323,50 +322,15 @@
   json_decref (response);
 }
 
-static void
-add_response (const struct test_process *replica, const char *condition,
-              va_list arguments)
-{
-  json_t *steps = json_array ();
-  const char *step;
-
-  while ((step = va_arg (arguments, const char *)) != NULL)
-    json_array_append_new (
-        steps, json_pack ("{s:s}", step, va_arg (arguments, char *)));
-  entry_add_steps (replica, condition, steps);
-}
-
-/* Adds a response to the script of the scripted REPLICA: pairs of a step and
-   its text, ended by a null pointer.  The request that gets it is executed.
-   */
-void
-entry_add_response (const struct test_process *replica, ...)
-{
-  va_list steps;
-
-  va_start (steps, replica);
-  add_response (replica, "runs", steps);
-  va_end (steps);
-}
-
-/* Does the same with a response for a request that resumes a stream.  */
-void
-entry_add_resume_response (const struct test_process *replica, ...)
-{
-  va_list steps;
-
-  va_start (steps, replica);
-  add_response (replica, "for_resumed", steps);
-  va_end (steps);
-}
-
-/* Does the same with a response whose request is not executed.  */
+/* Does the same with STEPS, pairs of a step and its text that end with a null
+   pointer.  */
 void
-entry_add_refusal (const struct test_process *replica, ...)
+entry_add_script (const struct test_process *replica, const char *condition,
+                  const char *const *steps)
 {
-  va_list steps;
+  json_t *list = json_array ();
 
-  va_start (steps, replica);
-  add_response (replica, "not_run", steps);
-  va_end (steps);
+  for (; *steps != NULL; steps += 2)
+    json_array_append_new (list, json_pack ("{s:s}", steps[0], steps[1]));
+  entry_add_steps (replica, condition, list);
 }
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -15,6 +15,18 @@
 #define ENTRY_WAIT_MS 20000
 #define ENTRY_POLL_MS 20
 
+/* Adds a response to the script of a scripted replica: pairs of a step and its
+   text, then a null pointer.  The request that gets it is executed.  */
+#define entry_add_response(replica, ...)                                      \
+  entry_add_script (replica, "runs", (const char *const[]){ __VA_ARGS__ })
+/* The same for a request that resumes a stream.  */
+#define entry_add_resume_response(replica, ...)                               \
+  entry_add_script (replica, "for_resumed",                                   \
+                    (const char *const[]){ __VA_ARGS__ })
+/* The same for a request that is not executed.  */
+#define entry_add_refusal(replica, ...)                                       \
+  entry_add_script (replica, "not_run", (const char *const[]){ __VA_ARGS__ })
+
 /* Entry hosts with stand-ins for the platform's store and replicas.  */
 extern struct test_process *entry_store;
 extern struct test_process *entry_replicas[ENTRY_REPLICAS];
@@ -27,12 +39,8 @@
 void entry_start_scripted_standins (long prepaid);
 void entry_add_steps (const struct test_process *replica,
                       const char *condition, json_t *steps);
-void entry_add_response (const struct test_process *replica, ...)
-    __attribute__ ((sentinel));
-void entry_add_resume_response (const struct test_process *replica, ...)
-    __attribute__ ((sentinel));
-void entry_add_refusal (const struct test_process *replica, ...)
-    __attribute__ ((sentinel));
+void entry_add_script (const struct test_process *replica,
+                       const char *condition, const char *const *steps);
 void entry_put_config (long prepaid);
 void entry_put_config_with_route (long prepaid, const char *path_prefix);
 void entry_format_address (char *out, int number, int port);
