Send no request to a replica that says it leaves

Cause: the header was not read; hosts knew of departures only from the store and from each other. Change: the head of every answer is looked at, also of one that the caller does not get. From then on the placement passes the replica over, for retries and resumed streams too, until its lifetime ends; the notice outlasts a registration that runs out and returns. If all replicas of a service leave, first attempts still go to them for drain_ms after the answer, as the alternative is a refusal. The connection of the answer is closed. The store's own news of a departure is still passed on to other hosts. The placement's log line names a replica that was passed over, and why. The stand-in's replicas start a second apart: the hashes of "i-0" at 1002 and "i-1" at 1001 are equal, which a test met; ids of the platform are longer.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -55,6 +55,13 @@
   [DS_METRIC_UPSTREAM_SILENT]
   = { .name = "upstream_silent_total",
       .help = "Upstream connections closed by a progress deadline." },
+  [DS_METRIC_REPLICAS_LEAVING]
+  = { .name = "replicas_leaving_total",
+      .help = "Upstreams that have said in an answer that they leave." },
+  [DS_METRIC_REQUESTS_PASSED_OVER]
+  = { .name = "requests_passed_over_total",
+      .help = "Attempts kept from the best upstream by what it said in an "
+              "answer." },
   [DS_METRIC_TOKENS_BILLED]
   = { .name = "tokens_billed_total", .help = "Tokens in bills of this host." },
   [DS_METRIC_TOKENS_RELAYED] = { .name = "tokens_relayed_total",
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -202,51 +202,129 @@
                * replica->latency_factor;
 }
 
+/* Returns what keeps the request from REPLICA.  LAST_RESORT allows replicas
+   that leave and still serve.  */
+static enum ds_placement_obstacle
+find_obstacle (const struct ds_replica *replica,
+               const struct ds_placement_request *request, bool last_resort,
+               uint64_t now_ms)
+{
+  if (replica->notice.leaving_ms > 0
+      && !(last_resort
+           && ds_replica_notice_may_serve_last (&replica->notice,
+                                                request->drain_ms, now_ms)))
+    return DS_PLACEMENT_LEAVING;
+  return DS_PLACEMENT_UNOBSTRUCTED;
+}
+
+/* The best replica so far, and the best of those with an obstacle.  */
+struct search
+{
+  const struct ds_placement_request *request;
+  const struct ds_replica *preferred;
+  bool last_resort;
+  uint64_t now_ms;
+  struct ds_placement best;
+  double best_cost;
+  const struct ds_replica *passed_over;
+  enum ds_placement_obstacle obstacle;
+  double passed_over_cost;
+};
+
+static void
+consider (struct search *search, struct ds_replica *replica)
+{
+  enum ds_placement_obstacle obstacle = find_obstacle (
+      replica, search->request, search->last_resort, search->now_ms);
+  uint64_t uncached;
+  double cost;
+
+  if (obstacle == DS_PLACEMENT_UNOBSTRUCTED
+      && search->best.status == DS_PLACEMENT_NO_REPLICA)
+    search->best.status = DS_PLACEMENT_ALL_TRIED;
+  if (was_tried (search->request, replica->hash))
+    return;
+  cost = expected_ms (replica, search->preferred, search->request,
+                      search->now_ms, &uncached);
+  /* A failing replica is chosen only if there is no other.  */
+  if (replica->avoid_until_ms > search->now_ms)
+    cost += 100000;
+  if (obstacle != DS_PLACEMENT_UNOBSTRUCTED && cost < search->passed_over_cost)
+    {
+      search->passed_over_cost = cost;
+      search->passed_over = replica;
+      search->obstacle = obstacle;
+    }
+  if (obstacle != DS_PLACEMENT_UNOBSTRUCTED || cost >= search->best_cost)
+    return;
+  search->best_cost = cost;
+  search->best = (struct ds_placement){
+    .status = DS_PLACEMENT_OK,
+    .replica = replica,
+    .uncached_tokens = uncached,
+    .expected_ms = cost,
+  };
+}
+
+static struct ds_placement
+choose_among (const struct ds_replica_set *set,
+              const struct ds_placement_request *request, bool last_resort,
+              uint64_t now_ms)
+{
+  uint64_t key = affinity_key (request);
+  struct search search = {
+    .request = request,
+    .preferred = key != 0 ? find_preferred (set, request->service, key) : NULL,
+    .last_resort = last_resort,
+    .now_ms = now_ms,
+    .best = { .status = DS_PLACEMENT_NO_REPLICA },
+    .best_cost = DBL_MAX,
+    .passed_over_cost = DBL_MAX,
+  };
+
+  for (size_t i = 0; i < ds_replica_set_count (set); i++)
+    {
+      struct ds_replica *replica = ds_replica_set_at (set, i);
+
+      if (ds_str_equal (replica->record.service, request->service)
+          && ds_replica_is_available (replica))
+        consider (&search, replica);
+    }
+  if (search.passed_over != NULL
+      && search.passed_over_cost <= search.best_cost)
+    {
+      search.best.passed_over = search.passed_over;
+      search.best.obstacle = search.obstacle;
+    }
+  return search.best;
+}
+
 /* Chooses the replica with the lowest expected time to the first event.
 
    All hosts receive prompts with long shared parts, most of them with a few
    common ones.  A replica with the part in its cache prefills a quarter of the
    prompt; another one is chosen only if its queue costs more than the repeated
-   prefill.  */
+   prefill.
+
+   A replica that leaves gets no requests, since it may cut them off.  If all
+   of a service leave, the first attempt of a request goes to one that still
+   serves: the alternative is a refusal.  */
 struct ds_placement
 ds_placement_choose (const struct ds_replica_set *set,
                      const struct ds_placement_request *request,
                      uint64_t now_ms)
 {
-  struct ds_placement best = { .status = DS_PLACEMENT_NO_REPLICA };
-  uint64_t key = affinity_key (request);
-  const struct ds_replica *preferred
-      = key != 0 ? find_preferred (set, request->service, key) : NULL;
-  double best_cost = DBL_MAX;
+  struct ds_placement placement = choose_among (set, request, false, now_ms);
 
-  for (size_t i = 0; i < ds_replica_set_count (set); i++)
+  if (placement.status == DS_PLACEMENT_NO_REPLICA
+      && placement.passed_over != NULL && request->tried_count == 0)
     {
-      struct ds_replica *replica = ds_replica_set_at (set, i);
-      uint64_t uncached;
-      double cost;
+      struct ds_placement last = choose_among (set, request, true, now_ms);
 
-      if (!ds_str_equal (replica->record.service, request->service)
-          || !ds_replica_accepts_requests (replica))
-        continue;
-      if (best.status == DS_PLACEMENT_NO_REPLICA)
-        best.status = DS_PLACEMENT_ALL_TRIED;
-      if (was_tried (request, replica->hash))
-        continue;
-      cost = expected_ms (replica, preferred, request, now_ms, &uncached);
-      /* A failing replica is chosen only if there is no other.  */
-      if (replica->avoid_until_ms > now_ms)
-        cost += 100000;
-      if (cost >= best_cost)
-        continue;
-      best_cost = cost;
-      best = (struct ds_placement){
-        .status = DS_PLACEMENT_OK,
-        .replica = replica,
-        .uncached_tokens = uncached,
-        .expected_ms = cost,
-      };
+      if (last.status == DS_PLACEMENT_OK)
+        return last;
     }
-  return best;
+  return placement;
 }
 
 /* Records that REPLICA has cached PART.  Returns true if it is new or its
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -26,6 +26,7 @@
   uint32_t target_latency_ms; /* to the first event; 0 for none */
   uint64_t tried[4];          /* hashes of replicas to exclude */
   size_t tried_count;
+  uint64_t drain_ms; /* for which a replica that leaves still serves */
 };
 
 /* DS_PLACEMENT_OK, or why there is no replica.  */
@@ -37,14 +38,25 @@
   DS_PLACEMENT_FULL        /* all slots are in use */
 };
 
+/* Why the best replica of a service was not chosen.  */
+enum ds_placement_obstacle
+{
+  DS_PLACEMENT_UNOBSTRUCTED,
+  DS_PLACEMENT_LEAVING /* it said that it leaves */
+};
+
 /* EXPECTED_MS is the estimated time to the first event, UNCACHED_TOKENS the
-   number of prompt tokens that the replica must prefill.  */
+   number of prompt tokens that the replica must prefill.  PASSED_OVER is a
+   replica that is no worse than the chosen one but for the OBSTACLE; null if
+   there is none.  */
 struct ds_placement
 {
   enum ds_placement_status status;
   struct ds_replica *replica;
   uint64_t uncached_tokens;
   double expected_ms;
+  const struct ds_replica *passed_over;
+  enum ds_placement_obstacle obstacle;
 };
 
 struct ds_placement ds_placement_choose (const struct ds_replica_set *set,
--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -22,6 +22,7 @@
   size_t count;
   GHashTable *by_hash;       /* of struct ds_replica, by its member hash */
   GHashTable *by_short_hash; /* by the low 32 bits of it */
+  struct ds_notice_store notices;
 };
 
 static int
@@ -76,6 +77,7 @@
   struct ds_replica *replica = set->entries[index].replica;
 
   replica->removed = true;
+  ds_notice_store_keep (&set->notices, replica->hash, &replica->notice);
   (void)g_hash_table_remove (set->by_hash, &replica->hash);
   (void)g_hash_table_remove (set->by_short_hash,
                              GUINT_TO_POINTER ((guint)replica->hash));
@@ -101,6 +103,7 @@
     }
   replica->hash = ds_str_hash (record->id, record->start_time_ms);
   replica->latency_factor = 1;
+  ds_notice_store_restore (&set->notices, replica->hash, &replica->notice);
   grown[set->count++] = (struct entry){ .replica = replica, .listed = true };
   (void)g_hash_table_insert (set->by_hash, &replica->hash, replica);
   (void)g_hash_table_insert (set->by_short_hash,
@@ -190,7 +193,7 @@
 {
   struct ds_replica *replica = ds_replica_set_find_by_hash (set, hash);
 
-  if (replica == NULL || !ds_replica_accepts_requests (replica)
+  if (replica == NULL || !ds_replica_is_available (replica)
       || (revision <= known_revision && replica->expiry_ms == 0)
       || (replica->left_refuted_ms > 0
           && now_ms - replica->left_refuted_ms < REFUTED_MS))
@@ -276,10 +279,36 @@
   return g_hash_table_lookup (set->by_short_hash, GUINT_TO_POINTER (hash));
 }
 
-/* Whether new requests may be sent to the replica.  */
+/* Records that REPLICA said at NOW_MS that it leaves.  It may have been
+   dropped and its lifetime added again since it was chosen.  Returns true if
+   this is news of a replica in the set.  */
 bool
-ds_replica_accepts_requests (const struct ds_replica *replica)
+ds_replica_set_record_leaving (struct ds_replica_set *set,
+                               struct ds_replica *replica, uint64_t now_ms)
+{
+  struct ds_replica *current
+      = ds_replica_set_find_by_hash (set, replica->hash);
+  bool is_new = ds_replica_notice_record_leaving (&replica->notice, now_ms);
+
+  if (current != NULL && current != replica)
+    is_new = ds_replica_notice_record_leaving (&current->notice, now_ms);
+  if (is_new && current == NULL)
+    ds_notice_store_keep (&set->notices, replica->hash, &replica->notice);
+  return is_new && current != NULL;
+}
+
+/* Whether the replica is in service by what the store and other hosts say.  */
+bool
+ds_replica_is_available (const struct ds_replica *replica)
 {
   return !replica->removed && !replica->record.draining
          && replica->left_revision == 0;
 }
+
+/* Whether new requests may be sent to the replica: it is available and has not
+   said that it leaves.  */
+bool
+ds_replica_accepts_requests (const struct ds_replica *replica)
+{
+  return ds_replica_is_available (replica) && replica->notice.leaving_ms == 0;
+}
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -1,6 +1,7 @@
 #ifndef DS_CORE_REPLICA_SET_H
 #define DS_CORE_REPLICA_SET_H
 
+#include "core/replica_notice.h"
 #include "daisystep/error.h"
 #include "daisystep/str.h"
 
@@ -55,6 +56,7 @@
   uint64_t left_revision;
   uint64_t left_reported_ms;
   uint64_t left_refuted_ms; /* when a report was last found wrong; or 0 */
+  struct ds_replica_notice notice;
   bool removed;
 };
 
@@ -85,6 +87,10 @@
                                       uint64_t now_ms);
 void ds_replica_set_end_reports (struct ds_replica_set *set, uint64_t revision,
                                  uint64_t asked_ms, uint64_t now_ms);
+bool ds_replica_set_record_leaving (struct ds_replica_set *set,
+                                    struct ds_replica *replica,
+                                    uint64_t now_ms);
+bool ds_replica_is_available (const struct ds_replica *replica);
 bool ds_replica_accepts_requests (const struct ds_replica *replica);
 
 #endif
--- a/src/entry/connection_pool.c
+++ b/src/entry/connection_pool.c
@@ -160,7 +160,10 @@
   uint64_t keep_ms = keep_alive_s > 0 ? (uint64_t)keep_alive_s * 1000
                                       : IDLE_TIMEOUT_DEFAULT_MS;
 
-  if (pooled->replica->removed || keep_ms <= CLOSE_MARGIN_MS
+  /* A replica that leaves gets no further request, and its process waits for
+     no connection.  */
+  if (pooled->replica->removed || pooled->replica->notice.leaving_ms > 0
+      || keep_ms <= CLOSE_MARGIN_MS
       || !ds_http_connection_is_reusable (pooled->connection))
     {
       ds_connection_pool_discard (pooled);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -297,7 +297,7 @@
   struct ds_departure departure
       = { .revision = object->revision, .gone = object->deleted };
 
-  if (replica == NULL || !ds_replica_accepts_requests (replica)
+  if (replica == NULL || !ds_replica_is_available (replica)
       || (object->deleted && removal_time (entry) > 0))
     return;
   departure.replica = replica->hash;
@@ -914,6 +914,7 @@
   entry->exchanges.replicas = entry->replicas;
   entry->exchanges.budgets = entry->budgets;
   entry->exchanges.zone = settings->zone;
+  entry->exchanges.drain_ms = (uint64_t)settings->drain_ms;
   entry->exchanges.hosts = 1;
   return 0;
 }
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -2,6 +2,7 @@
 #include "base/decision_log.h"
 #include "daisystep/metrics.h"
 #include "entry/event_stream.h"
+#include "entry/replica_notices.h"
 #include "io/clock.h"
 #include "io/timer.h"
 #include "platform/caller_codec.h"
@@ -452,6 +453,8 @@
   struct ds_upstream_response response;
 
   ds_wire_read_response (&response, head);
+  ds_replica_notices_record (x->context->replicas, x->replica, &response,
+                             x->request.id, ds_clock_ms ());
   if (response.request_id.length > 0
       && !ds_str_equal (response.request_id, x->request.id))
     {
@@ -917,6 +920,7 @@
                                placement->replica->local_load.running);
   ds_decision_line_add_number (&line, "running_others",
                                placement->replica->remote_load.running);
+  ds_replica_notices_describe_choice (&line, placement);
   ds_decision_line_add_number (&line, "left_ms",
                                (int64_t)time_left (x, now_ms));
   ds_decision_line_end (&line);
@@ -955,7 +959,7 @@
                                    now_ms);
   if (placement.status != DS_PLACEMENT_OK)
     {
-      fail_request (x, 502, "no replica is left");
+      fail_request (x, 502, ds_replica_notices_refusal (&placement));
       return;
     }
   log_placement (x, &placement, now_ms);
@@ -1084,6 +1088,7 @@
     .part_count = x->request.part_count,
     .prompt_tokens = x->request.prompt_tokens,
     .target_latency_ms = x->route->target_latency_ms,
+    .drain_ms = x->context->drain_ms,
   };
   memcpy (x->placement_request.parts, x->request.parts,
           sizeof x->placement_request.parts);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -28,6 +28,7 @@
   struct ds_fleet_view *fleet;
   struct ds_host_strain strain;
   struct ds_str zone;
+  uint64_t drain_ms; /* for which a replica that leaves still serves */
   size_t hosts;
   bool stopping; /* no new requests: they would be interrupted */
 };
--- /dev/null
+++ b/src/entry/replica_notices.h
@@ -0,0 +1,16 @@
+#ifndef DS_ENTRY_REPLICA_NOTICES_H
+#define DS_ENTRY_REPLICA_NOTICES_H
+
+#include "base/decision_log.h"
+#include "core/placement.h"
+#include "platform/caller_codec.h"
+
+void ds_replica_notices_record (struct ds_replica_set *set,
+                                struct ds_replica *replica,
+                                const struct ds_upstream_response *response,
+                                struct ds_str request_id, uint64_t now_ms);
+void ds_replica_notices_describe_choice (struct ds_decision_line *line,
+                                         const struct ds_placement *placement);
+const char *ds_replica_notices_refusal (const struct ds_placement *placement);
+
+#endif
--- a/tests/standins/platform_replica.c
+++ b/tests/standins/platform_replica.c
@@ -18,7 +18,8 @@
    truncated ones end with a reset; "endless"
    is the number of requests that get status 500 and a body without end;
    "deadly" is a part of prompts whose requests get the header of a response
-   and then a reset.  GET /standin/runs returns the executed requests.  */
+   and then a reset; with "leaving" all responses say that it leaves.  GET
+   /standin/runs returns the executed requests.  */
 
 #define EVENTS 6
 #define EVENT_BYTES 64
@@ -36,6 +37,7 @@
   json_int_t cut_after;
   json_int_t unframed;
   bool reset;
+  bool leaving;
   char deadly[32]; /* empty for none */
 };
 
@@ -57,9 +59,19 @@
   return true;
 }
 
+/* Adds to RESPONSE what the replica says of itself.  */
+static void
+add_notices (struct replica *replica, struct MHD_Response *response)
+{
+  pthread_mutex_lock (&replica->lock);
+  if (replica->leaving)
+    (void)MHD_add_response_header (response, "Server-Leaving", "1");
+  pthread_mutex_unlock (&replica->lock);
+}
+
 static enum MHD_Result
-respond (struct standin_request *request, unsigned status, const char *text,
-         bool not_run, const char *id)
+respond (struct replica *replica, struct standin_request *request,
+         unsigned status, const char *text, bool not_run)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
       strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
@@ -72,7 +84,8 @@
     (void)MHD_add_response_header (response, "Not-Executed", "1");
   else
     (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
-  (void)MHD_add_response_header (response, "Instance-Id", id);
+  (void)MHD_add_response_header (response, "Instance-Id", replica->id);
+  add_notices (replica, response);
   result = MHD_queue_response (request->connection, status, response);
   MHD_destroy_response (response);
   return result;
@@ -169,6 +182,7 @@
   (void)MHD_add_response_header (
       response, "Request-Id", standin_request_header (request, "Request-Id"));
   (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  add_notices (replica, response);
   result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
   MHD_destroy_response (response);
   return result;
@@ -194,6 +208,7 @@
   (void)MHD_add_response_header (
       response, "Request-Id", standin_request_header (request, "Request-Id"));
   (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  add_notices (replica, response);
   result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
   MHD_destroy_response (response);
   return result;
@@ -209,7 +224,7 @@
 }
 
 static enum MHD_Result
-respond_endless (struct standin_request *request)
+respond_endless (struct replica *replica, struct standin_request *request)
 {
   struct MHD_Response *response = MHD_create_response_from_callback (
       MHD_SIZE_UNKNOWN, 16384, read_endless, NULL, NULL);
@@ -218,6 +233,7 @@
   (void)MHD_add_response_header (
       response, "Request-Id", standin_request_header (request, "Request-Id"));
   (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  add_notices (replica, response);
   result = MHD_queue_response (request->connection,
                                MHD_HTTP_INTERNAL_SERVER_ERROR, response);
   MHD_destroy_response (response);
@@ -236,7 +252,7 @@
 
 /* Sends the header of a stream and closes the connection.  */
 static enum MHD_Result
-respond_with_crash (struct standin_request *request)
+respond_with_crash (struct replica *replica, struct standin_request *request)
 {
   struct MHD_Response *response = MHD_create_response_from_callback (
       MHD_SIZE_UNKNOWN, 512, read_nothing, NULL, NULL);
@@ -247,6 +263,7 @@
   (void)MHD_add_response_header (
       response, "Request-Id", standin_request_header (request, "Request-Id"));
   (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
+  add_notices (replica, response);
   result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
   MHD_destroy_response (response);
   return result;
@@ -284,7 +301,7 @@
   char text[128];
 
   if (expected != NULL && strcmp (expected, replica->id) != 0)
-    return respond (request, 421, "", true, replica->id);
+    return respond (replica, request, 421, "", true);
   pthread_mutex_lock (&replica->lock);
   shed = consume_fault (&replica->shed);
   fail = !shed && consume_fault (&replica->fail);
@@ -304,15 +321,15 @@
             or_empty (standin_request_header (request, "Last-Event-Id"))));
   pthread_mutex_unlock (&replica->lock);
   if (shed)
-    return respond (request, 503, "", true, replica->id);
+    return respond (replica, request, 503, "", true);
   if (fail)
-    return respond (request, 500, "failed", false, replica->id);
+    return respond (replica, request, 500, "failed", false);
   if (drop)
     return standin_close_connection (request);
   if (endless)
-    return respond_endless (request);
+    return respond_endless (replica, request);
   if (has_deadly_part (replica, request))
-    return respond_with_crash (request);
+    return respond_with_crash (replica, request);
   if (strstr (request->path, "/stream/") != NULL)
     return respond_stream (replica, request);
   (void)snprintf (text, sizeof text, "%s:%.*s", replica->id,
@@ -322,7 +339,7 @@
   pthread_mutex_unlock (&replica->lock);
   if (unframed)
     return respond_unframed (replica, request, text);
-  return respond (request, 200, text, false, replica->id);
+  return respond (replica, request, 200, text, false);
 }
 
 static enum MHD_Result
@@ -342,6 +359,7 @@
       = json_integer_value (json_object_get (body, "cut_after"));
   replica->unframed = json_integer_value (json_object_get (body, "unframed"));
   replica->reset = json_is_true (json_object_get (body, "reset"));
+  replica->leaving = json_is_true (json_object_get (body, "leaving"));
   pthread_mutex_unlock (&replica->lock);
   json_decref (body);
   return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -114,10 +114,10 @@
 {
   char id[16];
   char path[64];
-  json_t *spec = json_pack (
-      "{s:s,s:s,s:s,s:s,s:i,s:I}", "service", "pool", "address",
-      entry_replicas[i]->address, "zone", "z", "state", state, "slots", 8,
-      "born", 1000 + i + (json_int_t)entry_restarts[i] * ENTRY_REPLICAS);
+  json_t *spec = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:I}", "service", "pool",
+                            "address", entry_replicas[i]->address, "zone", "z",
+                            "state", state, "slots", 8, "born",
+                            1000 + i + (json_int_t)entry_restarts[i] * 1000);
 
   (void)sprintf (id, "i-%d", i);
   (void)sprintf (path, exists ? OBJECTS "servers/%s" : OBJECTS "servers", id);
@@ -131,7 +131,9 @@
   put_replica (i, state, strcmp (state, "ready") != 0);
 }
 
-/* Registers replica I as one that has crashed and started again.  */
+/* Registers replica I as one that has crashed and started again.  Starts are
+   a second apart: hashes of ids of three bytes may collide at start times that
+   differ by a few milliseconds.  */
 void
 entry_restart_replica (int i)
 {
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -135,6 +135,57 @@
 }
 END_TEST
 
+/* Guards against requests that a replica which leaves cuts off while another
+   one serves: at once, and also when the other one was tried.  */
+START_TEST (a_replica_that_leaves_is_passed_over)
+{
+  struct ds_placement_request request = { .service = DS_STR ("ledger"),
+                                          .zone = DS_STR ("kelheim"),
+                                          .drain_ms = 2000 };
+  struct ds_placement first = ds_placement_choose (set, &request, 1000);
+  struct ds_placement next;
+
+  ck_assert (ds_replica_set_record_leaving (set, first.replica, 1000));
+  next = ds_placement_choose (set, &request, 1000);
+  ck_assert_int_eq (next.status, DS_PLACEMENT_OK);
+  ck_assert_ptr_ne (next.replica, first.replica);
+  ck_assert_ptr_eq (next.passed_over, first.replica);
+  ck_assert_int_eq (next.obstacle, DS_PLACEMENT_LEAVING);
+  request.tried[request.tried_count++] = next.replica->hash;
+  next = ds_placement_choose (set, &request, 1001);
+  ck_assert_int_eq (next.status, DS_PLACEMENT_ALL_TRIED);
+  ck_assert_int_eq (next.obstacle, DS_PLACEMENT_LEAVING);
+}
+END_TEST
+
+/* Guards against refusing what replicas still serve although all of them
+   leave, and against sending it to one that may be gone.  */
+START_TEST (replicas_that_all_leave_serve_while_they_drain)
+{
+  struct ds_placement_request request = { .service = DS_STR ("ledger"),
+                                          .zone = DS_STR ("kelheim"),
+                                          .drain_ms = 2000 };
+  struct ds_placement next;
+
+  (void)ds_replica_set_record_leaving (
+      set, ds_replica_set_find (set, DS_STR ("b1")), 1000);
+  (void)ds_replica_set_record_leaving (
+      set, ds_replica_set_find (set, DS_STR ("b2")), 1500);
+  ck_assert_int_eq (ds_placement_choose (set, &request, 2999).status,
+                    DS_PLACEMENT_OK);
+  next = ds_placement_choose (set, &request, 3000);
+  ck_assert_int_eq (next.status, DS_PLACEMENT_OK);
+  ck_assert (ds_str_equal (next.replica->record.id, DS_STR ("b2")));
+  next = ds_placement_choose (set, &request, 3500);
+  ck_assert_int_eq (next.status, DS_PLACEMENT_NO_REPLICA);
+  ck_assert_int_eq (next.obstacle, DS_PLACEMENT_LEAVING);
+  /* A retry does not go to a replica that leaves.  */
+  request.tried[request.tried_count++] = 1;
+  ck_assert_int_eq (ds_placement_choose (set, &request, 1600).status,
+                    DS_PLACEMENT_NO_REPLICA);
+}
+END_TEST
+
 /* A replica fails some requests although it is healthy.  It is avoided for
    longer with each consecutive failure, and used if there is no other.  */
 START_TEST (a_failing_replica_is_avoided)
@@ -280,6 +331,8 @@
                   requests_follow_cached_parts_until_the_queue_is_long);
   tcase_add_test (test_case, load_of_other_hosts_counts);
   tcase_add_test (test_case, a_draining_replica_gets_no_requests);
+  tcase_add_test (test_case, a_replica_that_leaves_is_passed_over);
+  tcase_add_test (test_case, replicas_that_all_leave_serve_while_they_drain);
   tcase_add_test (test_case, a_failing_replica_is_avoided);
   tcase_add_test (test_case, tried_replicas_are_left_out);
   tcase_add_test (test_case, a_missing_part_ends_the_cached_prefix);
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -191,6 +191,82 @@
 }
 END_TEST
 
+/* Records a notice as an exchange does, which has chosen REPLICA before.  */
+static bool
+say_leaving (struct ds_replica *replica)
+{
+  return ds_replica_set_record_leaving (set, replica, 1000);
+}
+
+/* Guards against requests to a replica that has said that it leaves, since the
+   store shows it as ready, or shows it again after its entry expired.  */
+START_TEST (a_replica_that_leaves_stays_out_whatever_the_store_says)
+{
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert (say_leaving (ds_replica_set_at (set, 0)));
+  ck_assert (!say_leaving (ds_replica_set_at (set, 0)));
+  ck_assert (!is_used ());
+  put ("a", 10, "10.0.0.1:80");
+  ds_replica_set_end_reports (set, 20, 1100, 1110);
+  ds_replica_set_remove_expired (set, 1000000);
+  ck_assert (!is_used ());
+  ds_replica_set_remove (set, DS_STR ("a"), 0);
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert (!is_used ());
+  put ("a", 10, "10.0.0.7:80");
+  ck_assert (!is_used ());
+}
+END_TEST
+
+/* Guards against a service that loses a replica for good: another process
+   starts under its id or at its address.  */
+START_TEST (a_new_lifetime_of_a_replica_that_left_is_used)
+{
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert (say_leaving (ds_replica_set_at (set, 0)));
+  put ("a", 11, "10.0.0.1:80");
+  ck_assert (is_used ());
+  ck_assert (say_leaving (ds_replica_set_at (set, 0)));
+  ds_replica_set_remove (set, DS_STR ("a"), 0);
+  put ("b", 11, "10.0.0.1:80");
+  ck_assert (is_used ());
+}
+END_TEST
+
+/* Guards against a notice that is lost, since the entry of its replica expired
+   while the response was on its way, and is back or not yet.  */
+START_TEST (a_notice_reaches_a_lifetime_that_was_dropped_meanwhile)
+{
+  struct ds_replica *chosen;
+
+  for (int back = 0; back < 2; back++)
+    {
+      uint64_t start_time_ms = 10 + (uint64_t)back;
+
+      put ("a", start_time_ms, "10.0.0.1:80");
+      chosen = talloc_reference (owner, ds_replica_set_at (set, 0));
+      ds_replica_set_remove (set, DS_STR ("a"), 0);
+      if (back == 1)
+        put ("a", start_time_ms, "10.0.0.1:80");
+      (void)say_leaving (chosen);
+      if (back == 0)
+        put ("a", start_time_ms, "10.0.0.1:80");
+      ck_assert (!is_used ());
+    }
+}
+END_TEST
+
+/* Guards against a host that no longer passes on what the store says, since
+   the replica itself said it before.  */
+START_TEST (a_departure_is_news_after_the_notice_of_the_replica)
+{
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert (say_leaving (ds_replica_set_at (set, 0)));
+  ck_assert (ds_replica_is_available (ds_replica_set_at (set, 0)));
+  ck_assert (report (20, 1100));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -213,6 +289,13 @@
   tcase_add_test (test_case,
                   a_missing_replica_that_others_saw_leave_is_not_used);
   tcase_add_test (test_case, a_report_expires_without_a_word_of_the_store);
+  tcase_add_test (test_case,
+                  a_replica_that_leaves_stays_out_whatever_the_store_says);
+  tcase_add_test (test_case, a_new_lifetime_of_a_replica_that_left_is_used);
+  tcase_add_test (test_case,
+                  a_notice_reaches_a_lifetime_that_was_dropped_meanwhile);
+  tcase_add_test (test_case,
+                  a_departure_is_news_after_the_notice_of_the_replica);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -140,6 +140,37 @@
 }
 END_TEST
 
+/* Guards against taking another value for the notice of a replica that leaves,
+   and against one of another replica, which has got the address.  */
+START_TEST (a_notice_of_leaving_is_parsed)
+{
+  static const struct
+  {
+    unsigned status;
+    const char *value;
+    bool leaving;
+  } cases[]
+      = { { 200, "1", true }, { 503, " 1 ", true }, { 500, "1", true },
+          { 400, "1", true }, { 421, "1", false },  { 200, "0", false },
+          { 200, "", false }, { 200, "01", false }, { 200, "yes", false } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct ds_http_header_line line
+          = { DS_STR ("server-leaving"), ds_str_from_c (cases[i].value) };
+      struct ds_http_head from
+          = { .status = cases[i].status, .lines = &line, .line_count = 1 };
+      struct ds_upstream_response response;
+
+      ds_wire_read_response (&response, &from);
+      ck_assert_int_eq (response.leaving, cases[i].leaving);
+      from.line_count = 0;
+      ds_wire_read_response (&response, &from);
+      ck_assert (!response.leaving);
+    }
+}
+END_TEST
+
 START_TEST (address_queries_are_answered)
 {
   struct ds_http_head query = { .line_count = 0 };
@@ -221,6 +252,7 @@
   tcase_add_test (test_case, restricted_headers_are_not_forwarded);
   tcase_add_test (test_case, a_duplicate_header_is_refused);
   tcase_add_test (test_case, a_response_header_is_parsed);
+  tcase_add_test (test_case, a_notice_of_leaving_is_parsed);
   tcase_add_test (test_case, address_queries_are_answered);
   tcase_add_test (test_case, objects_without_a_name_are_skipped);
   tcase_add_test (test_case, a_conditional_write_names_its_revision);
