Let relays pass on all prompt parts that replicas have cached

Cause: in fleets with relays a summary carried 64 prompt parts, each in four intervals, which is 80 parts a second, and a relay dropped what waited beyond 256. Hosts that did not hear of a part had further replicas prefill it again. Change: 256 parts a summary, as far as the datagram has room, 1,024 that wait; each of the two relays sends a part to each host of its zone once rather than twice. Evidence: a_relay_passes_on_a_thousand_parts_in_two_seconds fails on the code before.

--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -6,10 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
-/* A summary of 400 hosts and 600 replicas has 6 KB.  */
-#define DATAGRAM_BYTES_MAX 16384
-/* Times that a host sends a part towards the relays, and a relay to each host
-   of its zone; tolerates the loss of one datagram.  */
+/* Times that a host sends a part towards the relays; tolerates the loss of one
+   datagram.  Each of the two relays of a zone sends it to each host once.  */
 #define PART_SENDS_WITH_RELAYS ((size_t)2)
 
 static char *
@@ -470,8 +468,7 @@
               .part = reads[i]->part,
               .sends_left = relays ? PART_SENDS_WITH_RELAYS
                                    : ds_gossip_cycle_intervals (view->count),
-              .downlinks_left
-              = PART_SENDS_WITH_RELAYS * DS_RELAY_DOWNLINK_INTERVALS,
+              .downlinks_left = DS_RELAY_DOWNLINK_INTERVALS,
             };
     }
 }
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -6,8 +6,13 @@
    relays of the other zones, and a summary of the fleet to the hosts of its
    zone.  The two take turns, so that the loss of one interrupts nothing.  */
 
-/* Prompt parts and host records in one summary.  */
-#define SUMMARY_PARTS_MAX 64
+/* Prompt parts in one summary.  */
+#define SUMMARY_PARTS_MAX 256
+/* Encoded bytes of one of them, at most.  */
+#define PART_BYTES_MAX 24
+/* Left in a datagram for what is added for a single host.  */
+#define TRANSFERS_BYTES_RESERVED 4096
+/* Host records in one summary.  */
 #define SUMMARY_RECORDS_MAX 16
 /* Records that are repeated in turn, so that a host that missed an
    introduction gets it later.  */
@@ -284,14 +289,33 @@
   summary->n_prefill_units = used;
 }
 
+/* Number of parts for which DATAGRAM has room.  */
+static size_t
+parts_that_fit (const Daisystep__Gossip__Datagram *datagram)
+{
+  size_t used = daisystep__gossip__datagram__get_packed_size (datagram)
+                + TRANSFERS_BYTES_RESERVED;
+  size_t count = used < DATAGRAM_BYTES_MAX
+                     ? (DATAGRAM_BYTES_MAX - used) / PART_BYTES_MAX
+                     : 0;
+
+  return count < SUMMARY_PARTS_MAX ? count : SUMMARY_PARTS_MAX;
+}
+
+/* Adds the prompt parts that wait to be announced, the oldest first.  A part
+   of which the other hosts do not hear is prefilled again at further replicas.
+ */
 static void
 fill_parts (struct ds_fleet_view *view, TALLOC_CTX *owner,
-            Daisystep__Gossip__Summary *summary, bool fleet)
+            const Daisystep__Gossip__Datagram *datagram, bool fleet)
 {
-  summary->reads
-      = talloc_array (owner, Daisystep__Gossip__PartRead *, SUMMARY_PARTS_MAX);
+  Daisystep__Gossip__Summary *summary = datagram->summary;
+  size_t most = parts_that_fit (datagram);
+
+  summary->reads = talloc_array (owner, Daisystep__Gossip__PartRead *,
+                                 (unsigned)most + 1);
   for (size_t i = 0; i < view->cached_part_count && summary->reads != NULL
-                     && summary->n_reads < SUMMARY_PARTS_MAX;
+                     && summary->n_reads < most;
        i++)
     {
       struct ds_fleet_cached_part *part = &view->cached_parts[i];
@@ -376,12 +400,12 @@
   summary->zone = fleet ? whole_fleet : datagram->zone;
   fill_hosts (view, owner, summary, fleet, now_ms);
   fill_summary_loads (view, owner, summary, fleet);
-  fill_parts (view, owner, summary, fleet);
   fill_records (view, owner, summary, fleet, now_ms);
   ds_fleet_fill_suspects (view, owner, datagram);
   summary->departures
       = ds_fleet_take_departures (view, owner, &summary->n_departures);
   datagram->summary = summary;
+  fill_parts (view, owner, datagram, fleet);
 }
 
 /* Sends the summary of this zone to the relays of each other zone.  */
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -14,8 +14,10 @@
 #define LOADS_PER_DATAGRAM_MAX 32
 /* Suspects of crashes in one datagram; the most certain are sent first.  */
 #define SUSPECTS_PER_DATAGRAM_MAX 24
+/* A summary of 400 hosts and 600 replicas has 6 KB without prompt parts.  */
+#define DATAGRAM_BYTES_MAX 16384
 /* Prompt parts waiting to be announced; further ones are dropped.  */
-#define PENDING_PARTS_MAX 256
+#define PENDING_PARTS_MAX 1024
 /* Prompt parts in one datagram; the oldest are sent first.  */
 #define PARTS_PER_DATAGRAM_MAX 24
 /* Unacknowledged transfers to a host; further ones are refused.  */
--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -1,3 +1,4 @@
+#include "core/gossip_pace.h"
 #include "core/placement.h"
 #include "entry/fleet_view.h"
 #include "io/clock.h"
@@ -416,6 +417,76 @@
 }
 END_TEST
 
+/* Adds hosts of this zone, all at the address of the peer, so that the fleet
+   has relays and this host, the strongest, is one of them.  */
+static void
+add_hosts (size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      char name[16];
+      struct ds_fleet_registration registration = {
+        .zone = DS_STR ("z"),
+        .region = DS_STR ("r"),
+        .caller_address = ds_str_from_c (peer_address),
+        .gossip_address = ds_str_from_c (peer_address),
+        .capacity = 1,
+      };
+
+      (void)snprintf (name, sizeof name, "host-%zu", i);
+      registration.host = ds_str_from_c (name);
+      ds_fleet_view_add (view, &registration);
+    }
+}
+
+/* Counts the parts below PARTS that the peer has received in summaries of the
+   fleet, and marks them in SEEN.  */
+static size_t
+receive_parts (bool *seen, size_t parts)
+{
+  Daisystep__Gossip__Datagram *received;
+  size_t count = 0;
+
+  while ((received = receive_datagram ()) != NULL)
+    {
+      const Daisystep__Gossip__Summary *summary = received->summary;
+
+      for (size_t i = 0; summary != NULL && i < summary->n_reads; i++)
+        if (summary->reads[i]->part < parts)
+          seen[summary->reads[i]->part] = true;
+      daisystep__gossip__datagram__free_unpacked (received, NULL);
+    }
+  for (size_t i = 0; i < parts; i++)
+    count += seen[i];
+  return count;
+}
+
+/* Load: hosts of a large fleet prefill 1,000 parts in two seconds.  Guards
+   against a relay that drops most of them, since every host that does not hear
+   of one makes another replica prefill it again.  */
+START_TEST (a_relay_passes_on_a_thousand_parts_in_two_seconds)
+{
+  static bool seen[1000];
+  const struct ds_replica *replica = add_replica ();
+  const size_t parts = sizeof seen / sizeof seen[0];
+  size_t received = 0;
+  uint64_t now_ms = ds_clock_ms ();
+
+  memset (seen, 0, sizeof seen);
+  add_hosts (30);
+  for (int interval = 0; interval < 10; interval++)
+    {
+      for (size_t i = 0; i < parts / 10; i++)
+        ds_fleet_view_announce_part (view, replica,
+                                     (size_t)interval * (parts / 10) + i);
+      now_ms += DS_GOSSIP_INTERVAL_MS;
+      ds_fleet_view_tick (view, now_ms);
+      received = receive_parts (seen, parts);
+    }
+  ck_assert_uint_eq (received, parts);
+}
+END_TEST
+
 /* Guards against a host that ends, or stops listening, because of what arrives
    on its gossip port.  */
 START_TEST (malformed_datagrams_are_ignored)
@@ -475,6 +546,8 @@
   tcase_add_test (test_case, doubt_of_the_store_ends_with_its_host);
   tcase_add_test (test_case,
                   departures_are_passed_on_as_long_as_they_are_news);
+  tcase_add_test (test_case,
+                  a_relay_passes_on_a_thousand_parts_in_two_seconds);
   tcase_add_test (test_case, malformed_datagrams_are_ignored);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
