Tie answers without an id to a request only by their place

Cause: any failure without a Request-Id counted as the answer to the request that waited on the connection, also if that had carried others, and the connection of a rejection went back to the pool. A copy of the rejection was the answer to the next request. The class: an answer that cannot be tied to its request decides about it. Change: the connection knows which answer can precede which request. One without an id counts only as the first answer to the first request of its connection; elsewhere it fails the attempt as one that may have run, and a connection that has carried one is not used again. Requests that may run once get a new connection, so that the true rejections of a full replica, which bear no id, still lead them to another one. Evidence: test_entry_rejections failed in 45 of 59 cases on the code before: copies of rejections (503, 429, 421, 400) and of a 500, in parts, after an interim answer, after a sound answer, behind a long body, and one that was there before the next request was sent. Copies with the earlier id were told apart before and are now. a_rejection_without_an_id_is_retried_after_other_requests passed before; it fails without the new connections.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -85,6 +85,7 @@
   bool may_have_run;
 
   struct ds_upstream_response response; /* without strings */
+  bool tied; /* the response can only belong to this request */
   unsigned status;
   struct ds_byte_buffer response_head;
   struct ds_byte_buffer held;
@@ -445,12 +446,14 @@
   ds_decision_line_end (&line);
 }
 
-/* False for another request's response, or a success without an id.  */
-static bool
+/* A response without an id is tied to the request by its place alone, which
+   holds only for the first one on a connection.  */
+static enum ds_http_answer
 on_head (const struct ds_http_head *head, void *user_data)
 {
   struct ds_exchange *x = user_data;
   struct ds_upstream_response response;
+  enum ds_http_answer answer;
 
   ds_wire_read_response (&response, head);
   ds_replica_notices_record (x->context->replicas, x->replica, &response,
@@ -464,10 +467,15 @@
       ds_decision_line_add_text (&line, "replica", x->replica->record.id);
       ds_decision_line_add_text (&line, "answer_to", response.request_id);
       ds_decision_line_end (&line);
-      return false;
+      return DS_HTTP_ANSWER_FOREIGN;
     }
   if (response.request_id.length == 0 && head->status < 300)
-    return false;
+    return DS_HTTP_ANSWER_FOREIGN;
+  answer = response.request_id.length > 0 ? DS_HTTP_ANSWER_OWN
+                                          : DS_HTTP_ANSWER_UNNAMED;
+  x->tied = answer == DS_HTTP_ANSWER_OWN
+            || ds_http_connection_is_first_answer (
+                ds_pooled_connection_http (x->pooled));
   response.request_id = DS_STR_EMPTY;
   x->response = response;
   x->framed = head->framed;
@@ -488,12 +496,12 @@
       if (!x->head_sent)
         send_response_head (x, head, true, 0);
       x->stream_begun = x->stream_begun || response.is_stream;
-      return true;
+      return answer;
     }
   /* Held until the body is complete, since the header needs its length.  */
   ds_byte_buffer_release (&x->response_head);
   (void)ds_wire_write_response (x, &x->response_head, head, false, 0, false);
-  return true;
+  return answer;
 }
 
 /* Announces the prompt parts that the replica must prefill, so that other
@@ -681,6 +689,11 @@
   uint64_t now_ms = ds_clock_ms ();
   const char *early_end;
 
+  if (!x->tied)
+    {
+      on_attempt_failed (x, "answer may belong to another request");
+      return;
+    }
   if (x->response.not_run)
     {
       return_connection (x);
@@ -826,6 +839,22 @@
   return rank > ENGINE_PRIORITY_MAX ? ENGINE_PRIORITY_MAX : rank;
 }
 
+/* Acquires the attempt's connection.  Replicas that are full reject requests
+   without naming them, which can be believed on a new connection only; without
+   that, a request that may run once could not be offered to another replica.
+   */
+static int
+acquire_connection (struct ds_exchange *x, struct ds_replica *replica,
+                    uint64_t now_ms)
+{
+  bool fresh = x->runs > 0 || !is_repeatable (x);
+
+  return ds_connection_pool_acquire (
+      &x->pooled, x->context->pool, replica, now_ms, fresh,
+      ds_host_strain_connect_timeout_ms (&x->context->strain,
+                                         time_left (x, now_ms)));
+}
+
 /* Sends the request to the replica of PLACEMENT.  */
 static int
 dispatch (struct ds_exchange *x, const struct ds_placement *placement,
@@ -855,10 +884,7 @@
 
   status = ds_wire_write_attempt (x, &out, &head);
   if (status == 0)
-    status = ds_connection_pool_acquire (
-        &x->pooled, x->context->pool, placement->replica, now_ms, x->runs > 0,
-        ds_host_strain_connect_timeout_ms (&x->context->strain,
-                                           time_left (x, now_ms)));
+    status = acquire_connection (x, placement->replica, now_ms);
   if (status != 0)
     {
       ds_byte_buffer_release (&out);
--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -198,14 +198,15 @@
   talloc_free (pending);
 }
 
-static bool
+/* The store's responses name no call; it sends one for each.  */
+static enum ds_http_answer
 on_head (const struct ds_http_head *head, void *user_data)
 {
   struct ds_store_pending_call *pending = user_data;
 
   pending->status = head->status;
   pending->progress = true;
-  return true;
+  return DS_HTTP_ANSWER_OWN;
 }
 
 static void
--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -20,6 +20,8 @@
   struct ds_http_connection_handlers handlers;
   enum state state;
   uint64_t sent_before; /* bytes of earlier requests */
+  uint64_t requests;
+  uint64_t answers; /* with those that were discarded */
   bool head_only;
   bool discarding; /* the response belongs to no request */
   bool response_complete;
@@ -32,12 +34,17 @@
 on_head (const struct ds_http_head *head, void *user_data)
 {
   struct ds_http_connection *c = user_data;
+  enum ds_http_answer answer;
 
   if (c->freed)
     return;
   c->state = READING_RESPONSE;
-  c->discarding = !c->handlers.on_head (head, c->handlers.user_data);
-  if (!c->discarding && (!head->keep_alive || !head->framed))
+  c->answers++;
+  answer = c->handlers.on_head (head, c->handlers.user_data);
+  c->discarding = answer == DS_HTTP_ANSWER_FOREIGN;
+  /* A copy of a response that names no request could be taken for the answer
+     to a later one.  */
+  if (answer != DS_HTTP_ANSWER_OWN || !head->keep_alive || !head->framed)
     c->not_reusable = true;
 }
 
@@ -251,6 +258,7 @@
   if (c->state != IDLE || c->not_reusable)
     return DS_EINVAL;
   c->sent_before = ds_tcp_sent_bytes (c->tcp);
+  c->requests++;
   c->head_only = head_only;
   ds_http_reader_set_head_only (c->reader, head_only);
   c->state = AWAITING_RESPONSE;
@@ -281,6 +289,15 @@
          && !ds_tcp_is_paused (c->tcp);
 }
 
+/* True if the response that is being read, or was read last, can only belong
+   to the current request, whether it names it or not: the connection has
+   carried no other request and no other response.  */
+bool
+ds_http_connection_is_first_answer (const struct ds_http_connection *c)
+{
+  return c->requests == 1 && c->answers == 1;
+}
+
 /* False only if no byte of the current request can have left this host.  */
 bool
 ds_http_connection_has_sent (const struct ds_http_connection *c)
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -14,14 +14,24 @@
   DS_HTTP_FAILURE_MALFORMED    /* the peer sent no valid response */
 };
 
-/* ON_HEAD returns false for a response that belongs to no request; it is read
-   to its end and discarded.  ON_IDLE_CLOSE reports that an idle connection was
+/* How a response relates to the current request, by what its head says.  */
+enum ds_http_answer
+{
+  DS_HTTP_ANSWER_OWN,     /* it names the request */
+  DS_HTTP_ANSWER_UNNAMED, /* it names none, and may be the answer */
+  DS_HTTP_ANSWER_FOREIGN  /* it belongs to no request, or to another one; it is
+                             read to its end and discarded */
+};
+
+/* ON_HEAD classifies a response; ON_BODY and ON_END follow unless it is
+   foreign.  ON_IDLE_CLOSE reports that an idle connection was
    closed or received unsolicited bytes.  Any handler may free the
    connection.  */
 struct ds_http_connection_handlers
 {
   void (*on_connected) (void *user_data); /* may be null */
-  bool (*on_head) (const struct ds_http_head *head, void *user_data);
+  enum ds_http_answer (*on_head) (const struct ds_http_head *head,
+                                  void *user_data);
   void (*on_body) (struct ds_str bytes, void *user_data);
   void (*on_end) (void *user_data);
   void (*on_failure) (enum ds_http_failure failure, void *user_data);
@@ -45,6 +55,7 @@
 bool ds_http_connection_is_reusable (const struct ds_http_connection *c);
 bool ds_http_connection_is_connected (const struct ds_http_connection *c);
 bool ds_http_connection_is_watched (const struct ds_http_connection *c);
+bool ds_http_connection_is_first_answer (const struct ds_http_connection *c);
 bool ds_http_connection_has_sent (const struct ds_http_connection *c);
 bool ds_http_connection_fell_silent (const struct ds_http_connection *c);
 void ds_http_connection_pause (struct ds_http_connection *connection,
--- a/tests/standins/scripted_replica.c
+++ b/tests/standins/scripted_replica.c
@@ -22,6 +22,8 @@
      "send"       sends the text
      "chunk"      sends it as one chunk
      "wait_ms"    waits
+     "await_request"  waits until bytes of the next request arrive; the
+                  placeholders still stand for the present one
      "read_body"  reads the body of the request here; without this step it is
                   read before the first one
      "close"      closes the connection
@@ -248,6 +250,8 @@
     sleep_ms (atol (text));
   else if (strcmp (step, "read_body") == 0)
     c->open = read_body (c);
+  else if (strcmp (step, "await_request") == 0)
+    c->open = c->rest_length > 0 || receive_more (c);
   else
     end_connection (c, strcmp (step, "reset") == 0);
 }
