--- a/tests/test_entry_rejections.c
+++ b/tests/test_entry_rejections.c
@@ -328,27 +328,89 @@
 }
 END_TEST
 
+#define ANSWER(status, headers)                                               \
+  "HTTP/1.1 " status "\r\nRequest-Id: {id}\r\n" headers                       \
+  "Content-Length: 9\r\n\r\ni-0:hello"
+#define SEAL "Server-Seal: seal.1\r\n"
+#define NOT_EXECUTED "Not-Executed: 1\r\n"
+
+static const char *const other_statuses[] = {
+  ANSWER ("200 OK", SEAL NOT_EXECUTED),
+  ANSWER ("200 OK", NOT_EXECUTED),
+  ANSWER ("404 Not Found", NOT_EXECUTED),
+  ANSWER ("500 Internal Server Error", NOT_EXECUTED),
+  ANSWER ("504 Gateway Timeout", NOT_EXECUTED),
+};
+
+/* Answers one request to PATH with RESPONSE of the replica that has run it,
+   and checks that it ran once and that the caller gets no promise.  */
+static void
+check_answer_of_run (const char *path, const char *response)
+{
+  struct test_http_response *reply;
+
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    entry_add_response (entry_replicas[i], "send", response, (char *)NULL);
+  reply = entry_request (0, "POST", path, "id-1", "100,24");
+  check_reply (reply, "id-1");
+  check_runs ("id-1", reply->status, 1);
+}
+
+/* Guards against running a request again because of a header that a faulty
+   replica adds to an answer with another status than those of rejections.  */
+START_TEST (only_statuses_of_rejections_say_that_a_request_did_not_run)
+{
+  check_answer_of_run ("/book/1", other_statuses[_i]);
+}
+END_TEST
+
+/* Guards against the same after events of the stream were forwarded.  */
+START_TEST (a_forwarded_stream_is_no_rejection)
+{
+  struct test_http_response *reply;
+
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    entry_add_response (
+        entry_replicas[i], "send",
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" SEAL NOT_EXECUTED
+        "Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "chunk", EVENT (1) EVENT (2), "send", LAST_CHUNK, (char *)NULL);
+  reply = entry_request (0, "POST", "/once/stream/1", "id-1", "100,24");
+  ck_assert_str_eq (reply->body.data, EVENT (1) EVENT (2));
+  check_runs ("id-1", reply->status, 1);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("entry_rejections");
-  TCase *test_case = tcase_create ("entry_rejections");
+  TCase *late = tcase_create ("late");
+  TCase *statuses = tcase_create ("statuses");
   SRunner *runner;
   int failed;
 
-  tcase_add_checked_fixture (test_case, set_up, tear_down);
-  tcase_set_timeout (test_case, 60);
-  tcase_add_loop_test (test_case,
+  tcase_add_checked_fixture (late, set_up, tear_down);
+  tcase_set_timeout (late, 60);
+  tcase_add_loop_test (late,
                        a_late_answer_does_not_decide_about_the_next_request, 0,
                        (int)(LATE_BYTES * PATHS));
-  tcase_add_loop_test (test_case,
+  tcase_add_loop_test (late,
                        a_late_answer_does_not_end_a_request_that_is_being_sent,
                        0, (int)PATHS);
   tcase_add_loop_test (
-      test_case, a_late_answer_that_waits_is_not_taken_for_the_next_one, 0, 2);
-  tcase_add_test (test_case,
+      late, a_late_answer_that_waits_is_not_taken_for_the_next_one, 0, 2);
+  tcase_add_test (late,
                   a_rejection_without_an_id_is_retried_after_other_requests);
-  suite_add_tcase (suite, test_case);
+  suite_add_tcase (suite, late);
+  tcase_add_checked_fixture (statuses, set_up, tear_down);
+  tcase_set_timeout (statuses, 60);
+  tcase_add_loop_test (
+      statuses, only_statuses_of_rejections_say_that_a_request_did_not_run, 0,
+      sizeof other_statuses / sizeof other_statuses[0]);
+  tcase_add_test (statuses, a_forwarded_stream_is_no_rejection);
+  suite_add_tcase (suite, statuses);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
