Do not make a promise that the replica did not make

What callers saw: 503, 429 or 408 for a request that may run once and had run (REFUSED). Cause: an answer of a replica with such a status was passed on as it came, also if it did not state that the request did not run. To a caller these statuses say so. Change: without a rejection they fail the attempt of a request that may run once; the caller gets 502. Requests that may run again get the replica's answer as before. Evidence: a_status_without_a_rejection_is_no_promise (503, 429 and 408, with and without Server-Seal, id and Not-Executed, on two routes) failed in 12 of 12 cases before. Result: 12 of 12 pass; test_entry 23 of 23, test_entry_streams 28 of 28.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -681,17 +681,35 @@
   return NULL;
 }
 
+/* Says why a complete response is not the answer to give to the caller, or
+   returns null.  */
+static const char *
+unusable_answer (const struct ds_exchange *x)
+{
+  if (!x->tied)
+    return "answer may belong to another request";
+  if (x->status < 300 && (!x->response.has_mac || x->response.encoded))
+    return "answer is not the replica's";
+  if (!x->response.not_run && !is_repeatable (x)
+      && ds_wire_is_promise (x->status))
+    return "replica does not state that the request did not run";
+  return NULL;
+}
+
 static void
 on_end (void *user_data)
 {
   struct ds_exchange *x = user_data;
   struct ds_caller *caller = x->caller;
   uint64_t now_ms = ds_clock_ms ();
+  const char *fault = unusable_answer (x);
   const char *early_end;
 
-  if (!x->tied)
+  if (fault != NULL)
     {
-      on_attempt_failed (x, "answer may belong to another request");
+      if (x->tied && x->status >= 500)
+        ds_placement_record_failure (x->replica, now_ms);
+      on_attempt_failed (x, fault);
       return;
     }
   if (x->response.not_run)
@@ -705,11 +723,6 @@
                                  : "replica rejected the request");
       return;
     }
-  if (x->status < 300 && (!x->response.has_mac || x->response.encoded))
-    {
-      on_attempt_failed (x, "answer is not the replica's");
-      return;
-    }
   early_end = early_stream_end (x);
   if (early_end != NULL)
     {
--- a/tests/test_entry_rejections.c
+++ b/tests/test_entry_rejections.c
@@ -382,6 +382,24 @@
 }
 END_TEST
 
+static const char *const unmarked_answers[] = {
+  ANSWER ("503 Service Unavailable", SEAL),
+  ANSWER ("503 Service Unavailable", ""),
+  ANSWER ("429 Too Many Requests", SEAL),
+  ANSWER ("408 Request Timeout", SEAL),
+  ANSWER ("408 Request Timeout", NOT_EXECUTED),
+  "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* Guards against telling the caller of a request that ran that it did not,
+   since its replica answered with such a status and did not say so.  */
+START_TEST (a_status_without_a_rejection_is_no_promise)
+{
+  check_answer_of_run ((size_t)_i % 2 == 0 ? "/book/1" : "/once/stream/1",
+                       unmarked_answers[(size_t)_i / 2]);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -409,6 +427,9 @@
   tcase_add_loop_test (
       statuses, only_statuses_of_rejections_say_that_a_request_did_not_run, 0,
       sizeof other_statuses / sizeof other_statuses[0]);
+  tcase_add_loop_test (
+      statuses, a_status_without_a_rejection_is_no_promise, 0,
+      (int)(2 * sizeof unmarked_answers / sizeof unmarked_answers[0]));
   tcase_add_test (statuses, a_forwarded_stream_is_no_rejection);
   suite_add_tcase (suite, statuses);
   runner = srunner_create (suite);
