Refuse a head that holds the start of another one

What callers saw: the rejection of a request that ran, which also ran at a second replica (TWICE, REFUSED), and a success where the replica had answered with a failure (MIXED). Cause: a rejection that was cut off within its reason phrase or a value, and the answer that followed, were parsed as one head: the status and Not-Executed of the one with the id and the Server-Seal of the other. Change: the reader of responses refuses a head with a status line in its reason phrase or in a value; http_parser refuses it elsewhere. The attempt fails as one that may have run.

--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -23,7 +23,7 @@
   struct header_span *spans;
   size_t span_count;
   size_t span_capacity;
-  size_t target_length;
+  size_t start_length; /* of the target, or of the reason phrase */
   struct ds_http_head head;
   size_t head_limit;
   uint64_t body_limit;
@@ -83,17 +83,17 @@
   reader->text.start = 0;
   reader->text.end = 0;
   reader->span_count = 0;
-  reader->target_length = 0;
+  reader->start_length = 0;
   reader->body_bytes = 0;
   return 0;
 }
 
 static int
-on_target (http_parser *parser, const char *at, size_t length)
+on_start_line (http_parser *parser, const char *at, size_t length)
 {
   struct ds_http_reader *reader = reader_of (parser);
 
-  reader->target_length += length;
+  reader->start_length += length;
   return add_text (reader, at, length);
 }
 
@@ -187,6 +187,45 @@
                           .length = length };
 }
 
+/* Whether a status line begins inside TEXT: "HTTP/1.1 200".  */
+static bool
+contains_status_line (struct ds_str text)
+{
+  static const char pattern[] = "HTTP/0.0 000"; /* 0 is any digit */
+  const size_t length = sizeof pattern - 1;
+
+  for (size_t i = 0; i + length <= text.length; i++)
+    {
+      size_t k = 0;
+
+      while (k < length
+             && (pattern[k] == '0'
+                     ? text.data[i + k] >= '0' && text.data[i + k] <= '9'
+                     : text.data[i + k] == pattern[k]))
+        k++;
+      if (k == length)
+        return true;
+    }
+  return false;
+}
+
+/* Whether the head of a response is a part of one that was cut off, followed
+   by the head of another one, whose headers would then count for the first.
+   The cut is in the reason phrase or in a value; elsewhere http_parser does
+   not accept it.  */
+static bool
+is_joined_head (const struct ds_http_reader *reader)
+{
+  bool joined
+      = reader->start_length > 0
+        && contains_status_line (text_at (reader, 0, reader->start_length));
+
+  for (size_t i = 0; i < reader->span_count && !joined; i++)
+    joined = contains_status_line (text_at (reader, reader->spans[i].value,
+                                            reader->spans[i].value_length));
+  return joined;
+}
+
 /* Statuses whose responses have no body by definition.  */
 static bool
 has_no_body (unsigned status)
@@ -224,7 +263,7 @@
     {
       head->method = ds_str_from_c (
           http_method_str ((enum http_method)reader->parser.method));
-      head->target = text_at (reader, 0, reader->target_length);
+      head->target = text_at (reader, 0, reader->start_length);
     }
   head->status = reader->parser.status_code;
   head->keep_alive = http_should_keep_alive (&reader->parser) != 0;
@@ -251,6 +290,11 @@
     }
   if (build_head (reader) != 0)
     return -1;
+  if (parser->type == HTTP_RESPONSE && is_joined_head (reader))
+    {
+      (void)set_error (reader, DS_HTTP_PARSE_ERROR_MALFORMED);
+      return -1;
+    }
   if (reader->head.has_length && reader->head.body_length > reader->body_limit)
     {
       (void)set_error (reader, DS_HTTP_PARSE_ERROR_BODY_TOO_LARGE);
@@ -304,7 +348,8 @@
 
 static const http_parser_settings callbacks = {
   .on_message_begin = on_begin,
-  .on_url = on_target,
+  .on_url = on_start_line,
+  .on_status = on_start_line,
   .on_header_field = on_name,
   .on_header_value = on_value,
   .on_headers_complete = on_head_complete,
--- a/tests/test_entry_rejections.c
+++ b/tests/test_entry_rejections.c
@@ -400,11 +400,51 @@
 }
 END_TEST
 
+#define CUT "HTTP/1.1 503 Service Unavailable\r\n"
+
+static const char *const cut_heads[] = {
+  "HTTP/1.1 503 ",
+  "HTTP/1.1 503 Service Unav",
+  CUT "Not-Exec",
+  CUT "Not-Executed: ",
+  CUT "Not-Executed: 1",
+  CUT NOT_EXECUTED,
+  CUT NOT_EXECUTED "Retry-After: 0.",
+  CUT NOT_EXECUTED "Request-Id: 12",
+  CUT NOT_EXECUTED "Content-Length: ",
+  CUT NOT_EXECUTED "Content-Length: 0\r\n",
+  "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec",
+};
+
+/* Guards against one head made of a part of a rejection and the head of the
+   answer, whose id it then bears.  */
+START_TEST (a_cut_head_does_not_join_the_next_one)
+{
+  const char *path = paths[(size_t)_i % PATHS];
+  const char *cut = cut_heads[(size_t)_i / PATHS];
+  struct test_http_response *reply;
+
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    if (strstr (path, "/stream/") != NULL)
+      entry_add_response (entry_replicas[i], "send", cut, "send", SOUND_STREAM,
+                          "chunk", all_events, "send", LAST_CHUNK,
+                          (char *)NULL);
+    else
+      entry_add_response (entry_replicas[i], "send", cut, "send",
+                          ANSWER ("500 Internal Server Error", SEAL),
+                          (char *)NULL);
+  reply = entry_request (0, "POST", path, "id-1", "100,24");
+  ck_assert_int_ne (reply->status, 200);
+  check_runs ("id-1", reply->status, runs_allowed (path));
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("entry_rejections");
   TCase *late = tcase_create ("late");
+  TCase *cut = tcase_create ("cut");
   TCase *statuses = tcase_create ("statuses");
   SRunner *runner;
   int failed;
@@ -432,6 +472,11 @@
       (int)(2 * sizeof unmarked_answers / sizeof unmarked_answers[0]));
   tcase_add_test (statuses, a_forwarded_stream_is_no_rejection);
   suite_add_tcase (suite, statuses);
+  tcase_add_checked_fixture (cut, set_up, tear_down);
+  tcase_set_timeout (cut, 60);
+  tcase_add_loop_test (cut, a_cut_head_does_not_join_the_next_one, 0,
+                       (int)(PATHS * sizeof cut_heads / sizeof cut_heads[0]));
+  suite_add_tcase (suite, cut);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -273,6 +273,39 @@
 }
 END_TEST
 
+/* Guards against one response made of the start of a head and the head of the
+   next response.  */
+START_TEST (a_head_that_holds_a_status_line_is_malformed)
+{
+  static const struct
+  {
+    const char *text;
+    bool joined;
+  } heads[] = {
+    { "HTTP/1.1 503 UnavHTTP/1.1 200 OK\r\nA: 1\r\n\r\n", true },
+    { "HTTP/1.1 503 Unav\r\nA: 1HTTP/1.0 404 Not Found\r\n\r\n", true },
+    { "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy 200\r\n"
+      "Content-Length: 0\r\n\r\n",
+      false },
+    { "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", false },
+  };
+
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      struct ds_http_reader *reader = new_reader (false);
+
+      observed.heads = 0;
+      for (const char *at = heads[i].text; *at != '\0'; at++)
+        (void)ds_http_reader_feed (reader,
+                                   (struct ds_str){ .data = at, .length = 1 });
+      ck_assert_int_eq (observed.heads, heads[i].joined ? 0 : 1);
+      ck_assert_int_eq (ds_http_reader_error (reader),
+                        heads[i].joined ? DS_HTTP_PARSE_ERROR_MALFORMED
+                                        : DS_HTTP_PARSE_ERROR_NONE);
+    }
+}
+END_TEST
+
 START_TEST (recognises_hop_by_hop_headers)
 {
   struct ds_http_header_line lines[] = {
@@ -310,6 +343,7 @@
   tcase_add_test (test_case,
                   only_a_response_without_length_ends_with_the_connection);
   tcase_add_test (test_case, interim_responses_are_skipped);
+  tcase_add_test (test_case, a_head_that_holds_a_status_line_is_malformed);
   tcase_add_test (test_case, recognises_hop_by_hop_headers);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
