End responses without a body with their head

What callers saw: an interim response that declares a length swallowed the start of the answer behind it, whose first bytes counted as its body; after a 204 or 304 that declares one the host waited for a body, or took the next bytes for it. Cause: http_parser reads the body that the headers declare, whatever the status; only HEAD was told to it. Change: responses with 1xx, 204 and 304 have no body (RFC 9112, 6.3).

--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -304,9 +304,10 @@
   reader->interim = parser->type == HTTP_RESPONSE && parser->status_code < 200;
   if (!reader->interim)
     reader->handlers.on_head (&reader->head, reader->handlers.user_data);
-  if (reader->interim)
-    return 0;
-  if (reader->head_only)
+  /* http_parser reads a body that is declared here; 1 tells it that there is
+     none.  */
+  if (parser->type == HTTP_RESPONSE
+      && (reader->head_only || has_no_body (parser->status_code)))
     return 1;
   if ((parser->flags & F_CHUNKED) != 0)
     {
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -273,6 +273,37 @@
 }
 END_TEST
 
+/* Guards against taking bytes behind a response that has no body for one, or
+   waiting for it: an interim response, one to HEAD, 204 and 304.  */
+START_TEST (responses_without_a_body_end_with_their_head)
+{
+  static const char *const heads[]
+      = { "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n",
+          "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n" };
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      struct ds_http_reader *reader = new_reader (false);
+      bool interim = i < 2;
+      char both[256];
+      size_t taken;
+
+      observed = (struct observed){ .heads = 0 };
+      (void)snprintf (both, sizeof both, "%s%s", heads[i], answer);
+      taken = feed (reader, both);
+      ck_assert_uint_eq (taken, strlen (interim ? both : heads[i]));
+      ck_assert_int_eq (observed.heads, 1);
+      ck_assert_int_eq (observed.ends, 1);
+      ck_assert_uint_eq (observed.body_bytes, interim ? 3 : 0);
+    }
+}
+END_TEST
+
 /* Guards against one response made of the start of a head and the head of the
    next response.  */
 START_TEST (a_head_that_holds_a_status_line_is_malformed)
@@ -343,6 +374,7 @@
   tcase_add_test (test_case,
                   only_a_response_without_length_ends_with_the_connection);
   tcase_add_test (test_case, interim_responses_are_skipped);
+  tcase_add_test (test_case, responses_without_a_body_end_with_their_head);
   tcase_add_test (test_case, a_head_that_holds_a_status_line_is_malformed);
   tcase_add_test (test_case, recognises_hop_by_hop_headers);
   suite_add_tcase (suite, test_case);
