Send no bytes behind a response that has no body

Responses to HEAD declared the length 0 instead of the replica's. Cause: whether a response has a body was not asked for; one without a length was forwarded in chunks, and a held one got the length of what had arrived. Change: 204, 304 and responses to HEAD are sent as a head alone. It declares the length that the replica declared, none for 204. Refusals to HEAD requests leave out their text.

--- a/src/entry/address_service.c
+++ b/src/entry/address_service.c
@@ -12,12 +12,15 @@
 
 /* Responds to a request that this host handles itself.  */
 static void
-send_response (struct ds_caller *caller, unsigned status, struct ds_str body)
+send_response (struct ds_caller *caller, const struct ds_http_head *head,
+               unsigned status, struct ds_str body)
 {
   struct ds_byte_buffer out = { .data = NULL };
 
-  if (ds_wire_write_local_response (caller, &out, status, DS_STR_EMPTY, 0,
-                                    body, ds_caller_will_close (caller))
+  if (ds_wire_write_local_response (
+          caller, &out, status, DS_STR_EMPTY, 0, body,
+          ds_str_equal (head->method, DS_STR ("HEAD")),
+          ds_caller_will_close (caller))
       == 0)
     ds_caller_write (caller, ds_byte_buffer_content (&out));
   ds_byte_buffer_release (&out);
@@ -34,11 +37,11 @@
 
   (void)body;
   if (!ds_wire_is_readiness_query (head))
-    send_response (caller, 404, DS_STR ("{\"error\":\"no such path\"}"));
+    send_response (caller, head, 404, DS_STR ("{\"error\":\"no such path\"}"));
   else if (service->ready)
-    send_response (caller, 200, DS_STR ("{\"ready\":true}"));
+    send_response (caller, head, 200, DS_STR ("{\"ready\":true}"));
   else
-    send_response (caller, 503, DS_STR ("{\"ready\":false}"));
+    send_response (caller, head, 503, DS_STR ("{\"ready\":false}"));
 }
 
 /* The capacity of a host for callers.  A strained host is offered only if the
@@ -102,7 +105,8 @@
   (void)body;
   if (!ds_wire_read_address_query (&query, head))
     {
-      send_response (caller, 404, DS_STR ("{\"error\":\"no such path\"}"));
+      send_response (caller, head, 404,
+                     DS_STR ("{\"error\":\"no such path\"}"));
       talloc_free (scratch);
       return;
     }
@@ -113,12 +117,14 @@
                                    query.region, ds_caller_origin (caller));
   if (count == 0)
     {
-      send_response (caller, 503, DS_STR ("{\"error\":\"no host is ready\"}"));
+      send_response (caller, head, 503,
+                     DS_STR ("{\"error\":\"no host is ready\"}"));
       talloc_free (scratch);
       return;
     }
   text = ds_wire_write_addresses (scratch, addresses, count, service->ttl_s);
-  send_response (caller, 200, ds_str_from_c (text != NULL ? text : "{}"));
+  send_response (caller, head, 200,
+                 ds_str_from_c (text != NULL ? text : "{}"));
   talloc_free (scratch);
 }
 
@@ -131,11 +137,10 @@
   char *text = ds_metrics_exposition (NULL);
   char *times = ds_histograms_exposition (text);
 
-  (void)head;
   (void)body;
   (void)user_data;
   if (text != NULL && times != NULL)
     text = talloc_strdup_append_buffer (text, times);
-  send_response (caller, 200, ds_str_from_c (text != NULL ? text : ""));
+  send_response (caller, head, 200, ds_str_from_c (text != NULL ? text : ""));
   talloc_free (text);
 }
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -49,7 +49,7 @@
 
       if (ds_wire_write_local_response (
               caller, &out, 408, DS_STR_EMPTY, 0,
-              DS_STR ("{\"error\":\"request timeout\"}"), true)
+              DS_STR ("{\"error\":\"request timeout\"}"), false, true)
           == 0)
         ds_caller_write (caller, ds_byte_buffer_content (&out));
       ds_byte_buffer_release (&out);
@@ -123,7 +123,7 @@
           caller, &out, status, DS_STR_EMPTY, 0,
           DS_STR ("{\"error\":\"the request is malformed "
                   "or too large\"}"),
-          true)
+          false, true)
       == 0)
     ds_caller_write (caller, ds_byte_buffer_content (&out));
   ds_byte_buffer_release (&out);
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -85,7 +85,8 @@
   bool may_have_run;
 
   struct ds_upstream_response response; /* without strings */
-  bool tied; /* the response can only belong to this request */
+  bool tied;     /* the response can only belong to this request */
+  bool bodiless; /* it has no body by definition */
   unsigned status;
   struct ds_byte_buffer response_head;
   struct ds_byte_buffer held;
@@ -123,6 +124,12 @@
          || (x->route->kind == DS_CALL_STREAM && x->route->resumable);
 }
 
+static bool
+is_head_request (const struct ds_exchange *x)
+{
+  return ds_str_equal (x->head->method, DS_STR ("HEAD"));
+}
+
 static uint64_t
 time_left (const struct ds_exchange *x, uint64_t now_ms)
 {
@@ -265,7 +272,7 @@
   if (ds_wire_write_local_response (
           x, &out, status, x->request.id, retry_after_ms,
           (struct ds_str){ .data = body, .length = (size_t)length },
-          ds_caller_will_close (caller))
+          is_head_request (x), ds_caller_will_close (caller))
       == 0)
     ds_caller_write (caller, ds_byte_buffer_content (&out));
   end_exchange (x, reason);
@@ -416,13 +423,13 @@
   fail_request (x, 502, how);
 }
 
+/* Sends the head of a response whose body follows in chunks.  */
 static void
-send_response_head (struct ds_exchange *x, const struct ds_http_head *head,
-                    bool chunked, uint64_t length)
+send_response_head (struct ds_exchange *x, const struct ds_http_head *head)
 {
   struct ds_byte_buffer out = { .data = NULL };
 
-  if (ds_wire_write_response (x, &out, head, chunked, length,
+  if (ds_wire_write_response (x, &out, head, DS_FRAMING_CHUNKED, 0,
                               ds_caller_will_close (x->caller))
       == 0)
     ds_caller_write (x->caller, ds_byte_buffer_content (&out));
@@ -446,6 +453,21 @@
   ds_decision_line_end (&line);
 }
 
+/* Keeps the head until the body is complete, since it needs its length.  That
+   of a response without a body declares what the replica declared; a 204 may
+   declare nothing.  */
+static void
+hold_response_head (struct ds_exchange *x, const struct ds_http_head *head)
+{
+  enum ds_response_framing framing = DS_FRAMING_LENGTH;
+
+  if (x->bodiless && (!head->has_length || head->status == 204))
+    framing = DS_FRAMING_NONE;
+  ds_byte_buffer_release (&x->response_head);
+  (void)ds_wire_write_response (x, &x->response_head, head, framing,
+                                x->bodiless ? head->body_length : 0, false);
+}
+
 /* A response without an id is tied to the request by its place alone, which
    holds only for the first one on a connection.  */
 static enum ds_http_answer
@@ -482,9 +504,12 @@
   x->answer_ms = ds_clock_ms ();
   x->status = head->status;
   x->streaming = false;
+  x->bodiless
+      = is_head_request (x) || head->status == 204 || head->status == 304;
   if (x->head_sent)
     log_resume (x);
-  if (head->status < 300 && response.has_mac && !response.encoded)
+  if (head->status < 300 && response.has_mac && !response.encoded
+      && !x->bodiless)
     {
       bool short_body
           = head->has_length && head->body_length <= HELD_RESPONSE_BYTES_MAX;
@@ -494,13 +519,11 @@
   if (x->streaming)
     {
       if (!x->head_sent)
-        send_response_head (x, head, true, 0);
+        send_response_head (x, head);
       x->stream_begun = x->stream_begun || response.is_stream;
       return answer;
     }
-  /* Held until the body is complete, since the header needs its length.  */
-  ds_byte_buffer_release (&x->response_head);
-  (void)ds_wire_write_response (x, &x->response_head, head, false, 0, false);
+  hold_response_head (x, head);
   return answer;
 }
 
@@ -632,17 +655,21 @@
   struct ds_caller *caller = x->caller;
   struct ds_str head = ds_byte_buffer_content (&x->response_head);
   struct ds_str body = ds_byte_buffer_content (&x->held);
-  /* The header ends with "Content-Length: 0" and an empty line.  */
-  const char *tail = "0\r\n\r\n";
-  char length[64];
+  /* The header ends with an empty line, after "Content-Length: 0" unless the
+     response has no body.  */
+  const char *tail = x->bodiless ? "\r\n" : "0\r\n\r\n";
+  const char *close
+      = ds_caller_will_close (caller) ? "Connection: close\r\n" : "";
+  char rest[64];
 
   x->head_sent = true;
   head.length -= strlen (tail);
-  (void)snprintf (length, sizeof length, "%zu\r\n%s\r\n", body.length,
-                  ds_caller_will_close (caller) ? "Connection: close\r\n"
-                                                : "");
+  if (x->bodiless)
+    (void)snprintf (rest, sizeof rest, "%s\r\n", close);
+  else
+    (void)snprintf (rest, sizeof rest, "%zu\r\n%s\r\n", body.length, close);
   ds_caller_write (caller, head);
-  ds_caller_write (caller, ds_str_from_c (length));
+  ds_caller_write (caller, ds_str_from_c (rest));
   ds_caller_write (caller, body);
   end_exchange (x, "answered");
   ds_caller_finish_response (caller);
@@ -925,9 +952,9 @@
       x->suspect_key_count, now_ms);
   ds_http_connection_set_handlers (ds_pooled_connection_http (x->pooled),
                                    &handlers);
-  (void)ds_http_connection_send (
-      ds_pooled_connection_http (x->pooled), ds_byte_buffer_content (&out),
-      x->body, ds_str_equal (x->head->method, DS_STR ("HEAD")));
+  (void)ds_http_connection_send (ds_pooled_connection_http (x->pooled),
+                                 ds_byte_buffer_content (&out), x->body,
+                                 is_head_request (x));
   ds_byte_buffer_release (&out);
   return 0;
 }
--- a/tests/test_entry_rejections.c
+++ b/tests/test_entry_rejections.c
@@ -237,15 +237,15 @@
 }
 
 static void
-send_request (int fd, const char *path, const char *id)
+send_request (int fd, const char *method, const char *path, const char *id)
 {
   char text[512];
   int length = snprintf (text, sizeof text,
-                         "POST %s HTTP/1.1\r\nHost: d.example\r\n"
+                         "%s %s HTTP/1.1\r\nHost: d.example\r\n"
                          "Authorization: Bearer key-1\r\n"
                          "Deadline-Ms: 3000\r\nRequest-Id: %s\r\n"
                          "Content-Length: 5\r\n\r\nhello",
-                         path, id);
+                         method, path, id);
 
   ck_assert_int_eq (send (fd, text, (size_t)length, MSG_NOSIGNAL), length);
 }
@@ -281,10 +281,10 @@
   for (int i = 0; i < ENTRY_REPLICAS; i++)
     entry_add_response (entry_replicas[i], "send", SOUND, "wait_ms", "200",
                         "send", UNNAMED_503, (char *)NULL);
-  send_request (fd, paths[_i], "id-1");
+  send_request (fd, "POST", paths[_i], "id-1");
   ck_assert_int_eq (read_status (fd), 200);
   ck_assert_int_eq (test_process_signal (entry_hosts[0], SIGSTOP), 0);
-  send_request (fd, paths[_i], "id-2");
+  send_request (fd, "POST", paths[_i], "id-2");
   test_sleep_ms (PAUSE_MS);
   ck_assert_int_eq (test_process_signal (entry_hosts[0], SIGCONT), 0);
   status = read_status (fd);
@@ -439,12 +439,112 @@
 }
 END_TEST
 
+/* Reads up to SIZE - 1 bytes until the connection has been silent for
+   PAUSE_MS.  */
+static size_t
+read_all (int fd, char *out, size_t size)
+{
+  struct timeval wait = { .tv_usec = PAUSE_MS * 1000L };
+  size_t length = 0;
+  ssize_t received;
+
+  ck_assert_int_eq (
+      setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait), 0);
+  while (length < size - 1
+         && (received = recv (fd, out + length, size - 1 - length, 0)) > 0)
+    length += (size_t)received;
+  out[length] = '\0';
+  return length;
+}
+
+static const struct
+{
+  const char *method;
+  const char *path;
+  const char *response; /* null for a sound one */
+  const char *status;   /* of the response to the caller */
+  const char *length;   /* that it declares; null for none */
+} bodiless[] = {
+  { "HEAD", "/look/1",
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" SEAL
+    "Transfer-Encoding: chunked\r\n\r\n",
+    "200", NULL },
+  { "HEAD", "/look/1", "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" SEAL "\r\n",
+    "200", NULL },
+  { "HEAD", "/look/1",
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" SEAL "Content-Length: 9\r\n\r\n",
+    "200", "9" },
+  { "HEAD", "/look/1",
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" SEAL
+    "Content-Length: 900000\r\n\r\n",
+    "200", "900000" },
+  { "HEAD", "/look/1",
+    "HTTP/1.1 404 Not Found\r\nRequest-Id: {id}\r\n" SEAL
+    "Content-Length: 9\r\n\r\n",
+    "404", "9" },
+  { "POST", "/look/1",
+    "HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\n" SEAL "\r\n", "204",
+    NULL },
+  { "POST", "/look/1",
+    "HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\n" SEAL
+    "Content-Length: 0\r\n\r\n",
+    "204", NULL },
+  { "POST", "/look/1",
+    "HTTP/1.1 304 Not Modified\r\nRequest-Id: {id}\r\n" SEAL
+    "Content-Length: 9\r\n\r\n",
+    "304", "9" },
+  /* Refused by the host: no route.  */
+  { "HEAD", "/none/1", NULL, "404", "" },
+};
+
+/* Guards against bytes that belong to no response behind one that has no body:
+   a last chunk, or the text of a refusal.  */
+START_TEST (nothing_follows_a_response_without_a_body)
+{
+  int fd = connect_to (entry_caller_addresses[0]);
+  char text[4096];
+  const char *end;
+  const char *length;
+
+  for (int i = 0; i < ENTRY_REPLICAS && bodiless[_i].response != NULL; i++)
+    entry_add_response (entry_replicas[i], "send", bodiless[_i].response,
+                        (char *)NULL);
+  send_request (fd, bodiless[_i].method, bodiless[_i].path, "id-1");
+  ck_assert_uint_gt (read_all (fd, text, sizeof text), 0);
+  end = strstr (text, "\r\n\r\n");
+  ck_assert_ptr_nonnull (end);
+  ck_assert_str_eq (end, "\r\n\r\n");
+  ck_assert_int_eq (strncmp (text + strlen ("HTTP/1.1 "), bodiless[_i].status,
+                             strlen (bodiless[_i].status)),
+                    0);
+  ck_assert_ptr_null (strstr (text, "Transfer-Encoding"));
+  length = strstr (text, "Content-Length: ");
+  if (bodiless[_i].length == NULL)
+    ck_assert_ptr_null (length);
+  else
+    {
+      ck_assert_ptr_nonnull (length);
+      length += strlen ("Content-Length: ");
+      ck_assert_int_eq (
+          strncmp (length, bodiless[_i].length, strlen (bodiless[_i].length)),
+          0);
+    }
+  /* The connection takes the next request.  */
+  send_request (fd, "POST", "/look/1", "id-2");
+  (void)read_all (fd, text, sizeof text);
+  ck_assert_int_eq (strncmp (text, "HTTP/1.1 200 ", 13), 0);
+  ck_assert_ptr_nonnull (strstr (text, ":hello"));
+  (void)close (fd);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("entry_rejections");
   TCase *late = tcase_create ("late");
   TCase *cut = tcase_create ("cut");
+  TCase *heads = tcase_create ("heads");
   TCase *statuses = tcase_create ("statuses");
   SRunner *runner;
   int failed;
@@ -477,6 +577,11 @@
   tcase_add_loop_test (cut, a_cut_head_does_not_join_the_next_one, 0,
                        (int)(PATHS * sizeof cut_heads / sizeof cut_heads[0]));
   suite_add_tcase (suite, cut);
+  tcase_add_checked_fixture (heads, set_up, tear_down);
+  tcase_set_timeout (heads, 60);
+  tcase_add_loop_test (heads, nothing_follows_a_response_without_a_body, 0,
+                       sizeof bodiless / sizeof bodiless[0]);
+  suite_add_tcase (suite, heads);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
