Hold requests back from replicas that ask for it

Cause: the header was not read; the next request went to the same replica, and callers were told 0.4 s whatever the replicas had said, or got a replica's own value although other replicas were free. Change: a 503 with Retry-After holds the replica for that time, ten minutes at most; a value without sense asks for nothing. Requests are placed elsewhere; if all replicas push back, the least time left is the caller's Retry-After, up to a third of the time it has. After a hold one request is sent before the rest. A hold ends with the lifetime of the replica and outlasts a registration that returns.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -58,6 +58,10 @@
   [DS_METRIC_REPLICAS_LEAVING]
   = { .name = "replicas_leaving_total",
       .help = "Upstreams that have said in an answer that they leave." },
+  [DS_METRIC_REPLICAS_HELD]
+  = { .name = "replicas_held_total",
+      .help = "Times that an upstream began to want no requests for a "
+              "while." },
   [DS_METRIC_REQUESTS_PASSED_OVER]
   = { .name = "requests_passed_over_total",
       .help = "Attempts kept from the best upstream by what it said in an "
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -214,6 +214,8 @@
            && ds_replica_notice_may_serve_last (&replica->notice,
                                                 request->drain_ms, now_ms)))
     return DS_PLACEMENT_LEAVING;
+  if (ds_replica_notice_wait_ms (&replica->notice, now_ms) > 0)
+    return DS_PLACEMENT_HELD;
   return DS_PLACEMENT_UNOBSTRUCTED;
 }
 
@@ -240,8 +242,11 @@
   double cost;
 
   if (obstacle == DS_PLACEMENT_UNOBSTRUCTED
-      && search->best.status == DS_PLACEMENT_NO_REPLICA)
+      && search->best.status != DS_PLACEMENT_OK)
     search->best.status = DS_PLACEMENT_ALL_TRIED;
+  if (obstacle == DS_PLACEMENT_HELD
+      && search->best.status == DS_PLACEMENT_NO_REPLICA)
+    search->best.status = DS_PLACEMENT_ALL_HELD;
   if (was_tried (search->request, replica->hash))
     return;
   cost = expected_ms (replica, search->preferred, search->request,
@@ -327,6 +332,26 @@
   return placement;
 }
 
+/* Returns the time until the first replica of SERVICE takes requests again if
+   all of them, but for those that leave, want none for now; else 0.  */
+uint64_t
+ds_placement_wait_ms (const struct ds_replica_set *set, struct ds_str service,
+                      uint64_t now_ms)
+{
+  uint64_t least = UINT64_MAX;
+
+  for (size_t i = 0; i < ds_replica_set_count (set); i++)
+    {
+      const struct ds_replica *replica = ds_replica_set_at (set, i);
+      uint64_t wait_ms = ds_replica_notice_wait_ms (&replica->notice, now_ms);
+
+      if (ds_str_equal (replica->record.service, service)
+          && ds_replica_accepts_requests (replica) && wait_ms < least)
+        least = wait_ms;
+    }
+  return least == UINT64_MAX ? 0 : least;
+}
+
 /* Records that REPLICA has cached PART.  Returns true if it is new or its
    entry is old, so that other hosts need an update.  */
 bool
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -35,6 +35,7 @@
   DS_PLACEMENT_OK,
   DS_PLACEMENT_NO_REPLICA, /* none is known for the service */
   DS_PLACEMENT_ALL_TRIED,  /* all known ones were tried */
+  DS_PLACEMENT_ALL_HELD,   /* all known ones want no requests for now */
   DS_PLACEMENT_FULL        /* all slots are in use */
 };
 
@@ -42,7 +43,8 @@
 enum ds_placement_obstacle
 {
   DS_PLACEMENT_UNOBSTRUCTED,
-  DS_PLACEMENT_LEAVING /* it said that it leaves */
+  DS_PLACEMENT_LEAVING, /* it said that it leaves */
+  DS_PLACEMENT_HELD     /* it said that it wants no requests for a while */
 };
 
 /* EXPECTED_MS is the estimated time to the first event, UNCACHED_TOKENS the
@@ -62,6 +64,8 @@
 struct ds_placement ds_placement_choose (const struct ds_replica_set *set,
                                          const struct ds_placement_request *r,
                                          uint64_t now_ms);
+uint64_t ds_placement_wait_ms (const struct ds_replica_set *set,
+                               struct ds_str service, uint64_t now_ms);
 uint64_t
 ds_placement_uncached_tokens (const struct ds_replica *replica,
                               const struct ds_placement_request *request,
--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -297,6 +297,26 @@
   return is_new && current != NULL;
 }
 
+/* Records that REPLICA, which may have been dropped like that of
+   ds_replica_set_record_leaving, said at NOW_MS that it wants no requests for
+   HOLD_MS.  Returns true unless it is held already or not in the set.  */
+bool
+ds_replica_set_record_hold (struct ds_replica_set *set,
+                            struct ds_replica *replica, uint64_t hold_ms,
+                            uint64_t now_ms)
+{
+  struct ds_replica *current
+      = ds_replica_set_find_by_hash (set, replica->hash);
+  bool is_new
+      = ds_replica_notice_record_hold (&replica->notice, hold_ms, now_ms);
+
+  if (current != NULL && current != replica)
+    is_new = ds_replica_notice_record_hold (&current->notice, hold_ms, now_ms);
+  if (current == NULL)
+    ds_notice_store_keep (&set->notices, replica->hash, &replica->notice);
+  return is_new && current != NULL;
+}
+
 /* Whether the replica is in service by what the store and other hosts say.  */
 bool
 ds_replica_is_available (const struct ds_replica *replica)
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -90,6 +90,9 @@
 bool ds_replica_set_record_leaving (struct ds_replica_set *set,
                                     struct ds_replica *replica,
                                     uint64_t now_ms);
+bool ds_replica_set_record_hold (struct ds_replica_set *set,
+                                 struct ds_replica *replica, uint64_t hold_ms,
+                                 uint64_t now_ms);
 bool ds_replica_is_available (const struct ds_replica *replica);
 bool ds_replica_accepts_requests (const struct ds_replica *replica);
 
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -143,6 +143,7 @@
   if (x->replica == NULL)
     return;
   x->replica->local_load.running--;
+  ds_replica_notice_record_end (&x->replica->notice, x->attempt_ms);
   if (x->prefill_counted)
     x->replica->local_load.prefill_tokens -= x->uncached_tokens;
   x->prefill_counted = false;
@@ -290,12 +291,27 @@
   ds_caller_abort (caller);
 }
 
+/* Returns when the caller should come back because all replicas push back; 0
+   if they do not.  */
+static uint64_t
+hold_retry_ms (const struct ds_exchange *x)
+{
+  uint64_t now_ms = ds_clock_ms ();
+
+  return ds_replica_notices_retry_after_ms (
+      ds_placement_wait_ms (x->context->replicas, x->placement_request.service,
+                            now_ms),
+      time_left (x, now_ms), x->request.id);
+}
+
 /* Fails a request without further attempts; the response states if it did not
    run.  */
 static void
 fail_request (struct ds_exchange *x, unsigned status_if_run,
               const char *reason)
 {
+  uint64_t hold_ms = hold_retry_ms (x);
+
   if (x->head_sent)
     {
       abort_response (x, reason);
@@ -304,7 +320,7 @@
   if (x->may_have_run)
     refuse (x, status_if_run, 0, reason);
   else
-    refuse (x, 503, RETRY_BUSY_MS, reason);
+    refuse (x, 503, hold_ms > 0 ? hold_ms : RETRY_BUSY_MS, reason);
 }
 
 static void
@@ -429,7 +445,7 @@
 {
   struct ds_byte_buffer out = { .data = NULL };
 
-  if (ds_wire_write_response (x, &out, head, DS_FRAMING_CHUNKED, 0,
+  if (ds_wire_write_response (x, &out, head, DS_FRAMING_CHUNKED, 0, 0,
                               ds_caller_will_close (x->caller))
       == 0)
     ds_caller_write (x->caller, ds_byte_buffer_content (&out));
@@ -464,8 +480,9 @@
   if (x->bodiless && (!head->has_length || head->status == 204))
     framing = DS_FRAMING_NONE;
   ds_byte_buffer_release (&x->response_head);
-  (void)ds_wire_write_response (x, &x->response_head, head, framing,
-                                x->bodiless ? head->body_length : 0, false);
+  (void)ds_wire_write_response (
+      x, &x->response_head, head, framing, x->bodiless ? head->body_length : 0,
+      head->status == 503 ? hold_retry_ms (x) : 0, false);
 }
 
 /* A response without an id is tied to the request by its place alone, which
@@ -502,6 +519,8 @@
   x->response = response;
   x->framed = head->framed;
   x->answer_ms = ds_clock_ms ();
+  if (x->tied && response.hold_ms == 0)
+    ds_replica_notice_record_answer (&x->replica->notice, x->attempt_ms);
   x->status = head->status;
   x->streaming = false;
   x->bodiless
@@ -932,6 +951,7 @@
     }
   x->replica = talloc_reference (x, placement->replica);
   x->replica->local_load.running++;
+  ds_replica_notice_record_sent (&x->replica->notice, now_ms);
   x->uncached_tokens = placement->uncached_tokens;
   x->replica->local_load.prefill_tokens += x->uncached_tokens;
   x->prefill_counted = true;
--- a/src/entry/replica_notices.c
+++ b/src/entry/replica_notices.c
@@ -1,6 +1,46 @@
 #include "entry/replica_notices.h"
 #include "daisystep/metrics.h"
 
+/* Callers wait at most this part of the time they have left.  */
+#define CALLER_WAIT_DIVISOR 3
+/* Callers that are sent away while all replicas push back return over this
+   time, so that most come after the trial requests.  */
+#define RETURN_SPREAD_MS 250
+
+static void
+record_leaving (struct ds_replica_set *set, struct ds_replica *replica,
+                struct ds_str request_id, uint64_t now_ms)
+{
+  struct ds_decision_line line;
+
+  if (!ds_replica_set_record_leaving (set, replica, now_ms))
+    return;
+  ds_metric_add (DS_METRIC_REPLICAS_LEAVING, 1);
+  line = ds_decision_line_begin ("replica", request_id);
+  ds_decision_line_add_text (&line, "replica", replica->record.id);
+  ds_decision_line_add_text (&line, "state", DS_STR ("says_it_leaves"));
+  ds_decision_line_end (&line);
+}
+
+static void
+record_hold (struct ds_replica_set *set, struct ds_replica *replica,
+             uint64_t hold_ms, struct ds_str request_id, uint64_t now_ms)
+{
+  struct ds_decision_line line;
+
+  if (!ds_replica_set_record_hold (set, replica, hold_ms, now_ms))
+    return;
+  ds_metric_add (DS_METRIC_REPLICAS_HELD, 1);
+  line = ds_decision_line_begin ("replica", request_id);
+  ds_decision_line_add_text (&line, "replica", replica->record.id);
+  ds_decision_line_add_text (&line, "state", DS_STR ("pushes_back"));
+  ds_decision_line_add_number (&line, "asked_ms", (int64_t)hold_ms);
+  ds_decision_line_add_number (
+      &line, "held_ms",
+      (int64_t)ds_replica_notice_wait_ms (&replica->notice, now_ms));
+  ds_decision_line_end (&line);
+}
+
 /* Records what the header RESPONSE, which arrived on a connection to REPLICA,
    says of the replica itself, and logs what is new.  It may be the response to
    another request than REQUEST_ID: the replica sent it all the same.  */
@@ -10,16 +50,24 @@
                            const struct ds_upstream_response *response,
                            struct ds_str request_id, uint64_t now_ms)
 {
-  struct ds_decision_line line;
+  if (response->leaving)
+    record_leaving (set, replica, request_id, now_ms);
+  if (response->hold_ms > 0)
+    record_hold (set, replica, response->hold_ms, request_id, now_ms);
+}
 
-  if (!response->leaving
-      || !ds_replica_set_record_leaving (set, replica, now_ms))
-    return;
-  ds_metric_add (DS_METRIC_REPLICAS_LEAVING, 1);
-  line = ds_decision_line_begin ("replica", request_id);
-  ds_decision_line_add_text (&line, "replica", replica->record.id);
-  ds_decision_line_add_text (&line, "state", DS_STR ("says_it_leaves"));
-  ds_decision_line_end (&line);
+/* Returns the Retry-After of a request that cannot be placed for WAIT_MS, for
+   a caller that has LEFT_MS left; 0 if it can be placed.  */
+uint64_t
+ds_replica_notices_retry_after_ms (uint64_t wait_ms, uint64_t left_ms,
+                                   struct ds_str request_id)
+{
+  uint64_t most = left_ms / CALLER_WAIT_DIVISOR;
+
+  if (wait_ms == 0)
+    return 0;
+  wait_ms += ds_str_hash (request_id, 11) % RETURN_SPREAD_MS;
+  return most > 0 && wait_ms > most ? most : wait_ms;
 }
 
 static const char *
@@ -29,6 +77,8 @@
     {
     case DS_PLACEMENT_LEAVING:
       return "leaves";
+    case DS_PLACEMENT_HELD:
+      return "pushes back";
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
@@ -58,10 +108,14 @@
 {
   if (placement->passed_over != NULL)
     ds_metric_add (DS_METRIC_REQUESTS_PASSED_OVER, 1);
+  if (placement->status == DS_PLACEMENT_ALL_HELD)
+    return "all replicas push back";
   switch (placement->obstacle)
     {
     case DS_PLACEMENT_LEAVING:
       return "all replicas that are left leave";
+    case DS_PLACEMENT_HELD:
+      return "all replicas that are left push back";
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
--- a/src/entry/replica_notices.h
+++ b/src/entry/replica_notices.h
@@ -11,6 +11,8 @@
                                 struct ds_str request_id, uint64_t now_ms);
 void ds_replica_notices_describe_choice (struct ds_decision_line *line,
                                          const struct ds_placement *placement);
+uint64_t ds_replica_notices_retry_after_ms (uint64_t wait_ms, uint64_t left_ms,
+                                            struct ds_str request_id);
 const char *ds_replica_notices_refusal (const struct ds_placement *placement);
 
 #endif
--- a/tests/standins/platform_replica.c
+++ b/tests/standins/platform_replica.c
@@ -18,7 +18,8 @@
    truncated ones end with a reset; "endless"
    is the number of requests that get status 500 and a body without end;
    "deadly" is a part of prompts whose requests get the header of a response
-   and then a reset; with "leaving" all responses say that it leaves.  GET
+   and then a reset; with "leaving" all responses say that it leaves;
+   "retry_after" is the Retry-After of rejections.  GET
    /standin/runs returns the executed requests.  */
 
 #define EVENTS 6
@@ -38,7 +39,8 @@
   json_int_t unframed;
   bool reset;
   bool leaving;
-  char deadly[32]; /* empty for none */
+  char retry_after[32]; /* empty for none */
+  char deadly[32];      /* empty for none */
 };
 
 struct stream
@@ -59,13 +61,17 @@
   return true;
 }
 
-/* Adds to RESPONSE what the replica says of itself.  */
+/* Adds to RESPONSE, a rejection or not, what the replica says of itself.  */
 static void
-add_notices (struct replica *replica, struct MHD_Response *response)
+add_notices (struct replica *replica, struct MHD_Response *response,
+             bool rejected)
 {
   pthread_mutex_lock (&replica->lock);
   if (replica->leaving)
     (void)MHD_add_response_header (response, "Server-Leaving", "1");
+  if (rejected && replica->retry_after[0] != '\0')
+    (void)MHD_add_response_header (response, "Retry-After",
+                                   replica->retry_after);
   pthread_mutex_unlock (&replica->lock);
 }
 
@@ -85,7 +91,7 @@
   else
     (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
   (void)MHD_add_response_header (response, "Instance-Id", replica->id);
-  add_notices (replica, response);
+  add_notices (replica, response, status == 503);
   result = MHD_queue_response (request->connection, status, response);
   MHD_destroy_response (response);
   return result;
@@ -182,7 +188,7 @@
   (void)MHD_add_response_header (
       response, "Request-Id", standin_request_header (request, "Request-Id"));
   (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
-  add_notices (replica, response);
+  add_notices (replica, response, false);
   result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
   MHD_destroy_response (response);
   return result;
@@ -208,7 +214,7 @@
   (void)MHD_add_response_header (
       response, "Request-Id", standin_request_header (request, "Request-Id"));
   (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
-  add_notices (replica, response);
+  add_notices (replica, response, false);
   result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
   MHD_destroy_response (response);
   return result;
@@ -233,7 +239,7 @@
   (void)MHD_add_response_header (
       response, "Request-Id", standin_request_header (request, "Request-Id"));
   (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
-  add_notices (replica, response);
+  add_notices (replica, response, false);
   result = MHD_queue_response (request->connection,
                                MHD_HTTP_INTERNAL_SERVER_ERROR, response);
   MHD_destroy_response (response);
@@ -263,7 +269,7 @@
   (void)MHD_add_response_header (
       response, "Request-Id", standin_request_header (request, "Request-Id"));
   (void)MHD_add_response_header (response, "Server-Seal", "seal.1");
-  add_notices (replica, response);
+  add_notices (replica, response, false);
   result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
   MHD_destroy_response (response);
   return result;
@@ -351,6 +357,9 @@
   pthread_mutex_lock (&replica->lock);
   (void)snprintf (replica->deadly, sizeof replica->deadly, "%s",
                   or_empty (deadly));
+  (void)snprintf (
+      replica->retry_after, sizeof replica->retry_after, "%s",
+      or_empty (json_string_value (json_object_get (body, "retry_after"))));
   replica->shed = json_integer_value (json_object_get (body, "shed"));
   replica->fail = json_integer_value (json_object_get (body, "fail"));
   replica->drop = json_integer_value (json_object_get (body, "drop"));
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -186,6 +186,89 @@
 }
 END_TEST
 
+/* Guards against requests to one of three replicas that wants none, and
+   against holding back what the others can take.  */
+START_TEST (a_replica_that_pushes_back_is_passed_over)
+{
+  struct ds_placement_request request
+      = { .service = DS_STR ("ledger"), .zone = DS_STR ("kelheim") };
+  struct ds_placement first;
+  struct ds_placement next;
+
+  add_replica ("b3", "ledger", "riedenburg", false);
+  first = ds_placement_choose (set, &request, 1000);
+  (void)ds_replica_set_record_hold (set, first.replica, 2000, 1000);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1000), 0);
+  for (int i = 0; i < 2; i++)
+    {
+      next = ds_placement_choose (set, &request, 1000);
+      ck_assert_int_eq (next.status, DS_PLACEMENT_OK);
+      ck_assert_ptr_ne (next.replica, first.replica);
+      ck_assert_ptr_eq (next.passed_over, first.replica);
+      ck_assert_int_eq (next.obstacle, DS_PLACEMENT_HELD);
+      next.replica->local_load.running += 4;
+    }
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 3000).replica,
+                    first.replica);
+  request.tried[request.tried_count++] = next.replica->hash;
+  next = ds_placement_choose (set, &request, 2999);
+  request.tried[request.tried_count++] = next.replica->hash;
+  next = ds_placement_choose (set, &request, 2999);
+  ck_assert_int_eq (next.status, DS_PLACEMENT_ALL_TRIED);
+  ck_assert_int_eq (next.obstacle, DS_PLACEMENT_HELD);
+}
+END_TEST
+
+/* Guards against telling callers another time than that of the replica that is
+   back first, and against a request to one that leaves while the others only
+   push back.  */
+START_TEST (the_shortest_hold_decides_when_all_push_back)
+{
+  struct ds_placement_request request = { .service = DS_STR ("ledger"),
+                                          .zone = DS_STR ("kelheim"),
+                                          .drain_ms = 2000 };
+  struct ds_replica *held[2];
+
+  add_replica ("b3", "ledger", "riedenburg", false);
+  held[0] = ds_replica_set_find (set, DS_STR ("b1"));
+  held[1] = ds_replica_set_find (set, DS_STR ("b2"));
+  (void)ds_replica_set_record_leaving (
+      set, ds_replica_set_find (set, DS_STR ("b3")), 1000);
+  (void)ds_replica_set_record_hold (set, held[0], 2000, 1000);
+  (void)ds_replica_set_record_hold (set, held[1], 700, 1000);
+  ck_assert_int_eq (ds_placement_choose (set, &request, 1100).status,
+                    DS_PLACEMENT_ALL_HELD);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1100), 600);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1700), 0);
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 1700).replica,
+                    held[1]);
+  /* Both at once: it is not used when the hold has ended.  */
+  (void)ds_replica_set_record_leaving (set, held[1], 1200);
+  ck_assert_int_eq (ds_placement_choose (set, &request, 1700).status,
+                    DS_PLACEMENT_ALL_HELD);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1700), 1300);
+}
+END_TEST
+
+/* Guards against a last resort that wants no requests.  */
+START_TEST (a_replica_that_leaves_and_pushes_back_is_no_last_resort)
+{
+  struct ds_placement_request request = { .service = DS_STR ("ledger"),
+                                          .zone = DS_STR ("kelheim"),
+                                          .drain_ms = 2000 };
+  struct ds_replica *replica = ds_replica_set_find (set, DS_STR ("b1"));
+
+  (void)ds_replica_set_record_leaving (set, replica, 1000);
+  (void)ds_replica_set_record_leaving (
+      set, ds_replica_set_find (set, DS_STR ("b2")), 1000);
+  (void)ds_replica_set_record_hold (set, replica, 1000, 1000);
+  ck_assert_ptr_ne (ds_placement_choose (set, &request, 1100).replica,
+                    replica);
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 2100).replica,
+                    replica);
+}
+END_TEST
+
 /* A replica fails some requests although it is healthy.  It is avoided for
    longer with each consecutive failure, and used if there is no other.  */
 START_TEST (a_failing_replica_is_avoided)
@@ -333,6 +416,10 @@
   tcase_add_test (test_case, a_draining_replica_gets_no_requests);
   tcase_add_test (test_case, a_replica_that_leaves_is_passed_over);
   tcase_add_test (test_case, replicas_that_all_leave_serve_while_they_drain);
+  tcase_add_test (test_case, a_replica_that_pushes_back_is_passed_over);
+  tcase_add_test (test_case, the_shortest_hold_decides_when_all_push_back);
+  tcase_add_test (test_case,
+                  a_replica_that_leaves_and_pushes_back_is_no_last_resort);
   tcase_add_test (test_case, a_failing_replica_is_avoided);
   tcase_add_test (test_case, tried_replicas_are_left_out);
   tcase_add_test (test_case, a_missing_part_ends_the_cached_prefix);
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -267,6 +267,83 @@
 }
 END_TEST
 
+/* Guards against requests to a replica that wants none, since its registration
+   ran out and is back, and against a next lifetime that gets none for what
+   the one before said.  */
+START_TEST (a_hold_is_a_fact_about_one_lifetime)
+{
+  struct ds_replica *replica;
+
+  put ("a", 10, "10.0.0.1:80");
+  replica = talloc_reference (owner, ds_replica_set_at (set, 0));
+  ck_assert (ds_replica_set_record_hold (set, replica, 3000, 1000));
+  ck_assert (!ds_replica_set_record_hold (set, replica, 3000, 1100));
+  ds_replica_set_remove (set, DS_STR ("a"), 0);
+  put ("a", 10, "10.0.0.1:80");
+  ck_assert_uint_eq (
+      ds_replica_notice_wait_ms (&ds_replica_set_at (set, 0)->notice, 1200),
+      2900);
+  /* The answer to a request that was sent before.  */
+  (void)ds_replica_set_record_hold (set, replica, 5000, 1300);
+  ck_assert_uint_eq (
+      ds_replica_notice_wait_ms (&ds_replica_set_at (set, 0)->notice, 1300),
+      5000);
+  put ("a", 11, "10.0.0.1:80");
+  ck_assert_uint_eq (
+      ds_replica_notice_wait_ms (&ds_replica_set_at (set, 0)->notice, 1300),
+      0);
+}
+END_TEST
+
+/* Guards against a wait that outlasts the bound, against one that a later,
+   shorter wish ends early, and against one that the answer to an earlier
+   request ends.  */
+START_TEST (holds_are_bounded_and_end_in_time)
+{
+  struct ds_replica_notice notice = { .leaving_ms = 0 };
+
+  ck_assert (!ds_replica_notice_record_hold (&notice, 0, 1000));
+  ck_assert (ds_replica_notice_record_hold (&notice, 4000, 1000));
+  ck_assert (!ds_replica_notice_record_hold (&notice, 500, 1100));
+  ds_replica_notice_record_answer (&notice, 999);
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&notice, 1600), 3400);
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&notice, 5000), 0);
+  ck_assert (ds_replica_notice_record_hold (&notice, UINT32_MAX, 5000));
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&notice, 5000), 600000);
+}
+END_TEST
+
+/* Guards against all requests at once when a hold ends: one is sent, and the
+   others once it is answered, has failed, or takes too long.  */
+START_TEST (one_request_follows_a_hold)
+{
+  struct ds_replica_notice held = { .leaving_ms = 0 };
+  struct ds_replica_notice notice;
+
+  (void)ds_replica_notice_record_hold (&held, 1000, 1000);
+  ds_replica_notice_record_sent (&held, 1999);
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&held, 2000), 0);
+  ds_replica_notice_record_sent (&held, 2000);
+  ck_assert_uint_gt (ds_replica_notice_wait_ms (&held, 2001), 0);
+  notice = held;
+  ds_replica_notice_record_answer (&notice, 2000);
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&notice, 2100), 0);
+  ds_replica_notice_record_sent (&notice, 2100);
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&notice, 2101), 0);
+  notice = held;
+  ds_replica_notice_record_end (&notice, 1500);
+  ck_assert_uint_gt (ds_replica_notice_wait_ms (&notice, 2100), 0);
+  ds_replica_notice_record_end (&notice, 2000);
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&notice, 2100), 0);
+  ds_replica_notice_record_sent (&notice, 2100);
+  ck_assert_uint_gt (ds_replica_notice_wait_ms (&notice, 2101), 0);
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&held, 2500), 0);
+  notice = held;
+  ck_assert (ds_replica_notice_record_hold (&notice, 3000, 2100));
+  ck_assert_uint_eq (ds_replica_notice_wait_ms (&notice, 2100), 3000);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -296,6 +373,9 @@
                   a_notice_reaches_a_lifetime_that_was_dropped_meanwhile);
   tcase_add_test (test_case,
                   a_departure_is_news_after_the_notice_of_the_replica);
+  tcase_add_test (test_case, a_hold_is_a_fact_about_one_lifetime);
+  tcase_add_test (test_case, holds_are_bounded_and_end_in_time);
+  tcase_add_test (test_case, one_request_follows_a_hold);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -171,6 +171,85 @@
 }
 END_TEST
 
+/* Guards against a wait that an upstream did not ask for: a value without
+   sense is none.  */
+START_TEST (the_wait_of_an_upstream_is_parsed)
+{
+  static const struct
+  {
+    unsigned status;
+    const char *value;
+    uint64_t hold_ms;
+  } cases[] = {
+    { 503, "2", 2000 },
+    { 503, "0.25", 250 },
+    { 503, " 1.5 ", 1500 },
+    { 503, "1.23456", 1234 },
+    { 503, "0", 0 },
+    { 503, "99999999999999999999999999", UINT32_MAX },
+    { 503, "18446744073709551615", UINT32_MAX },
+    { 503, "4294967295.9", UINT32_MAX },
+    { 503, "-1", 0 },
+    { 503, "+1", 0 },
+    { 503, "1e3", 0 },
+    { 503, "1.5s", 0 },
+    { 503, "1,5", 0 },
+    { 503, ".", 0 },
+    { 503, "", 0 },
+    { 503, "nan", 0 },
+    { 503, "inf", 0 },
+    { 503, "soon", 0 },
+    { 503, "Sat, 05 Dec 2026 05:00:00 GMT", 0 },
+    { 429, "2", 0 },
+    { 200, "2", 0 },
+    { 500, "2", 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct ds_http_header_line line
+          = { DS_STR ("retry-after"), ds_str_from_c (cases[i].value) };
+      struct ds_http_head from
+          = { .status = cases[i].status, .lines = &line, .line_count = 1 };
+      struct ds_upstream_response response;
+
+      ds_wire_read_response (&response, &from);
+      ck_assert_msg (response.hold_ms == cases[i].hold_ms,
+                     "%u \"%s\" is read as %ju ms", cases[i].status,
+                     cases[i].value, (uintmax_t)response.hold_ms);
+    }
+}
+END_TEST
+
+/* Guards against passing on to callers what an upstream asks of this host
+   alone, while other upstreams are free.  */
+START_TEST (the_wait_of_an_upstream_is_not_forwarded)
+{
+  struct ds_http_header_line line = { DS_STR ("Retry-After"), DS_STR ("30") };
+  struct ds_http_head from
+      = { .status = 503, .lines = &line, .line_count = 1 };
+  static const char *const expected[] = { NULL, "Retry-After: 0.250\r\n" };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct ds_byte_buffer out = { .data = NULL };
+      char *text;
+
+      ck_assert_int_eq (ds_wire_write_response (owner, &out, &from,
+                                                DS_FRAMING_LENGTH, 0,
+                                                i == 0 ? 0 : 250, false),
+                        0);
+      text = talloc_strndup (owner, ds_byte_buffer_content (&out).data,
+                             ds_byte_buffer_content (&out).length);
+      ck_assert_ptr_null (strstr (text, "Retry-After: 30"));
+      if (expected[i] != NULL)
+        ck_assert_ptr_nonnull (strstr (text, expected[i]));
+      else
+        ck_assert_ptr_null (strstr (text, "Retry-After"));
+    }
+}
+END_TEST
+
 START_TEST (address_queries_are_answered)
 {
   struct ds_http_head query = { .line_count = 0 };
@@ -253,6 +332,8 @@
   tcase_add_test (test_case, a_duplicate_header_is_refused);
   tcase_add_test (test_case, a_response_header_is_parsed);
   tcase_add_test (test_case, a_notice_of_leaving_is_parsed);
+  tcase_add_test (test_case, the_wait_of_an_upstream_is_parsed);
+  tcase_add_test (test_case, the_wait_of_an_upstream_is_not_forwarded);
   tcase_add_test (test_case, address_queries_are_answered);
   tcase_add_test (test_case, objects_without_a_name_are_skipped);
   tcase_add_test (test_case, a_conditional_write_names_its_revision);
