Wait for the first served stream in tests of streams

Cause: a_resumed_stream_takes_events_only ended once, beside a load of 16, with 503 "tokens cannot be had now". Probably its first request came before the host had drawn tokens from the ledger; that was not traced. The test is about streams and does not expect that refusal. Change: the set-up of test_entry_streams and test_entry_stream_faults waits until each host has served a stream. The checks are as they were.

--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -190,6 +190,23 @@
   ck_abort_msg ("host %d is not ready", i);
 }
 
+/* Waits until host I serves a stream, so that it has drawn tokens from the
+   ledger.  */
+void
+entry_wait_served (int i)
+{
+  for (int waited = 0; waited < ENTRY_WAIT_MS; waited += ENTRY_POLL_MS)
+    {
+      char id[32];
+
+      (void)snprintf (id, sizeof id, "first-%d-%d", i, waited);
+      if (entry_request (i, "POST", "/stream/1", id, "100,24")->status == 200)
+        return;
+      test_sleep_ms (ENTRY_POLL_MS);
+    }
+  ck_abort_msg ("host %d does not serve", i);
+}
+
 /* Sends a request with ID and, unless null, the Token-Count TOKENS.  */
 struct test_http_response *
 entry_request (int host, const char *method, const char *path, const char *id,
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -48,6 +48,7 @@
 void entry_restart_replica (int i);
 void entry_start_host (int i, const char *zone);
 void entry_wait_ready (int i);
+void entry_wait_served (int i);
 struct test_http_response *entry_request (int host, const char *method,
                                           const char *path, const char *id,
                                           const char *tokens);
--- a/tests/test_entry_stream_faults.c
+++ b/tests/test_entry_stream_faults.c
@@ -280,7 +280,10 @@
   for (int i = 0; i < HOSTS; i++)
     entry_start_host (i, "z");
   for (int i = 0; i < HOSTS; i++)
-    entry_wait_ready (i);
+    {
+      entry_wait_ready (i);
+      entry_wait_served (i);
+    }
 }
 
 static void
--- a/tests/test_entry_streams.c
+++ b/tests/test_entry_streams.c
@@ -34,6 +34,7 @@
   entry_start_scripted_standins (1000000);
   entry_start_host (0, "z");
   entry_wait_ready (0);
+  entry_wait_served (0);
 }
 
 static void
