Decode the store's entries one by one

Cause: ds_store_page_decode gave the whole answer to json_loadb, so that one entry that the library refuses ("\u0000", a lone surrogate, bytes that are no UTF-8, a number beyond the range, nesting beyond 2,048 levels) made the answer unreadable. The watcher took that for a lost store and asked again from the same revision without end. An entry that became unreadable after it had been a good replica also stayed in use, and the name of a foreign entry at the end of a page went into the next request's path unencoded.

Change: json_items splits an answer by pairing strings and brackets, without recursion; name, revision, deletion and spec are decoded by themselves. An entry that names no replica removes the one that it named before and is announced as a departure. Unreadable entries are counted (daisystep_unreadable_entries_total) and logged once a change, not once a list; a configuration that cannot be read leaves the one in force; a page of the ledger without readable spec is not taken for a missing one. A hosts' list that cannot be read is asked for again.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -90,6 +90,9 @@
   [DS_METRIC_PLATFORM_BYTES_RECEIVED]
   = { .name = "platform_bytes_received_total",
       .help = "Bytes of bodies received from the object API." },
+  [DS_METRIC_UNREADABLE_ENTRIES]
+  = { .name = "unreadable_entries_total",
+      .help = "Changes of entries in the store that cannot be read." },
   [DS_METRIC_JOURNAL_RECORDS]
   = { .name = "journal_records_total",
       .help = "Records appended to the own journal." },
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,6 +3,7 @@
 #include "core/gossip_pace.h"
 #include "core/ledger_page.h"
 #include "daisystep/log.h"
+#include "daisystep/metrics.h"
 #include "entry/address_service.h"
 #include "entry/budget_manager.h"
 #include "entry/caller.h"
@@ -11,6 +12,7 @@
 #include "entry/fleet_view.h"
 #include "entry/registration.h"
 #include "entry/store_watcher.h"
+#include "entry/unreadable_entry.h"
 #include "io/clock.h"
 #include "io/event_context.h"
 #include "io/tcp.h"
@@ -187,9 +189,13 @@
 
   if (object->deleted || !ds_str_equal (object->name, DS_STR (DS_CONFIG_NAME)))
     return;
-  if (ds_config_decode (&config, entry, object->spec, &error) != 0)
+  if (object->problem != NULL
+      || ds_config_decode (&config, entry, object->spec, &error) != 0)
     {
-      ds_log_error (&error, NULL);
+      if (ds_store_watcher_is_change (entry->config_watcher, object))
+        ds_unreadable_entry_report (
+            DS_KIND_CONFIG, object->name, object->revision,
+            object->problem != NULL ? object->problem : error.message);
       return;
     }
   if (entry->exchanges.config != NULL
@@ -290,12 +296,12 @@
    that is missing after a store outage may return and is not reported.  */
 static void
 announce_departure (struct ds_entry *entry,
-                    const struct ds_store_object *object)
+                    const struct ds_store_object *object, bool gone)
 {
   const struct ds_replica *replica
       = ds_replica_set_find (entry->replicas, object->name);
   struct ds_departure departure
-      = { .revision = object->revision, .gone = object->deleted };
+      = { .revision = object->revision, .gone = gone };
 
   if (replica == NULL || !ds_replica_is_available (replica)
       || (object->deleted && removal_time (entry) > 0))
@@ -334,38 +340,69 @@
 }
 
 static void
-on_replica_object (const struct ds_store_object *object, void *user_data)
+log_replica (const struct ds_store_object *object, struct ds_str state,
+             const struct ds_replica_record *record, const char *reason)
 {
-  struct ds_entry *entry = user_data;
-  struct ds_error error = DS_ERROR_NONE;
-  struct ds_replica_record record;
   struct ds_decision_line line
       = ds_decision_line_begin ("replica", DS_STR_EMPTY);
 
   ds_decision_line_add_text (&line, "replica", object->name);
   ds_decision_line_add_number (&line, "revision", (int64_t)object->revision);
+  ds_decision_line_add_text (&line, "state", state);
+  if (record != NULL)
+    {
+      ds_decision_line_add_text (&line, "service", record->service);
+      ds_decision_line_add_text (&line, "address", record->address);
+    }
+  if (reason != NULL)
+    ds_decision_line_add_text (&line, "reason", ds_str_from_c (reason));
+  ds_decision_line_end (&line);
+}
+
+/* Handles an entry that names no replica to use.  A replica that it named
+   before is gone at once: unlike a missing entry, it has not expired in an
+   outage.  */
+static void
+on_unreadable_replica (struct ds_entry *entry,
+                       const struct ds_store_object *object,
+                       const char *reason)
+{
+  announce_departure (entry, object, true);
+  ds_replica_set_remove (entry->replicas, object->name, 0);
+  if (!ds_store_watcher_is_change (entry->replica_watcher, object))
+    return;
+  ds_metric_add (DS_METRIC_UNREADABLE_ENTRIES, 1);
+  log_replica (object, DS_STR ("unreadable"), NULL, reason);
+}
+
+static void
+on_replica_object (const struct ds_store_object *object, void *user_data)
+{
+  struct ds_entry *entry = user_data;
+  struct ds_error error = DS_ERROR_NONE;
+  struct ds_replica_record record;
+
   if (object->deleted)
     {
-      announce_departure (entry, object);
+      announce_departure (entry, object, true);
       ds_replica_set_remove (entry->replicas, object->name,
                              removal_time (entry));
-      ds_decision_line_add_text (&line, "state", DS_STR ("gone"));
+      log_replica (object, DS_STR ("gone"), NULL, NULL);
     }
+  else if (object->problem != NULL)
+    on_unreadable_replica (entry, object, object->problem);
   else if (ds_replica_decode (&record, object->name, object->spec, &error)
            != 0)
-    ds_decision_line_add_text (&line, "state", DS_STR ("unreadable"));
+    on_unreadable_replica (entry, object, error.message);
   else
     {
       if (record.draining)
-        announce_departure (entry, object);
+        announce_departure (entry, object, false);
       (void)ds_replica_set_put (entry->replicas, &record);
-      ds_decision_line_add_text (&line, "state",
-                                 record.draining ? DS_STR ("draining")
-                                                 : DS_STR ("ready"));
-      ds_decision_line_add_text (&line, "service", record.service);
-      ds_decision_line_add_text (&line, "address", record.address);
+      log_replica (object,
+                   record.draining ? DS_STR ("draining") : DS_STR ("ready"),
+                   &record, NULL);
     }
-  ds_decision_line_end (&line);
 }
 
 static uint64_t
--- a/src/entry/ledger_client.c
+++ b/src/entry/ledger_client.c
@@ -3,6 +3,7 @@
 #include "core/ledger_page.h"
 #include "daisystep/log.h"
 #include "daisystep/metrics.h"
+#include "entry/unreadable_entry.h"
 #include "io/clock.h"
 #include "platform/names.h"
 
@@ -39,7 +40,8 @@
   size_t count;
   json_t *page; /* as last read; null if it does not exist */
   uint64_t revision;
-  bool page_known; /* PAGE and REVISION have been read */
+  uint64_t unreadable_revision; /* the last one reported; 0 for none */
+  bool page_known;              /* PAGE and REVISION have been read */
   enum call_state state;
   struct ds_store_pending_call *pending;
   json_t *update_spec; /* the page that the current update writes */
@@ -52,6 +54,19 @@
   bool store_responds;
 };
 
+/* Counts and logs REVISION of the page, which cannot be read, unless that has
+   been done before.  */
+static void
+report_unreadable (struct ds_ledger_client *client, uint64_t revision,
+                   const char *reason)
+{
+  if (revision > 0 && revision == client->unreadable_revision)
+    return;
+  client->unreadable_revision = revision;
+  ds_unreadable_entry_report (DS_KIND_LEDGER, ds_str_from_c (client->name),
+                              revision, reason);
+}
+
 /* Decodes the page as last read, or creates an empty one if none exists.  */
 static int
 decode_page (struct ds_ledger_page **out, struct ds_ledger_client *client)
@@ -63,7 +78,7 @@
     return ds_ledger_page_new (out, client);
   status = ds_ledger_page_decode (out, client, client->page, &error);
   if (status != 0)
-    ds_log_error (&error, NULL);
+    report_unreadable (client, client->revision, error.message);
   return status;
 }
 
@@ -72,19 +87,24 @@
 accept_object (struct ds_ledger_client *client, struct ds_str body)
 {
   struct ds_error error = DS_ERROR_NONE;
-  struct ds_store_object object;
-  json_t *document;
+  struct ds_store_object *object;
 
-  if (ds_store_object_decode (&object, &document, body, &error) != 0)
+  if (ds_store_object_decode (&object, client, body, &error) != 0)
     {
       ds_log_error (&error, NULL);
       return false;
     }
+  if (object->spec == NULL)
+    {
+      report_unreadable (client, object->revision, object->problem);
+      talloc_free (object);
+      return false;
+    }
   json_decref (client->page);
-  client->page = json_incref (object.spec);
-  client->revision = object.revision;
+  client->page = json_incref (object->spec);
+  client->revision = object->revision;
   client->page_known = true;
-  json_decref (document);
+  talloc_free (object);
   return true;
 }
 
--- a/src/entry/registration.c
+++ b/src/entry/registration.c
@@ -1,6 +1,8 @@
 #include "entry/registration.h"
 #include "daisystep/log.h"
+#include "entry/unreadable_entry.h"
 #include "io/clock.h"
+#include "io/socket_address.h"
 #include "io/timer.h"
 #include "platform/names.h"
 
@@ -9,6 +11,9 @@
 /* Delay before a failed registration is retried.  */
 #define REGISTER_RETRY_MS 500
 #define CALL_TIMEOUT_MS 1000
+/* Largest processor share that settings can lead to: of a link of 1,000,000
+   Mbit/s, in percent of a core.  */
+#define CAPACITY_MAX 500000
 
 enum step
 {
@@ -58,7 +63,47 @@
   return text != NULL ? ds_str_from_c (text) : DS_STR_EMPTY;
 }
 
+/* Returns the processor share in SPEC; 0, which counts as unknown, for one
+   that no host has.  */
+static uint32_t
+capacity_of (const json_t *spec)
+{
+  json_int_t capacity
+      = json_integer_value (json_object_get (spec, "capacity"));
+
+  return capacity > 0 && capacity <= CAPACITY_MAX ? (uint32_t)capacity : 0;
+}
+
 static void
+add_host (struct ds_registration *registration,
+          const struct ds_store_object *object)
+{
+  const json_t *spec = object->spec;
+  struct ds_socket_address address;
+  struct ds_fleet_registration host = {
+    .host = object->name,
+    .zone = text_of (spec, "zone"),
+    .region = text_of (spec, "region"),
+    .caller_address = text_of (spec, "caller_address"),
+    .gossip_address = text_of (spec, "gossip_address"),
+    .capacity = capacity_of (spec),
+  };
+
+  if (object->deleted)
+    return;
+  if (ds_socket_address_parse (&address, host.gossip_address) != 0)
+    {
+      ds_unreadable_entry_report (
+          DS_KIND_HOSTS, object->name, object->revision,
+          object->problem != NULL ? object->problem
+                                  : "gossip_address is invalid");
+      return;
+    }
+  ds_fleet_view_add (registration->fleet, &host);
+}
+
+/* Adds the hosts that are listed in BODY; false if it is not a list.  */
+static bool
 add_hosts (struct ds_registration *registration, struct ds_str body)
 {
   struct ds_error error = DS_ERROR_NONE;
@@ -67,25 +112,16 @@
   if (ds_store_page_decode (&page, registration, body, false, &error) != 0)
     {
       ds_log_error (&error, NULL);
-      return;
+      return false;
     }
+  for (size_t i = 0; i < page->unnamed; i++)
+    ds_unreadable_entry_report (DS_KIND_HOSTS, DS_STR_EMPTY, 0,
+                                "no readable name");
   for (size_t i = 0; i < page->count; i++)
-    {
-      const json_t *spec = page->objects[i].spec;
-      struct ds_fleet_registration host = {
-        .host = page->objects[i].name,
-        .zone = text_of (spec, "zone"),
-        .region = text_of (spec, "region"),
-        .caller_address = text_of (spec, "caller_address"),
-        .gossip_address = text_of (spec, "gossip_address"),
-        .capacity
-        = (uint32_t)json_integer_value (json_object_get (spec, "capacity")),
-      };
-
-      ds_fleet_view_add (registration->fleet, &host);
-    }
+    add_host (registration, &page->objects[i]);
   talloc_free (page);
   ds_fleet_view_tick (registration->fleet, ds_clock_ms ());
+  return true;
 }
 
 static void
@@ -114,11 +150,9 @@
         schedule_retry (registration);
       break;
     default:
-      if (result->outcome == DS_STORE_OK)
-        {
-          add_hosts (registration, result->body);
-          registration->step = REGISTERED;
-        }
+      if (result->outcome == DS_STORE_OK
+          && add_hosts (registration, result->body))
+        registration->step = REGISTERED;
       else
         schedule_retry (registration);
       break;
--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -1,5 +1,6 @@
 #include "entry/store_watcher.h"
 #include "base/decision_log.h"
+#include "entry/unreadable_entry.h"
 #include "io/clock.h"
 #include "io/timer.h"
 
@@ -131,9 +132,23 @@
   schedule_call (watcher, pause);
 }
 
+/* Reports entries without a readable name, whose changes cannot be told from
+   what earlier lists held.  */
+static void
+report_unnamed (const struct ds_store_watcher *watcher,
+                const struct ds_store_page *page)
+{
+  if (watcher->listing && watcher->listed)
+    return;
+  for (size_t i = 0; i < page->unnamed; i++)
+    ds_unreadable_entry_report (watcher->kind, DS_STR_EMPTY, 0,
+                                "no readable name");
+}
+
 static void
 apply_page (struct ds_store_watcher *watcher, const struct ds_store_page *page)
 {
+  report_unnamed (watcher, page);
   if (watcher->listing && watcher->after.length == 0)
     {
       watcher->list_revision = page->revision;
@@ -352,6 +367,16 @@
   start_call (watcher);
 }
 
+/* True if OBJECT, which is being handled, has changed since the last complete
+   list or watch; false if a repeated list has it again.  */
+bool
+ds_store_watcher_is_change (const struct ds_store_watcher *watcher,
+                            const struct ds_store_object *object)
+{
+  return !watcher->listing || !watcher->listed
+         || object->revision > watcher->revision;
+}
+
 /* True once all objects of the kind have been listed.  */
 bool
 ds_store_watcher_has_listed (const struct ds_store_watcher *watcher)
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -35,6 +35,8 @@
 void ds_store_watcher_probe (struct ds_store_watcher *watcher);
 bool ds_store_watcher_check (struct ds_store_watcher *watcher,
                              const char *reason);
+bool ds_store_watcher_is_change (const struct ds_store_watcher *watcher,
+                                 const struct ds_store_object *object);
 bool ds_store_watcher_has_listed (const struct ds_store_watcher *watcher);
 uint64_t
 ds_store_watcher_responded_ms (const struct ds_store_watcher *watcher);
--- a/tests/standins/platform_store.c
+++ b/tests/standins/platform_store.c
@@ -13,11 +13,16 @@
    end), "lose_answers" (the number of ledger writes that take effect without a
    response), "lose_watches" (the number of watches of "lose_kind" whose events
    are not sent, while the connection stays open), "lapse" (removes the
-   registrations of replicas at once) and "compact" (discards the history). GET
-   /standin/counts returns the number of watch requests and of ledger writes.
- */
+   registrations of replicas at once) and "compact" (discards the history).
+   POST /standin/raw/KIND/NAME writes an object whose spec is the body, byte by
+   byte and unchecked.  GET /standin/counts returns the number of watch
+   requests and of ledger writes.  */
 
 #define OBJECTS_PREFIX "/daisystep/objects/"
+#define RAW_PREFIX "/standin/raw/"
+/* Begins the string that stands for an unchecked spec, followed by its bytes
+   in hexadecimal digits.  */
+#define RAW_MARK "standin-raw:"
 #define WATCH_POLL_MS 10
 /* Time for which a call gets no response.  */
 #define SILENCE_MS 60000
@@ -74,6 +79,49 @@
          == 0;
 }
 
+/* Replaces the strings that stand for unchecked specs in TEXT by their bytes;
+   the result is shorter.  Returns its length.  */
+static size_t
+insert_raw_specs (char *text)
+{
+  const char *mark;
+  const char *from = text;
+  char *to = text;
+  size_t length;
+
+  while ((mark = strstr (from, "\"" RAW_MARK)) != NULL)
+    {
+      unsigned byte;
+
+      memmove (to, from, (size_t)(mark - from));
+      to += mark - from;
+      for (from = mark + strlen ("\"" RAW_MARK); *from != '"'; from += 2)
+        {
+          (void)sscanf (from, "%2x", &byte);
+          *to++ = (char)byte;
+        }
+      from++;
+    }
+  length = strlen (from);
+  memmove (to, from, length + 1);
+  return (size_t)(to - text) + length;
+}
+
+/* Responds with BODY, which is released.  */
+static enum MHD_Result
+respond_objects (struct standin_request *request, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  enum MHD_Result result;
+
+  json_decref (body);
+  result = standin_respond_text (
+      request, MHD_HTTP_OK, NULL,
+      (struct ds_str){ .data = text, .length = insert_raw_specs (text) });
+  free (text);
+  return result;
+}
+
 static ssize_t
 read_endless (void *state, uint64_t position, char *buffer, size_t size)
 {
@@ -112,10 +160,9 @@
   }
   revision = store->revision;
   pthread_mutex_unlock (&store->lock);
-  return standin_respond_json (request, MHD_HTTP_OK, NULL,
-                               json_pack ("{s:o,s:b,s:I}", "items", items,
-                                          "has_more", 0, "current_rev",
-                                          revision));
+  return respond_objects (request,
+                          json_pack ("{s:o,s:b,s:I}", "items", items,
+                                     "has_more", 0, "current_rev", revision));
 }
 
 /* The events of KIND after the revision SINCE, or null if that part of the
@@ -186,9 +233,9 @@
           return standin_close_connection (request);
         }
       if (json_array_size (events) > 0 || standin_now_ms () >= end_ms)
-        return standin_respond_json (request, MHD_HTTP_OK, NULL,
-                                     json_pack ("{s:o,s:I}", "events", events,
-                                                "current_rev", revision));
+        return respond_objects (request,
+                                json_pack ("{s:o,s:I}", "events", events,
+                                           "current_rev", revision));
       json_decref (events);
       if (!standin_request_wait (request, WATCH_POLL_MS))
         return standin_close_connection (request);
@@ -272,7 +319,7 @@
   pthread_mutex_unlock (&store->lock);
   if (object == NULL)
     return standin_respond_error (request, MHD_HTTP_NOT_FOUND, "no object");
-  return standin_respond_json (request, MHD_HTTP_OK, NULL, object);
+  return respond_objects (request, object);
 }
 
 /* Removes the object KEY; the lock is held.  */
@@ -364,6 +411,33 @@
   return standin_respond_json (request, MHD_HTTP_OK, NULL, counts);
 }
 
+static enum MHD_Result
+write_raw (struct store *store, struct standin_request *request)
+{
+  const char *key = request->path + strlen (RAW_PREFIX);
+  const char *slash = strchr (key, '/');
+  char *text = malloc (sizeof RAW_MARK + 2 * request->body_length);
+  size_t length = strlen (RAW_MARK);
+  json_t *spec;
+
+  if (slash == NULL || text == NULL)
+    {
+      free (text);
+      return standin_respond_error (request, MHD_HTTP_BAD_REQUEST, "no name");
+    }
+  memcpy (text, RAW_MARK, sizeof RAW_MARK);
+  for (size_t i = 0; i < request->body_length; i++)
+    length += (size_t)sprintf (text + length, "%02x",
+                               (unsigned char)request->body[i]);
+  spec = json_string (text);
+  free (text);
+  pthread_mutex_lock (&store->lock);
+  json_decref (put_object (store, key, slash + 1, spec));
+  pthread_mutex_unlock (&store->lock);
+  json_decref (spec);
+  return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
 static enum MHD_Result
 handle (void *state, struct standin_request *request)
 {
@@ -378,6 +452,8 @@
     return set_faults (store, request);
   if (standin_request_matches (request, "GET", "/standin/counts"))
     return get_counts (store, request);
+  if (strncmp (request->path, RAW_PREFIX, strlen (RAW_PREFIX)) == 0)
+    return write_raw (store, request);
   if (strncmp (request->path, OBJECTS_PREFIX, strlen (OBJECTS_PREFIX)) != 0)
     return standin_respond_error (request, MHD_HTTP_NOT_FOUND, "no such path");
   pthread_mutex_lock (&store->lock);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -293,6 +293,147 @@
 }
 END_TEST
 
+/* Texts that are balanced but that the JSON decoder refuses.  */
+static const char *const odd_values[] = {
+  "\"\\u0000\\u0001\"",
+  "\"\\ud800\"",
+  "\"\xff\xfe\"",
+  "\xff\xfe",
+  "1e999",
+  "123456789012345678901234567890",
+  "nul",
+  "{\"a\" 1}",
+  "{\"a\":}",
+  "",
+};
+
+/* Returns the text of COUNT arrays inside each other.  */
+static char *
+nested_arrays (size_t count)
+{
+  char *text = talloc_array (owner, char, 2 * (unsigned)count + 1);
+
+  memset (text, '[', count);
+  memset (text + count, ']', count);
+  text[2 * count] = '\0';
+  return text;
+}
+
+static void
+check_page_around (const char *odd)
+{
+  const char *text = talloc_asprintf (
+      owner,
+      "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":4},"
+      "\"spec\":{\"x\":1}},{\"metadata\":{\"finalizers\":[%s],\"name\":"
+      "\"b\",\"revision\":5},\"spec\":%s,\"status\":%s},%s,"
+      "{\"metadata\":{\"name\":%s,\"revision\":6},\"spec\":{}},"
+      "{\"metadata\":{\"name\":\"c\",\"revision\":%s},\"spec\":{\"x\":3}"
+      "}],\"has_more\":true,\"other\":%s,\"current_rev\":12}",
+      odd, odd, odd, odd, odd[0] == '"' && odd[1] == '\\' ? "7" : odd, odd,
+      odd);
+  struct ds_store_page *page;
+  struct ds_error error;
+
+  ck_assert_int_eq (
+      ds_store_page_decode (&page, owner, ds_str_from_c (text), false, &error),
+      0);
+  ck_assert (page->has_more && page->revision == 12);
+  ck_assert_uint_eq (page->count, 3);
+  ck_assert_uint_eq (page->unnamed, 2);
+  ck_assert (ds_str_equal (page->objects[0].name, DS_STR ("a")));
+  ck_assert_int_eq (
+      json_integer_value (json_object_get (page->objects[0].spec, "x")), 1);
+  ck_assert (ds_str_equal (page->objects[1].name, DS_STR ("b")));
+  ck_assert_uint_eq (page->objects[1].revision, 5);
+  ck_assert_ptr_null (page->objects[1].spec);
+  ck_assert_ptr_nonnull (page->objects[1].problem);
+  ck_assert (ds_str_equal (page->objects[2].name, DS_STR ("c")));
+  ck_assert_uint_eq (page->objects[2].revision, 0);
+  ck_assert_ptr_nonnull (page->objects[2].spec);
+  ck_assert_ptr_null (page->objects[2].problem);
+}
+
+/* Guards against an entry that the JSON decoder refuses hiding the others of
+   its page.  */
+START_TEST (an_entry_that_cannot_be_decoded_hides_no_other)
+{
+  for (size_t i = 0; i < sizeof odd_values / sizeof odd_values[0]; i++)
+    check_page_around (odd_values[i]);
+  check_page_around (nested_arrays (3000));
+  check_page_around (nested_arrays (100000));
+}
+END_TEST
+
+/* Guards against a removal that is missed since the entry that was removed
+   cannot be decoded.  */
+START_TEST (the_removal_of_an_entry_that_cannot_be_decoded_is_read)
+{
+  for (size_t i = 0; i < sizeof odd_values / sizeof odd_values[0]; i++)
+    {
+      const char *text = talloc_asprintf (
+          owner,
+          "{\"events\":[{\"tombstone\":true,\"object\":{\"metadata\":{"
+          "\"name\":\"b\",\"revision\":9},\"spec\":%s}},{\"tombstone\":"
+          "false,\"object\":{\"metadata\":{\"name\":\"a\","
+          "\"revision\":10},\"spec\":{}}}],\"current_rev\":12}",
+          odd_values[i]);
+      struct ds_store_page *page;
+      struct ds_error error;
+
+      ck_assert_int_eq (ds_store_page_decode (
+                            &page, owner, ds_str_from_c (text), true, &error),
+                        0);
+      ck_assert_uint_eq (page->count, 2);
+      ck_assert (page->objects[0].deleted && page->objects[0].revision == 9);
+      ck_assert (!page->objects[1].deleted && page->objects[1].spec != NULL);
+    }
+}
+END_TEST
+
+/* Guards against a page of the ledger that cannot be decoded and is taken for
+   one that does not exist.  */
+START_TEST (an_object_without_a_readable_spec_has_a_problem)
+{
+  struct ds_store_object *object;
+  struct ds_error error;
+
+  ck_assert_int_eq (
+      ds_store_object_decode (
+          &object, owner,
+          DS_STR ("{\"metadata\":{\"name\":\"a\",\"revision\":3},"
+                  "\"spec\":1e999}"),
+          &error),
+      0);
+  ck_assert (object->spec == NULL && object->problem != NULL);
+  ck_assert_uint_eq (object->revision, 3);
+  ck_assert_int_eq (ds_store_object_decode (&object, owner,
+                                            DS_STR ("{\"spec\":{}}"), &error),
+                    DS_EPROTOCOL);
+}
+END_TEST
+
+/* Guards against a list that cannot be continued after the name of another
+   writer's entry.  */
+START_TEST (the_name_after_which_a_list_continues_is_encoded)
+{
+  struct ds_store_call call = {
+    .verb = DS_STORE_LIST,
+    .kind = "k",
+    .after = DS_STR ("i-1.a_b~ &\r\n\0\xff"),
+  };
+  struct ds_str head_text;
+  struct ds_str body;
+
+  ck_assert_int_eq (ds_store_call_encode (&head_text, &body, owner, &call,
+                                          DS_STR ("10.0.0.1:5")),
+                    0);
+  ck_assert_ptr_nonnull (strstr (
+      head_text.data,
+      "GET /daisystep/objects/k?after=i-1.a_b~%20%26%0D%0A%00%FF HTTP/1.1"));
+}
+END_TEST
+
 START_TEST (a_conditional_write_names_its_revision)
 {
   json_t *spec = json_pack ("{s:i}", "a", 1);
@@ -336,6 +477,11 @@
   tcase_add_test (test_case, the_wait_of_an_upstream_is_not_forwarded);
   tcase_add_test (test_case, address_queries_are_answered);
   tcase_add_test (test_case, objects_without_a_name_are_skipped);
+  tcase_add_test (test_case, an_entry_that_cannot_be_decoded_hides_no_other);
+  tcase_add_test (test_case,
+                  the_removal_of_an_entry_that_cannot_be_decoded_is_read);
+  tcase_add_test (test_case, an_object_without_a_readable_spec_has_a_problem);
+  tcase_add_test (test_case, the_name_after_which_a_list_continues_is_encoded);
   tcase_add_test (test_case, a_conditional_write_names_its_revision);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
