--- a/src/io/socket_address.c
+++ b/src/io/socket_address.c
@@ -97,6 +97,16 @@
                   ntohs (v4->sin_port));
 }
 
+/* Returns the port in host byte order.  */
+uint16_t
+ds_socket_address_port (const struct ds_socket_address *address)
+{
+  return ntohs (
+      address->storage.ss_family == AF_INET6
+          ? ((const struct sockaddr_in6 *)&address->storage)->sin6_port
+          : ((const struct sockaddr_in *)&address->storage)->sin_port);
+}
+
 /* Sets the port to 0, so that the address can be bound as the source of a
    connection.  */
 void
--- a/src/io/socket_address.h
+++ b/src/io/socket_address.h
@@ -18,6 +18,7 @@
                              struct ds_str text);
 void ds_socket_address_format (char out[DS_SOCKET_ADDRESS_BYTES],
                                const struct ds_socket_address *address);
+uint16_t ds_socket_address_port (const struct ds_socket_address *address);
 void ds_socket_address_clear_port (struct ds_socket_address *address);
 
 #endif
--- a/tests/test_routing_config.c
+++ b/tests/test_routing_config.c
@@ -198,6 +198,84 @@
 }
 END_TEST
 
+/* Guards against requests that are sent to what another writer has left, and
+   against numbers that lose their upper bits.  */
+START_TEST (entries_with_values_out_of_range_are_refused)
+{
+  static const char *const bad[] = {
+    "\"address\":\"1.2.3.4:0\"",
+    "\"address\":\"1.2.3.4:65536\"",
+    "\"address\":\"1.2.3.4:99999999999999999999999\"",
+    "\"address\":\"1.2.3.4:-5\"",
+    "\"address\":\"1.2.3.4:\"",
+    "\"address\":\"1.2.3.4\"",
+    "\"address\":\"replica.example:80\"",
+    "\"address\":\"1.2.3.4:5 \"",
+    "\"address\":\"1.2.3:5\"",
+    "\"address\":\":5\"",
+    "\"address\":\"[::1:5\"",
+    "\"address\":\"\\u0001\\u0002\\u0003\"",
+    "\"address\":[\"1.2.3.4:5\"]",
+    "\"address\":\"1.2.3.4:5\",\"slots\":-1",
+    "\"address\":\"1.2.3.4:5\",\"slots\":4294967296",
+    "\"address\":\"1.2.3.4:5\",\"slots\":1.5",
+    "\"address\":\"1.2.3.4:5\",\"slots\":null",
+    "\"address\":\"1.2.3.4:5\",\"born\":-1",
+  };
+  static const char *const good[] = {
+    "\"address\":\"1.2.3.4:1\"",
+    "\"address\":\"1.2.3.4:65535\"",
+    "\"address\":\"[::1]:80\",\"slots\":4294967295,\"born\":0",
+  };
+  struct ds_replica_record record;
+  struct ds_error error;
+
+  for (size_t i = 0;
+       i < sizeof bad / sizeof bad[0] + sizeof good / sizeof good[0]; i++)
+    {
+      bool is_bad = i < sizeof bad / sizeof bad[0];
+      char *text = talloc_asprintf (
+          owner, "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",%s}",
+          is_bad ? bad[i] : good[i - sizeof bad / sizeof bad[0]]);
+      json_t *spec = json_loads (text, 0, NULL);
+
+      ck_assert_ptr_nonnull (spec);
+      ck_assert_msg (
+          (ds_replica_decode (&record, DS_STR ("i-1"), spec, &error) != 0)
+              == is_bad,
+          "%s", text);
+      json_decref (spec);
+    }
+}
+END_TEST
+
+/* Guards against a limit or time that becomes another one since it does not
+   fit.  */
+START_TEST (numbers_out_of_range_get_the_default)
+{
+  json_t *spec = json_loads (
+      "{\"version\":9007199254740993,\"routes\":[{\"name\":\"r\",\"host\":"
+      "\"h\",\"path_prefix\":\"/\",\"service\":\"s\",\"timeout_ms\":"
+      "4294967297,\"max_attempts\":1e300}],\"tenants\":[{\"name\":\"t\","
+      "\"prepaid\":100000000000000001}],\"limits\":{\"max_header_bytes\":-1,"
+      "\"max_body_bytes\":1e300,\"idle_timeout_ms\":4294967297}}",
+      0, NULL);
+  struct ds_caller_limits fallback = DS_CALLER_LIMITS_DEFAULT;
+  struct ds_routing_config *config;
+  struct ds_error error;
+
+  ck_assert_int_eq (ds_config_decode (&config, owner, spec, &error), 0);
+  json_decref (spec);
+  ck_assert_uint_eq (config->version, 9007199254740993);
+  ck_assert_uint_eq (config->routes[0].timeout_ms, 30000);
+  ck_assert_uint_eq (config->routes[0].max_attempts, 1);
+  ck_assert_uint_eq (config->workspaces[0].prepaid, 100000000000000001);
+  ck_assert_uint_eq (config->limits.header_bytes, fallback.header_bytes);
+  ck_assert_uint_eq (config->limits.body_bytes, fallback.body_bytes);
+  ck_assert_uint_eq (config->limits.idle_timeout_ms, fallback.idle_timeout_ms);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -215,6 +293,8 @@
   tcase_add_test (test_case,
                   a_configuration_without_version_or_routes_is_refused);
   tcase_add_test (test_case, foreign_replica_entries_are_refused);
+  tcase_add_test (test_case, entries_with_values_out_of_range_are_refused);
+  tcase_add_test (test_case, numbers_out_of_range_get_the_default);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_unreadable_entries.c
+++ b/tests/test_unreadable_entries.c
@@ -188,6 +188,50 @@
 }
 END_TEST
 
+/* Guards against requests that are refused since an entry whose address cannot
+   be read is taken for a replica.  */
+START_TEST (an_entry_with_an_odd_address_gets_no_request)
+{
+  static const char *const addresses[]
+      = { "\\u0001\\u0002\\u0003", "127.0.0.1:0", "127.0.0.1:70000",
+          "127.0.0.1", "replica.example:80" };
+  char spec[256];
+  char path[64];
+
+  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
+    {
+      (void)snprintf (spec, sizeof spec,
+                      "{\"service\":\"pool\",\"zone\":\"z\",\"state\":"
+                      "\"ready\",\"slots\":8,\"address\":\"%s\"}",
+                      addresses[i]);
+      (void)snprintf (path, sizeof path, "servers/a-%zu", i);
+      put_raw (path, spec);
+    }
+  /* The store's stand-in lists them in the order of their creation.  */
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    {
+      struct test_http_call removal = { .method = "DELETE",
+                                        .address = entry_store->address,
+                                        .path = path };
+
+      (void)snprintf (path, sizeof path, ENTRY_OBJECTS "servers/i-%d", i);
+      ck_assert_int_eq (test_http (&removal)->status, 200);
+      entry_put_replica (i, "ready");
+    }
+  entry_start_host (1, "z");
+  entry_wait_ready (1);
+  for (int i = 0; i < 20; i++)
+    {
+      char id[32];
+
+      (void)snprintf (id, sizeof id, "id-%d", i);
+      ck_assert_int_eq (entry_request (1, "POST", "/book/1", id, NULL)->status,
+                        200);
+    }
+  wait_for_unreadable (1, sizeof addresses / sizeof addresses[0]);
+}
+END_TEST
+
 /* Guards against a log line for each list that has the entry.  */
 START_TEST (an_odd_entry_is_reported_once_a_change)
 {
@@ -230,6 +274,7 @@
                        ODD_SPECS);
   tcase_add_loop_test (test_case, an_odd_configuration_leaves_the_one_in_force,
                        0, ODD_SPECS);
+  tcase_add_test (test_case, an_entry_with_an_odd_address_gets_no_request);
   tcase_add_test (test_case, an_odd_entry_is_reported_once_a_change);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
