Offer callers no address that cannot be used

The address of a host for callers was copied from its registration, its datagrams and the records of relays as it came, and written into the answers to address queries without escapes: a quote in it made the whole answer unreadable, and port 0 or a host name was offered.

Change: such an address counts as missing. The gossip address was checked before.

Evidence: an_address_that_cannot_be_used_is_not_offered, six addresses by both ways, failed with src/ of the commit before and passes now (test_fleet_view: 9 of 9).

--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -502,8 +502,8 @@
                      ds_str_from_c (datagram->zone));
   ds_fleet_set_text (member, &member->info.region,
                      ds_str_from_c (datagram->region));
-  ds_fleet_set_text (member, &member->info.caller_address,
-                     ds_str_from_c (datagram->caller_address));
+  ds_fleet_set_caller_address (member,
+                               ds_str_from_c (datagram->caller_address));
   if (member->gossip_address == NULL
       || strcmp (member->gossip_address, datagram->gossip_address) != 0)
     {
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -178,6 +178,20 @@
   return 0;
 }
 
+/* Sets the address of MEMBER for callers.  One that cannot be used is left out
+   of the responses to address queries, which it would make invalid.  */
+void
+ds_fleet_set_caller_address (struct ds_fleet_peer *member, struct ds_str text)
+{
+  struct ds_socket_address address;
+
+  ds_fleet_set_text (member, &member->info.caller_address,
+                     ds_socket_address_parse (&address, text) == 0
+                             && ds_socket_address_port (&address) != 0
+                         ? text
+                         : DS_STR_EMPTY);
+}
+
 /* Adds the host of REGISTRATION, which the store or a relay lists.  What a
    datagram of the host itself has said goes first.  */
 void
@@ -199,8 +213,7 @@
                         registration->gossip_address.length);
   ds_fleet_set_text (member, &member->info.zone, registration->zone);
   ds_fleet_set_text (member, &member->info.region, registration->region);
-  ds_fleet_set_text (member, &member->info.caller_address,
-                     registration->caller_address);
+  ds_fleet_set_caller_address (member, registration->caller_address);
   if (registration->capacity > 0)
     member->info.capacity = registration->capacity;
 }
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -181,6 +181,8 @@
                                             struct ds_str host);
 void ds_fleet_set_text (TALLOC_CTX *owner, struct ds_str *text,
                         struct ds_str value);
+void ds_fleet_set_caller_address (struct ds_fleet_peer *member,
+                                  struct ds_str text);
 bool ds_fleet_same_zone (const struct ds_fleet_view *view,
                          const struct ds_fleet_peer *member);
 
--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -528,6 +528,46 @@
 }
 END_TEST
 
+/* Guards against an answer to an address query that no caller can read, since
+   one host reports an address that is none.  */
+START_TEST (an_address_that_cannot_be_used_is_not_offered)
+{
+  static char bad[][32] = { "127.0.0.1:0",     "127.0.0.1:65536", "127.0.0.1",
+                            "host.example:80", "\",\"1:2",        "\x01\xff" };
+  Daisystep__Gossip__Datagram datagram;
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      char name[] = "listed-0";
+      struct ds_fleet_registration registration = {
+        .caller_address = ds_str_from_c (bad[i]),
+        .gossip_address = ds_str_from_c (peer_address),
+      };
+
+      name[strlen (name) - 1] = (char)('0' + i);
+      registration.host = ds_str_from_c (name);
+      ds_fleet_view_add (view, &registration);
+      ck_assert_uint_eq (
+          ds_fleet_view_at (view, ds_fleet_view_count (view) - 1)
+              ->caller_address.length,
+          0);
+    }
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      const struct ds_fleet_member *member;
+
+      init_datagram (&datagram);
+      send_datagram (&datagram);
+      member = ds_fleet_view_at (view, ds_fleet_view_count (view) - 1);
+      ck_assert (
+          ds_str_equal (member->caller_address, ds_str_from_c (peer_address)));
+      datagram.caller_address = bad[i];
+      send_datagram (&datagram);
+      ck_assert_uint_eq (member->caller_address.length, 0);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -549,6 +589,7 @@
   tcase_add_test (test_case,
                   a_relay_passes_on_a_thousand_parts_in_two_seconds);
   tcase_add_test (test_case, malformed_datagrams_are_ignored);
+  tcase_add_test (test_case, an_address_that_cannot_be_used_is_not_offered);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
