Leave room for any index in a test's host names

The address sanitizer's build of test_fleet_view stopped with -Werror=format-truncation: "host-%zu" may need 26 bytes of the 16 in name. Built and passed under that sanitizer with 32.

--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -424,7 +424,7 @@
 {
   for (size_t i = 0; i < count; i++)
     {
-      char name[16];
+      char name[32];
       struct ds_fleet_registration registration = {
         .zone = DS_STR ("z"),
         .region = DS_STR ("r"),
