Decode damaged answers of the store in a test

16,000 answers with bytes changed or cut off, from eight fixed seeds, are decoded or refused; under the address sanitizer as well.

--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -365,6 +365,44 @@
 }
 END_TEST
 
+/* Guards against a host that ends, or reads beyond an answer, because of what
+   the store sends; found under the address sanitizer if at all.  */
+START_TEST (damaged_answers_are_decoded_or_refused)
+{
+  static const char text[]
+      = "{\"items\":[{\"metadata\":{\"name\":\"i-1\",\"revision\":4,"
+        "\"finalizers\":[\"a\\u0041\"]},\"spec\":{\"service\":\"s\",\"slots\":"
+        "[1,2,{\"x\":null}]},\"status\":null},{\"metadata\":{\"name\":"
+        "\"i-2\"}}],\"has_more\":false,\"current_rev\":12}";
+  static const char bytes[] = "{}[]\",:\\u0eE-9\xff\x01 ";
+  size_t decoded = 0;
+
+  srand ((unsigned)_i + 1);
+  for (int k = 0; k < 2000; k++)
+    {
+      TALLOC_CTX *scratch = talloc_new (owner);
+      size_t length = (size_t)rand () % 8 == 0 ? (size_t)rand () % sizeof text
+                                               : sizeof text - 1;
+      /* Without a zero byte behind it.  */
+      char *copy = talloc_memdup (scratch, text, length);
+      struct ds_store_page *page;
+      struct ds_error error;
+      int status;
+
+      for (int changes = rand () % 4; changes > 0 && length > 0; changes--)
+        copy[(size_t)rand () % length]
+            = bytes[(size_t)rand () % (sizeof bytes - 1)];
+      status = ds_store_page_decode (
+          &page, scratch, (struct ds_str){ .data = copy, .length = length },
+          false, &error);
+      ck_assert (status == 0 || status == DS_EPROTOCOL);
+      decoded += status == 0;
+      talloc_free (scratch);
+    }
+  ck_assert_uint_gt (decoded, 0);
+}
+END_TEST
+
 /* Guards against a removal that is missed since the entry that was removed
    cannot be decoded.  */
 START_TEST (the_removal_of_an_entry_that_cannot_be_decoded_is_read)
@@ -478,6 +516,8 @@
   tcase_add_test (test_case, address_queries_are_answered);
   tcase_add_test (test_case, objects_without_a_name_are_skipped);
   tcase_add_test (test_case, an_entry_that_cannot_be_decoded_hides_no_other);
+  tcase_add_loop_test (test_case, damaged_answers_are_decoded_or_refused, 0,
+                       8);
   tcase_add_test (test_case,
                   the_removal_of_an_entry_that_cannot_be_decoded_is_read);
   tcase_add_test (test_case, an_object_without_a_readable_spec_has_a_problem);
