Bind the memory for requests by the host

Cause: a caller's body was collected whole before its route and key were looked at, with no bound over all callers, and copied once more for the replica. Unsent response bytes, held responses, heads and pipelined requests had a bound for each connection only.

Change: memory_mb, from the platform's limits.memory_mb, is divided into shares (src/core/host_memory.c). A body above 4 KiB gets memory for its declared length before it is read (src/core/body_pool.c); beyond the share, reading stops and the request waits 500 ms or a quarter of its time at most, and then gets 503 with Retry-After, after which the rest of its body is dropped for two seconds. Bodies up to 128 KiB pass larger ones. Bodies without a length get 64 KiB first and the largest size beyond, so that one can always finish. A request with an unknown key or route is refused by its head. Bodies go to replicas by reference. Unsent bytes, held responses, long heads and requests in progress have shares, too; blocks of 1 MiB and more are always mapped, so that freed bodies go back to the system.

The address sanitizer finds nothing in test_entry_memory, test_entry, test_entry_streams, test_entry_fleet and test_http.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -50,6 +50,15 @@
   = { .name = "malformed_streams_total",
       .help = "Streams in which an upstream sent something else than the next "
               "event." },
+  [DS_METRIC_BODIES_WAITED]
+  = { .name = "bodies_waited_total",
+      .help = "Request bodies that waited for memory." },
+  [DS_METRIC_BODIES_UNREAD]
+  = { .name = "bodies_unread_total",
+      .help = "Requests refused before their body was read." },
+  [DS_METRIC_HEADS_REFUSED]
+  = { .name = "heads_refused_total",
+      .help = "Request heads that were too long for the memory left." },
   [DS_METRIC_UPSTREAM_RETRIES]
   = { .name = "upstream_retries_total", .help = "Attempts after the first." },
   [DS_METRIC_UPSTREAM_SILENT]
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -1,6 +1,7 @@
 #ifndef DS_ENTRY_CALLER_H
 #define DS_ENTRY_CALLER_H
 
+#include "core/host_memory.h"
 #include "daisystep/routing_config.h"
 #include "io/http_message.h"
 
@@ -11,7 +12,10 @@
 /* Handlers of a listener.  ON_REQUEST is called with a complete request; HEAD
    and BODY are valid until the response is finished.  ON_DISCONNECT reports
    that the caller disconnected before that; the caller is freed when it
-   returns.  ON_DRAINED reports that all output was sent.  */
+   returns.  ON_DRAINED reports that all output was sent.  BODY_WAIT_MS says
+   how long a request with a body above the ordinary size may wait for memory,
+   0 to refuse it at once.  ON_UNREAD is called in place of ON_REQUEST for a
+   request whose body is not read to its end; it has to refuse it.  */
 struct ds_caller_handlers
 {
   void (*on_request) (struct ds_caller *caller,
@@ -21,18 +25,24 @@
                          void *user_data);
   void (*on_drained) (struct ds_caller *caller, void *request_data,
                       void *user_data);
+  uint64_t (*body_wait_ms) (const struct ds_http_head *head, void *user_data);
+  void (*on_unread) (struct ds_caller *caller, const struct ds_http_head *head,
+                     void *user_data);
   void *user_data;
 };
 
 /* Shared by all connections of a listener.  LIMITS may change at any time;
    with CLOSING, each connection closes after its response, with SHEDDING after
    that to a request that arrives meanwhile.  CONNECTIONS counts
-   open connections, RESPONDING those with a request in progress.  */
+   open connections, RESPONDING those with a request in progress.  MEMORY is
+   shared by all groups of the host; ADMIT_EVENT is the group's own.  */
 struct ds_caller_group
 {
   struct tevent_context *ev;
   struct ds_caller_handlers handlers;
   struct ds_caller_limits limits;
+  struct ds_host_memory *memory;
+  struct tevent_immediate *admit_event;
   bool closing;
   bool shedding;
   size_t connections;
@@ -47,6 +57,8 @@
 void ds_caller_abort (struct ds_caller *caller);
 bool ds_caller_will_close (const struct ds_caller *caller);
 uint64_t ds_caller_origin (const struct ds_caller *caller);
-size_t ds_caller_unsent (const struct ds_caller *caller);
+bool ds_caller_is_behind (const struct ds_caller *caller);
+TALLOC_CTX *ds_caller_body_holder (const struct ds_caller *caller);
+void ds_caller_group_stop (struct ds_caller_group *group);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -21,6 +21,7 @@
 #include "platform/names.h"
 
 #include <inttypes.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -62,6 +63,16 @@
    had from the store.  */
 #define OWN_WATCH_DELAY_MS 400
 
+#define BYTES_PER_MB 1048576.0
+/* Readiness, address and metrics questions are GET requests.  */
+#define QUESTION_BODY_BYTES_MAX 4096
+/* Blocks from this size on are mapped by themselves, so that their memory goes
+   back to the system once they are freed.  Without a fixed value, the library
+   raises it to the largest block freed, and bodies of several MB stay in the
+   heap.  Most configurations are smaller: they need no call to the system.  */
+#define MAPPED_BLOCK_BYTES 1048576
+#define HEAP_TRIM_BYTES 2097152
+
 /* A link that is as strong as one core.  */
 #define LINK_MBPS_PER_CORE 200
 #define PERCENT 100
@@ -133,6 +144,23 @@
   ds_exchange_start (&entry->exchanges, caller, head, body);
 }
 
+static uint64_t
+body_wait_ms (const struct ds_http_head *head, void *user_data)
+{
+  const struct ds_entry *entry = user_data;
+
+  return ds_exchange_body_wait_ms (&entry->exchanges, head);
+}
+
+static void
+on_unread (struct ds_caller *caller, const struct ds_http_head *head,
+           void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  ds_exchange_refuse_unread (&entry->exchanges, caller, head);
+}
+
 static void
 on_disconnect (struct ds_caller *caller, void *request_data, void *user_data)
 {
@@ -1011,21 +1039,42 @@
   return 0;
 }
 
+/* A group for questions to this host, which need no body.  */
 static struct ds_caller_group
 make_group (struct ds_entry *entry,
             void (*handler) (struct ds_caller *, const struct ds_http_head *,
-                             struct ds_str, void *),
-            void *user_data)
+                             struct ds_str, void *))
 {
-  return (struct ds_caller_group){
+  struct ds_caller_group group = {
     .ev = entry->ev,
     .handlers = {
       .on_request = handler,
-      .on_disconnect = handler == on_request ? on_disconnect : ignore_disconnect,
-      .on_drained = handler == on_request ? on_drained : NULL,
-      .user_data = user_data,
+      .on_disconnect = ignore_disconnect,
+      .user_data = &entry->addresses,
+    },
+    .limits = DS_CALLER_LIMITS_DEFAULT,
+    .memory = &entry->exchanges.memory,
+  };
+
+  group.limits.body_bytes = QUESTION_BODY_BYTES_MAX;
+  return group;
+}
+
+static struct ds_caller_group
+make_caller_group (struct ds_entry *entry)
+{
+  return (struct ds_caller_group){
+    .ev = entry->ev,
+    .handlers = {
+      .on_request = on_request,
+      .on_disconnect = on_disconnect,
+      .on_drained = on_drained,
+      .body_wait_ms = body_wait_ms,
+      .on_unread = on_unread,
+      .user_data = entry,
     },
     .limits = DS_CALLER_LIMITS_DEFAULT,
+    .memory = &entry->exchanges.memory,
   };
 }
 
@@ -1036,13 +1085,12 @@
   struct ds_tcp_listener *listener;
   int status;
 
-  entry->callers = make_group (entry, on_request, entry);
-  entry->readiness
-      = make_group (entry, ds_address_service_readiness, &entry->addresses);
-  entry->directory
-      = make_group (entry, ds_address_service_addresses, &entry->addresses);
-  entry->metrics
-      = make_group (entry, ds_address_service_metrics, &entry->addresses);
+  ds_host_memory_init (&entry->exchanges.memory,
+                       (uint64_t)(settings->memory_mb * BYTES_PER_MB));
+  entry->callers = make_caller_group (entry);
+  entry->readiness = make_group (entry, ds_address_service_readiness);
+  entry->directory = make_group (entry, ds_address_service_addresses);
+  entry->metrics = make_group (entry, ds_address_service_metrics);
   status = ds_tcp_listen (&entry->caller_listener, entry, entry->ev,
                           settings->caller_address, on_accept, &entry->callers,
                           error);
@@ -1087,6 +1135,8 @@
   if (entry == NULL)
     return ds_error_set (error, DS_ENOMEM, "start entry host", "",
                          "out of memory");
+  (void)mallopt (M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+  (void)mallopt (M_TRIM_THRESHOLD, HEAP_TRIM_BYTES);
   entry->settings_path = talloc_strdup (entry, settings_path);
   if (stat (settings_path, &file) == 0)
     entry->settings_changed = file.st_mtim;
@@ -1162,5 +1212,9 @@
 void
 ds_entry_free (struct ds_entry *entry)
 {
+  ds_caller_group_stop (&entry->callers);
+  ds_caller_group_stop (&entry->readiness);
+  ds_caller_group_stop (&entry->directory);
+  ds_caller_group_stop (&entry->metrics);
   talloc_free (entry);
 }
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -42,6 +42,7 @@
   double cpu_share; /* of a core */
   double cpu_cores; /* speed of that core */
   double link_mbps;
+  double memory_mb; /* MiB; limit of the process */
   struct ds_retry_settings retry;
   struct ds_budget_settings budget;
 };
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -9,12 +9,6 @@
 
 #include <string.h>
 
-/* Responses up to this size are held until they are complete, so that a
-   truncated one can be requested again.  */
-#define HELD_RESPONSE_BYTES_MAX 65536
-/* Unsent bytes for a slow caller above which reading from the upstream
-   pauses.  */
-#define UNSENT_BYTES_MAX 131072
 /* Retry-After of refusals: slots are free again soon; tokens or a
    configuration take longer.  */
 #define RETRY_BUSY_MS 400
@@ -24,6 +18,11 @@
 /* Longest wait for tokens: a part of the time left, with an upper bound.  */
 #define TOKEN_WAIT_DIVISOR 4
 #define TOKEN_WAIT_MAX_MS 1000
+/* Longest wait of a body for memory: a part of the time left, with an upper
+   bound.  Callers abandon a request that is not read after a second or a third
+   of their time.  */
+#define BODY_WAIT_DIVISOR 4
+#define BODY_WAIT_MAX_MS 500
 /* Rejections by replicas, without a run, after which a request is still
    retried; more would only delay its failure.  */
 #define REJECTIONS_MAX 2
@@ -102,6 +101,29 @@
 
 static void start_attempt (struct ds_exchange *x);
 
+static void
+release_held (struct ds_exchange *x)
+{
+  x->context->memory.held -= x->held.capacity;
+  ds_byte_buffer_release (&x->held);
+}
+
+/* Adds BYTES to the response that is held until it is complete, so that a
+   truncated one can be requested again.  False if it becomes too long.  */
+static bool
+hold (struct ds_exchange *x, struct ds_str bytes)
+{
+  size_t before = x->held.capacity;
+  int status;
+
+  if (ds_byte_buffer_content (&x->held).length + bytes.length
+      > ds_host_memory_held_limit (&x->context->memory))
+    return false;
+  status = ds_byte_buffer_append (x, &x->held, bytes);
+  x->context->memory.held += x->held.capacity - before;
+  return status == 0;
+}
+
 /* Adds the version of the configuration that decides the request, and the age
    of the store's last response about the configuration.  */
 static void
@@ -203,6 +225,7 @@
     ds_budget_cancel_reservation (x->pending_reservation);
   x->pending_reservation = NULL;
   cancel_attempt (x);
+  release_held (x);
   if (x->has_reservation)
     ds_budget_settle (x->context->budgets, x->workspace, x->reserved,
                       tokens_used (x));
@@ -426,7 +449,7 @@
   mark_tried (x);
   cancel_attempt (x);
   ds_event_stream_discard_partial (&x->events);
-  ds_byte_buffer_release (&x->held);
+  release_held (x);
   if (may_retry (x, now_ms) && (!x->head_sent || x->stream_begun)
       && ds_retry_budget_take (x->context->retries,
                                x->placement_request.service, x->context->hosts,
@@ -530,8 +553,9 @@
   if (head->status < 300 && response.has_mac && !response.encoded
       && !x->bodiless)
     {
-      bool short_body
-          = head->has_length && head->body_length <= HELD_RESPONSE_BYTES_MAX;
+      bool short_body = head->has_length
+                        && head->body_length <= ds_host_memory_held_limit (
+                               &x->context->memory);
 
       x->streaming = response.is_stream || (!short_body && !x->stream_begun);
     }
@@ -637,9 +661,7 @@
 
   if (!x->streaming)
     {
-      if (ds_byte_buffer_content (&x->held).length + bytes.length
-              > HELD_RESPONSE_BYTES_MAX
-          || ds_byte_buffer_append (x, &x->held, bytes) != 0)
+      if (!hold (x, bytes))
         on_attempt_failed (x, "answer is too long");
       return;
     }
@@ -651,7 +673,7 @@
     return;
   if (x->events.events - x->earlier_events >= EVENTS_BEYOND_CRASH)
     record_beyond_crash (x);
-  if (!x->paused && ds_caller_unsent (x->caller) > UNSENT_BYTES_MAX)
+  if (!x->paused && ds_caller_is_behind (x->caller))
     {
       x->paused = true;
       ds_http_connection_pause (ds_pooled_connection_http (x->pooled), true);
@@ -799,7 +821,7 @@
           log_attempt_end (x, "replica responded with a 5xx status");
           mark_tried (x);
           cancel_attempt (x);
-          ds_byte_buffer_release (&x->held);
+          release_held (x);
           start_attempt (x);
           return;
         }
@@ -972,9 +994,9 @@
       x->suspect_key_count, now_ms);
   ds_http_connection_set_handlers (ds_pooled_connection_http (x->pooled),
                                    &handlers);
-  (void)ds_http_connection_send (ds_pooled_connection_http (x->pooled),
-                                 ds_byte_buffer_content (&out), x->body,
-                                 is_head_request (x));
+  (void)ds_http_connection_send (
+      ds_pooled_connection_http (x->pooled), ds_byte_buffer_content (&out),
+      x->body, ds_caller_body_holder (x->caller), is_head_request (x));
   ds_byte_buffer_release (&out);
   return 0;
 }
@@ -1133,6 +1155,22 @@
     on_reservation (outcome, x);
 }
 
+/* Returns the workspace that holds KEY; null if there is none.  */
+static const struct ds_routing_workspace *
+find_workspace (const struct ds_routing_config *config, struct ds_str key)
+{
+  return key.length > 0 ? ds_routing_config_find_workspace (config, key)
+                        : NULL;
+}
+
+static bool
+may_use_route (const struct ds_routing_config *config,
+               const struct ds_route *route,
+               const struct ds_routing_workspace *workspace)
+{
+  return workspace != NULL || route->is_public || config->workspace_count == 0;
+}
+
 /* Finds the route and the workspace; false if the request was refused.  */
 static bool
 resolve_route (struct ds_exchange *x,
@@ -1148,10 +1186,8 @@
       refuse (x, 404, 0, "no route");
       return false;
     }
-  if (x->request.key.length > 0)
-    *workspace = ds_routing_config_find_workspace (config, x->request.key);
-  if (*workspace == NULL && !x->route->is_public
-      && config->workspace_count > 0)
+  *workspace = find_workspace (config, x->request.key);
+  if (!may_use_route (config, x->route, *workspace))
     {
       refuse (x, 401, 0, "unknown key");
       return false;
@@ -1200,22 +1236,19 @@
     };
 }
 
-/* Serves one request of a caller.  HEAD and BODY are valid until the response
-   is finished.  */
-void
-ds_exchange_start (struct ds_exchange_context *context,
-                   struct ds_caller *caller, const struct ds_http_head *head,
-                   struct ds_str body)
+/* Creates the exchange of a request and looks up its route and workspace.
+   Null if the request was refused.  */
+static struct ds_exchange *
+open_exchange (struct ds_exchange_context *context, struct ds_caller *caller,
+               const struct ds_http_head *head, struct ds_str body,
+               const struct ds_routing_workspace **workspace)
 {
   struct ds_exchange *x = talloc_zero (context->ev, struct ds_exchange);
-  const struct ds_routing_workspace *workspace;
-  uint64_t now_ms = ds_clock_ms ();
-  uint64_t wait_ms;
 
   if (x == NULL)
     {
       ds_caller_abort (caller);
-      return;
+      return NULL;
     }
   ds_metric_add (DS_METRIC_REQUESTS, 1);
   ds_metric_add (DS_METRIC_REQUESTS_RUNNING, 1);
@@ -1223,27 +1256,44 @@
   x->caller = caller;
   x->head = head;
   x->body = body;
-  x->arrived_ms = now_ms;
+  x->arrived_ms = ds_clock_ms ();
   x->workspace = DS_STR_EMPTY;
   ds_caller_set_data (caller, x);
   if (ds_wire_read_request (&x->request, head) != 0)
     {
       refuse (x, 400, 0, "the request is malformed");
-      return;
+      return NULL;
     }
   if (context->stopping)
     {
       refuse (x, 503, RETRY_ELSEWHERE_MS, "the host is stopping");
-      return;
+      return NULL;
     }
   if (context->config == NULL)
     {
       refuse (x, 503, RETRY_UNAVAILABLE_MS, "no configuration is known yet");
-      return;
+      return NULL;
     }
   x->config = talloc_reference (x, context->config);
-  if (!resolve_route (x, &workspace))
+  return resolve_route (x, workspace) ? x : NULL;
+}
+
+/* Serves one request of a caller.  HEAD and BODY are valid until the response
+   is finished.  */
+void
+ds_exchange_start (struct ds_exchange_context *context,
+                   struct ds_caller *caller, const struct ds_http_head *head,
+                   struct ds_str body)
+{
+  const struct ds_routing_workspace *workspace;
+  struct ds_exchange *x
+      = open_exchange (context, caller, head, body, &workspace);
+  uint64_t now_ms;
+  uint64_t wait_ms;
+
+  if (x == NULL)
     return;
+  now_ms = x->arrived_ms;
   wait_ms = x->route->timeout_ms;
   if (x->request.deadline_ms > 0 && x->request.deadline_ms < wait_ms)
     wait_ms = x->request.deadline_ms;
@@ -1269,6 +1319,47 @@
     start_attempt (x);
 }
 
+/* Returns how long the body of a request may wait for memory before it is
+   read; 0 if the head alone is a reason to refuse the request.  */
+uint64_t
+ds_exchange_body_wait_ms (const struct ds_exchange_context *context,
+                          const struct ds_http_head *head)
+{
+  struct ds_caller_request request;
+  const struct ds_route *route;
+  uint64_t wait_ms;
+
+  if (ds_wire_read_request (&request, head) != 0 || context->stopping
+      || context->config == NULL)
+    return 0;
+  route = ds_routing_config_find_route (context->config, request.host,
+                                        request.path);
+  if (route == NULL
+      || !may_use_route (context->config, route,
+                         find_workspace (context->config, request.key)))
+    return 0;
+  wait_ms = route->timeout_ms;
+  if (request.deadline_ms > 0 && request.deadline_ms < wait_ms)
+    wait_ms = request.deadline_ms;
+  wait_ms = wait_ms / BODY_WAIT_DIVISOR + 1;
+  return wait_ms < BODY_WAIT_MAX_MS ? wait_ms : BODY_WAIT_MAX_MS;
+}
+
+/* Refuses a request whose body is not read: for its head, or for lack of
+   memory.  */
+void
+ds_exchange_refuse_unread (struct ds_exchange_context *context,
+                           struct ds_caller *caller,
+                           const struct ds_http_head *head)
+{
+  const struct ds_routing_workspace *workspace;
+  struct ds_exchange *x
+      = open_exchange (context, caller, head, DS_STR_EMPTY, &workspace);
+
+  if (x != NULL)
+    refuse (x, 503, RETRY_BUSY_MS, "no memory for the request");
+}
+
 /* Cancels the work of a caller that disconnected.  */
 void
 ds_exchange_cancel (struct ds_exchange *x)
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -1,6 +1,7 @@
 #ifndef DS_ENTRY_EXCHANGE_H
 #define DS_ENTRY_EXCHANGE_H
 
+#include "core/host_memory.h"
 #include "core/host_strain.h"
 #include "core/replica_set.h"
 #include "core/retry_budget.h"
@@ -27,6 +28,7 @@
   struct ds_crash_evidence *crashes;
   struct ds_fleet_view *fleet;
   struct ds_host_strain strain;
+  struct ds_host_memory memory;
   struct ds_str zone;
   uint64_t drain_ms; /* for which a replica that leaves still serves */
   size_t hosts;
@@ -38,6 +40,11 @@
 void ds_exchange_start (struct ds_exchange_context *context,
                         struct ds_caller *caller,
                         const struct ds_http_head *head, struct ds_str body);
+uint64_t ds_exchange_body_wait_ms (const struct ds_exchange_context *context,
+                                   const struct ds_http_head *head);
+void ds_exchange_refuse_unread (struct ds_exchange_context *context,
+                                struct ds_caller *caller,
+                                const struct ds_http_head *head);
 void ds_exchange_cancel (struct ds_exchange *exchange);
 void ds_exchange_on_drained (struct ds_exchange *exchange);
 
--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -353,7 +353,7 @@
   ds_http_connection_set_handlers (pending->channel->connection, &handlers);
   /* A write that fails is reported by the connection.  */
   (void)ds_http_connection_send (pending->channel->connection, head, body,
-                                 false);
+                                 NULL, false);
   *out = pending;
   return 0;
 }
--- a/src/io/byte_buffer.c
+++ b/src/io/byte_buffer.c
@@ -39,6 +39,24 @@
   return 0;
 }
 
+/* Makes room for CAPACITY bytes in all, without doubling.  Returns DS_ENOMEM,
+   with BUFFER unchanged, if out of memory.  */
+int
+ds_byte_buffer_reserve (TALLOC_CTX *owner, struct ds_byte_buffer *buffer,
+                        size_t capacity)
+{
+  char *grown;
+
+  if (capacity <= buffer->capacity)
+    return 0;
+  grown = talloc_realloc (owner, buffer->data, char, capacity);
+  if (grown == NULL)
+    return DS_ENOMEM;
+  buffer->data = grown;
+  buffer->capacity = capacity;
+  return 0;
+}
+
 /* Empties BUFFER and frees its memory.  */
 void
 ds_byte_buffer_release (struct ds_byte_buffer *buffer)
--- a/src/io/byte_buffer.h
+++ b/src/io/byte_buffer.h
@@ -15,6 +15,8 @@
 
 int ds_byte_buffer_append (TALLOC_CTX *owner, struct ds_byte_buffer *buffer,
                            struct ds_str data);
+int ds_byte_buffer_reserve (TALLOC_CTX *owner, struct ds_byte_buffer *buffer,
+                            size_t capacity);
 void ds_byte_buffer_release (struct ds_byte_buffer *buffer);
 struct ds_str ds_byte_buffer_content (const struct ds_byte_buffer *buffer);
 
--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -247,11 +247,13 @@
   c->handlers = *handlers;
 }
 
-/* Sends a request; HEAD is its serialised request line and headers.  DS_EINVAL
-   if the connection is not reusable.  */
+/* Sends a request; HEAD is its serialised request line and headers.  BODY is
+   copied, unless BODY_HOLDER owns it, which is referenced then until the body
+   is sent.  DS_EINVAL if the connection is not reusable.  */
 int
 ds_http_connection_send (struct ds_http_connection *c, struct ds_str head,
-                         struct ds_str body, bool head_only)
+                         struct ds_str body, TALLOC_CTX *body_holder,
+                         bool head_only)
 {
   int status;
 
@@ -264,7 +266,9 @@
   c->state = AWAITING_RESPONSE;
   status = ds_tcp_write (c->tcp, head);
   if (status == 0 && body.length > 0)
-    status = ds_tcp_write (c->tcp, body);
+    status = body_holder != NULL
+                 ? ds_tcp_write_shared (c->tcp, body_holder, body)
+                 : ds_tcp_write (c->tcp, body);
   return status;
 }
 
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -51,7 +51,7 @@
                                  const struct ds_http_connection_handlers *h);
 int ds_http_connection_send (struct ds_http_connection *connection,
                              struct ds_str head, struct ds_str body,
-                             bool head_only);
+                             TALLOC_CTX *body_holder, bool head_only);
 bool ds_http_connection_is_reusable (const struct ds_http_connection *c);
 bool ds_http_connection_is_connected (const struct ds_http_connection *c);
 bool ds_http_connection_is_watched (const struct ds_http_connection *c);
--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -42,6 +42,10 @@
 /* More than a legitimate client or upstream sends.  */
 #define HEADER_LINES_MAX 128
 #define HEADER_LINES_INITIAL 16
+/* Memory that a reader keeps between messages; the heads of ordinary requests
+   take less.  */
+#define KEPT_TEXT_BYTES 2048
+#define KEPT_HEADER_LINES 32
 
 static struct ds_http_reader *
 reader_of (http_parser *parser)
@@ -270,9 +274,10 @@
   head->has_length = reader->parser.content_length != ULLONG_MAX
                      && (reader->parser.flags & F_CHUNKED) == 0;
   head->body_length = head->has_length ? reader->parser.content_length : 0;
+  head->chunked = (reader->parser.flags & F_CHUNKED) != 0;
   head->framed = reader->parser.type == HTTP_REQUEST || head->has_length
-                 || (reader->parser.flags & F_CHUNKED) != 0
-                 || reader->head_only || has_no_body (head->status);
+                 || head->chunked || reader->head_only
+                 || has_no_body (head->status);
   return 0;
 }
 
@@ -496,6 +501,36 @@
   return !reader->in_message;
 }
 
+/* Bytes of memory that the head takes.  */
+size_t
+ds_http_reader_memory (const struct ds_http_reader *reader)
+{
+  return reader->text.capacity
+         + reader->span_capacity * sizeof reader->spans[0]
+         + (reader->head.lines != NULL
+                ? reader->head.line_count * sizeof reader->head.lines[0]
+                : 0);
+}
+
+/* Frees what a long head took.  For use between messages: the strings of the
+   head are lost.  */
+void
+ds_http_reader_trim (struct ds_http_reader *reader)
+{
+  if (reader->in_message)
+    return;
+  if (reader->text.capacity > KEPT_TEXT_BYTES)
+    ds_byte_buffer_release (&reader->text);
+  if (reader->span_capacity > KEPT_HEADER_LINES)
+    {
+      TALLOC_FREE (reader->spans);
+      reader->span_capacity = 0;
+      reader->span_count = 0;
+    }
+  TALLOC_FREE (reader->head.lines);
+  reader->head.line_count = 0;
+}
+
 /* Compares the name of LINE case-insensitively.  */
 bool
 ds_http_header_line_has_name (const struct ds_http_header_line *line,
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -28,6 +28,7 @@
   bool keep_alive;
   bool framed;
   bool has_length;
+  bool chunked;
   uint64_t body_length;
 };
 
@@ -67,6 +68,9 @@
 ds_http_reader_error (const struct ds_http_reader *reader);
 bool ds_http_reader_is_idle (const struct ds_http_reader *reader);
 
+size_t ds_http_reader_memory (const struct ds_http_reader *reader);
+void ds_http_reader_trim (struct ds_http_reader *reader);
+
 struct ds_str ds_http_head_find (const struct ds_http_head *head,
                                  const char *name);
 size_t ds_http_head_count (const struct ds_http_head *head, const char *name);
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,7 +26,11 @@
   struct ds_timer *connect_timer;
   struct ds_tcp_handlers handlers;
   struct ds_byte_buffer out;
+  struct ds_str shared; /* follows OUT; memory of SHARED_HOLDER */
+  void *shared_holder;
+  uint64_t *unsent_total;
   uint64_t sent;
+  size_t read_size;
   int fd;
   bool connected;
   bool paused;
@@ -56,9 +61,31 @@
   tevent_fd_set_flags (tcp->fd_event, flags);
 }
 
+/* Drops COUNT bytes from the front of OUT.  */
+static void
+consume_out (struct ds_tcp *tcp, size_t count)
+{
+  tcp->out.start += count;
+  if (tcp->unsent_total != NULL)
+    *tcp->unsent_total -= count;
+  if (tcp->out.start == tcp->out.end)
+    ds_byte_buffer_release (&tcp->out);
+}
+
+static void
+drop_shared (struct ds_tcp *tcp)
+{
+  if (tcp->shared_holder != NULL)
+    (void)talloc_unlink (tcp, tcp->shared_holder);
+  tcp->shared_holder = NULL;
+  tcp->shared = DS_STR_EMPTY;
+}
+
 static void
 close_socket (struct ds_tcp *tcp)
 {
+  consume_out (tcp, tcp->out.end - tcp->out.start);
+  drop_shared (tcp);
   TALLOC_FREE (tcp->fd_event);
   if (tcp->fd >= 0)
     (void)close (tcp->fd);
@@ -96,30 +123,51 @@
               tcp->connected ? DS_TCP_END_RESET : DS_TCP_END_NOT_CONNECTED);
 }
 
-/* Sends queued bytes.  A failure is reported from the event loop, never inside
-   ds_tcp_write.  */
-static void
-flush (struct ds_tcp *tcp)
+/* Sends BYTES as far as the socket takes them.  False if not all were sent; a
+   failure is reported from the event loop, never inside ds_tcp_write.  */
+static bool
+send_bytes (struct ds_tcp *tcp, struct ds_str bytes, size_t *sent)
 {
-  struct ds_str unsent = ds_byte_buffer_content (&tcp->out);
-  ssize_t count;
+  ssize_t count = send (tcp->fd, bytes.data, bytes.length, MSG_NOSIGNAL);
 
-  if (unsent.length == 0 || tcp->end_scheduled || tcp->fd < 0)
-    return;
-  count = send (tcp->fd, unsent.data, unsent.length, MSG_NOSIGNAL);
+  *sent = 0;
   if (count < 0 && (errno == EAGAIN || errno == EINTR))
-    return;
+    return false;
   if (count < 0)
     {
       tcp->end_scheduled = true;
       tevent_schedule_immediate (tcp->deferred_event, tcp->ev,
                                  report_scheduled_end, tcp);
-      return;
+      return false;
     }
+  *sent = (size_t)count;
   tcp->sent += (uint64_t)count;
-  tcp->out.start += (size_t)count;
-  if (ds_tcp_unsent_bytes (tcp) == 0)
-    ds_byte_buffer_release (&tcp->out);
+  return *sent == bytes.length;
+}
+
+static void
+flush (struct ds_tcp *tcp)
+{
+  struct ds_str unsent = ds_byte_buffer_content (&tcp->out);
+  size_t sent;
+
+  if (tcp->end_scheduled || tcp->fd < 0)
+    return;
+  if (unsent.length > 0)
+    {
+      bool all = send_bytes (tcp, unsent, &sent);
+
+      consume_out (tcp, sent);
+      if (!all)
+        return;
+    }
+  if (tcp->shared.length == 0)
+    return;
+  (void)send_bytes (tcp, tcp->shared, &sent);
+  tcp->shared.data += sent;
+  tcp->shared.length -= sent;
+  if (tcp->shared.length == 0)
+    drop_shared (tcp);
 }
 
 static void
@@ -146,7 +194,7 @@
 receive (struct ds_tcp *tcp)
 {
   static char bytes[READ_BYTES];
-  ssize_t count = recv (tcp->fd, bytes, sizeof bytes, 0);
+  ssize_t count = recv (tcp->fd, bytes, tcp->read_size, 0);
 
   if (count < 0 && (errno == EAGAIN || errno == EINTR))
     return;
@@ -230,6 +278,8 @@
   tcp->fd = -1;
   tcp->ev = options->ev;
   tcp->connected = connected;
+  tcp->read_size = READ_BYTES;
+  tcp->unsent_total = options->unsent_total;
   tcp->handlers = *handlers;
   tcp->deferred_event = tevent_create_immediate (tcp);
   tcp->fd_event = tevent_add_fd (options->ev, tcp, fd,
@@ -299,16 +349,33 @@
   return stream_new (out, owner, options, fd, true, handlers);
 }
 
+static int
+append_out (struct ds_tcp *tcp, struct ds_str bytes)
+{
+  int status = ds_byte_buffer_append (tcp, &tcp->out, bytes);
+
+  if (status == 0 && tcp->unsent_total != NULL)
+    *tcp->unsent_total += bytes.length;
+  return status;
+}
+
 /* Queues a copy of BYTES and sends as many as the socket accepts.  DS_EIO once
    the stream has ended.  */
 int
 ds_tcp_write (struct ds_tcp *tcp, struct ds_str bytes)
 {
-  int status;
+  int status = 0;
 
   if (tcp->fd < 0 || tcp->end_scheduled || tcp->closing)
     return DS_EIO;
-  status = ds_byte_buffer_append (tcp, &tcp->out, bytes);
+  if (tcp->shared.length > 0)
+    {
+      status = append_out (tcp, tcp->shared);
+      if (status == 0)
+        drop_shared (tcp);
+    }
+  if (status == 0)
+    status = append_out (tcp, bytes);
   if (status != 0)
     return status;
   if (tcp->connected)
@@ -317,11 +384,31 @@
   return 0;
 }
 
+/* Like ds_tcp_write, but without a copy: BYTES belong to HOLDER, which the
+   stream references until they are sent or it has ended.  */
+int
+ds_tcp_write_shared (struct ds_tcp *tcp, TALLOC_CTX *holder,
+                     struct ds_str bytes)
+{
+  if (tcp->shared.length > 0 || bytes.length == 0)
+    return ds_tcp_write (tcp, bytes);
+  if (tcp->fd < 0 || tcp->end_scheduled || tcp->closing)
+    return DS_EIO;
+  if (talloc_reference (tcp, holder) == NULL)
+    return DS_ENOMEM;
+  tcp->shared_holder = holder;
+  tcp->shared = bytes;
+  if (tcp->connected)
+    flush (tcp);
+  update_fd_event (tcp);
+  return 0;
+}
+
 /* Bytes not yet accepted by the operating system.  */
 size_t
 ds_tcp_unsent_bytes (const struct ds_tcp *tcp)
 {
-  return tcp->out.end - tcp->out.start;
+  return tcp->out.end - tcp->out.start + tcp->shared.length;
 }
 
 /* Bytes accepted by the operating system; 0 means that the peer cannot have
@@ -355,6 +442,25 @@
   return tcp->paused;
 }
 
+/* Whether the peer has closed its side, also behind bytes that are not read
+   yet.  For streams that are paused.  */
+bool
+ds_tcp_peer_has_closed (const struct ds_tcp *tcp)
+{
+  struct pollfd poll_fd = { .fd = tcp->fd, .events = POLLRDHUP };
+
+  return tcp->fd < 0
+         || (poll (&poll_fd, 1, 0) > 0
+             && (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+}
+
+/* Sets how many bytes are read at a time, at most the default.  */
+void
+ds_tcp_set_read_size (struct ds_tcp *tcp, size_t bytes)
+{
+  tcp->read_size = bytes < READ_BYTES ? bytes : READ_BYTES;
+}
+
 /* Pauses or resumes reading.  While paused, a close by the peer is not
    detected.  */
 void
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -33,13 +33,15 @@
    which is minutes.  UNACKED_TIMEOUT_MS closes a connection whose bytes stay
    unacknowledged for so long, 0 for the system default.  KEEPALIVE_INTERVAL_S
    is the idle time before the first keep-alive probe and the interval between
-   probes; 0 disables them.  */
+   probes; 0 disables them.  UNSENT_TOTAL, if not null, is kept at the sum of
+   the unsent bytes that the streams with it have copied.  */
 struct ds_tcp_options
 {
   struct tevent_context *ev;
   uint32_t connect_timeout_ms;
   uint32_t unacked_timeout_ms;
   uint32_t keepalive_interval_s;
+  uint64_t *unsent_total;
 };
 
 struct ds_tcp;
@@ -55,12 +57,16 @@
                   const struct ds_tcp_options *options, int fd,
                   const struct ds_tcp_handlers *handlers);
 int ds_tcp_write (struct ds_tcp *tcp, struct ds_str bytes);
+int ds_tcp_write_shared (struct ds_tcp *tcp, TALLOC_CTX *holder,
+                         struct ds_str bytes);
 size_t ds_tcp_unsent_bytes (const struct ds_tcp *tcp);
 uint64_t ds_tcp_sent_bytes (const struct ds_tcp *tcp);
 bool ds_tcp_is_connected (const struct ds_tcp *tcp);
 bool ds_tcp_is_paused (const struct ds_tcp *tcp);
 int ds_tcp_peer_address (struct ds_socket_address *out,
                          const struct ds_tcp *tcp);
+bool ds_tcp_peer_has_closed (const struct ds_tcp *tcp);
+void ds_tcp_set_read_size (struct ds_tcp *tcp, size_t bytes);
 void ds_tcp_pause (struct ds_tcp *tcp, bool paused);
 void ds_tcp_close_when_sent (struct ds_tcp *tcp);
 void ds_tcp_free (struct ds_tcp *tcp);
--- a/tests/standins/common_server.c
+++ b/tests/standins/common_server.c
@@ -13,7 +13,6 @@
 #include <time.h>
 
 /* The object API's limit for a value; larger bodies are not stored.  */
-#define BODY_BYTES_MAX ((size_t)1024 * 1024)
 #define CONNECTIONS_MAX 8192
 #define THREAD_STACK_BYTES ((size_t)256 * 1024)
 
@@ -89,12 +88,14 @@
   *context = NULL;
 }
 
+size_t standin_body_bytes_max = (size_t)1024 * 1024;
+
 static void
 append_body (struct standin_request *request, const char *data, size_t size)
 {
   size_t length = request->body_length + size;
 
-  if (request->body_too_large || length > BODY_BYTES_MAX)
+  if (request->body_too_large || length > standin_body_bytes_max)
     {
       request->body_too_large = true;
       return;
--- a/tests/standins/common_server.h
+++ b/tests/standins/common_server.h
@@ -37,6 +37,9 @@
   bool body_too_large;
 };
 
+/* Longer bodies get 413.  */
+extern size_t standin_body_bytes_max;
+
 /* HANDLE responds to a request with one of the functions below.  It runs on
    the thread of the connection, so it may block.  */
 void standin_arguments_init (struct standin_arguments *arguments);
--- a/tests/standins/platform_replica.c
+++ b/tests/standins/platform_replica.c
@@ -1,4 +1,5 @@
 #include "common_server.h"
+#include "daisystep/str.h"
 
 #include <argtable2.h>
 #include <jansson.h>
@@ -22,6 +23,8 @@
    "retry_after" is the Retry-After of rejections.  GET
    /standin/runs returns the executed requests.  */
 
+/* Above max_body_bytes of any configuration.  */
+#define BODY_BYTES_MAX ((size_t)8 * 1024 * 1024)
 #define EVENTS 6
 #define EVENT_BYTES 64
 #define RESET_DELAY_MS 100
@@ -317,14 +320,20 @@
     json_array_append_new (
         replica->runs,
         json_pack (
-            "{s:s,s:s,s:s,s:s,s:s}", "id",
+            "{s:s,s:s,s:s,s:s,s:s,s:I,s:I}", "id",
             or_empty (standin_request_header (request, "Request-Id")),
             "tenant", or_empty (standin_request_header (request, "Tenant")),
             "deadline",
             or_empty (standin_request_header (request, "Deadline-Ms")), "key",
             or_empty (standin_request_header (request, "Authorization")),
             "last",
-            or_empty (standin_request_header (request, "Last-Event-Id"))));
+            or_empty (standin_request_header (request, "Last-Event-Id")),
+            "bytes", (json_int_t)request->body_length, "hash",
+            (json_int_t)(ds_str_hash (
+                             (struct ds_str){ .data = request->body,
+                                              .length = request->body_length },
+                             0)
+                         >> 1)));
   pthread_mutex_unlock (&replica->lock);
   if (shed)
     return respond (replica, request, 503, "", true);
@@ -408,6 +417,7 @@
                     arguments.stop_after_ms,
                     id,
                     arg_end (8) };
+  standin_body_bytes_max = BODY_BYTES_MAX;
   if (standin_arguments_parse (&arguments, table, argc, argv) == 0)
     {
       replica.id = id->sval[0];
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 #define OBJECTS ENTRY_OBJECTS
+/* max_body_bytes, unless a test sets another.  */
+#define BODY_LIMIT_BYTES 20000
 
 struct test_process *entry_store;
 struct test_process *entry_replicas[ENTRY_REPLICAS];
@@ -17,6 +19,7 @@
 char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 static int entry_config_version;
+static long entry_body_limit;
 static int entry_restarts[ENTRY_REPLICAS];
 
 /* Addresses derived from the process id, since several test programs may run
@@ -84,8 +87,9 @@
       "max_attempts", 2, "service", "pool", "resumable", 0, "sticky", 1,
       "services", "name", "pool", "health_path", "/health", "engine", "slots",
       8, "stride", 4, "limits", "max_header_bytes", 4000, "max_body_bytes",
-      20000, "header_timeout_ms", 3000, "idle_timeout_ms", 15000, "tenants",
-      "name", "north", "api_keys", "key-1", "prepaid", (json_int_t)prepaid);
+      (int)entry_body_limit, "header_timeout_ms", 3000, "idle_timeout_ms",
+      15000, "tenants", "name", "north", "api_keys", "key-1", "prepaid",
+      (json_int_t)prepaid);
 
   ck_assert_ptr_nonnull (spec);
   if (path_prefix != NULL)
@@ -109,6 +113,13 @@
   entry_put_config_with_route (prepaid, NULL);
 }
 
+/* Sets max_body_bytes of the configurations written from now on.  */
+void
+entry_set_body_limit (long bytes)
+{
+  entry_body_limit = bytes;
+}
+
 static void
 put_replica (int i, const char *state, bool exists)
 {
@@ -287,6 +298,7 @@
   char id[16];
 
   entry_config_version = 0;
+  entry_body_limit = BODY_LIMIT_BYTES;
   memset (entry_restarts, 0, sizeof entry_restarts);
   entry_format_address (address, 9, 7000);
   const char *store_arguments[] = { "--address", address, NULL };
--- a/tests/test_entry_settings.c
+++ b/tests/test_entry_settings.c
@@ -18,7 +18,8 @@
       "\"127.0.0.1:2\",\"directory_address\":\"127.0.0.1:3\","
       "\"gossip_address\":\"127.0.0.1:4\",\"metrics_address\":"
       "\"127.0.0.1:5\",\"store_address\":\"127.0.0.1:6\",\"grace_s\":%s,"
-      "\"address_ttl_s\":2,\"config_apply_ms\":%s,\"drain_ms\":%s,"
+      "\"address_ttl_s\":2,\"memory_mb\":61.5,\"config_apply_ms\":%s,\"drain_"
+      "ms\":%s,"
       "\"retry\":{\"ratio\":%s,\"slack\":%s,\"window_s\":%s},"
       "\"budget\":{\"settle_ms\":1200}}",
       grace_s, config_apply_ms, drain_ms, ratio, slack, window_s);
@@ -40,6 +41,7 @@
   ck_assert_double_eq (settings->grace_s, 7.5);
   ck_assert_double_eq (settings->config_apply_ms, 1999.5);
   ck_assert_double_eq (settings->drain_ms, 2000.25);
+  ck_assert_double_eq (settings->memory_mb, 61.5);
   ck_assert_double_eq (settings->retry.slack, 37.24);
   ck_assert_double_eq (settings->retry.window_s, 9.6);
   ds_entry_settings_free (settings);
