Record what crashes replicas in the store

Cause: which requests and parts of prompts crash replicas was only in the memory of the hosts (crash_suspects).

Change: from the third crash on a cause is in one object of the store, daisystep-crashes/causes, at most 16 causes and 8 KB. The host that was first to see a crash writes it, by a conditional write 200 ms later; a success that clears a cause is written, too. A host reads the record when it starts and reports ready after that, or after three failed reads. Entries that cannot be read are left out one by one. Price: a read a host at its start, a write a crash; nothing is written while nothing is blocked.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -93,6 +93,9 @@
   [DS_METRIC_PLATFORM_ERRORS]
   = { .name = "platform_errors_total",
       .help = "Calls of the object API that failed or timed out." },
+  [DS_METRIC_CRASH_RECORD_WRITES]
+  = { .name = "crash_record_writes_total",
+      .help = "Writes of the record of what crashes upstreams." },
   [DS_METRIC_PLATFORM_BYTES_SENT]
   = { .name = "platform_bytes_sent_total",
       .help = "Bytes of bodies sent to the object API." },
--- a/src/core/crash_suspects.c
+++ b/src/core/crash_suspects.c
@@ -24,6 +24,9 @@
 #define REPORT_MS 1500
 /* Time after the last crash or success after which an entry may go.  */
 #define KEEP_MS 300000
+/* Added to all times, so that a host whose clock has just begun can hold
+   crashes from before.  */
+#define PAST_MS 3600000
 
 struct crash
 {
@@ -64,6 +67,12 @@
   return 0;
 }
 
+static uint64_t
+in_table (uint64_t time_ms)
+{
+  return time_ms + PAST_MS;
+}
+
 static bool
 is_active (const struct entry *entry, const struct crash *crash)
 {
@@ -220,7 +229,7 @@
           entry = candidate;
           break;
         }
-      if (crashes < fewest
+      if (entry == NULL || crashes < fewest
           || (crashes == fewest && candidate->changed_ms < entry->changed_ms))
         {
           fewest = crashes;
@@ -246,7 +255,8 @@
 
       if (known->replica == crash->replica)
         {
-          if (known->host != crash->host && !known->several_hosts)
+          if ((known->host != crash->host || crash->several_hosts)
+              && !known->several_hosts)
             {
               known->several_hosts = true;
               entry->changed_ms = now_ms;
@@ -272,12 +282,13 @@
                           struct ds_suspect_key key, uint64_t replica,
                           uint64_t crashed_ms, uint64_t now_ms)
 {
-  struct entry *entry = find_or_replace (suspects, key, now_ms);
-  struct crash crash
-      = { .replica = replica, .host = suspects->host, .time_ms = crashed_ms };
+  struct entry *entry = find_or_replace (suspects, key, in_table (now_ms));
+  struct crash crash = { .replica = replica,
+                         .host = suspects->host,
+                         .time_ms = in_table (crashed_ms) };
   bool before = is_cause (suspects, entry);
 
-  (void)add_crash (entry, &crash, now_ms);
+  (void)add_crash (entry, &crash, in_table (now_ms));
   return !before && is_cause (suspects, entry) ? DS_SUSPECT_BLOCKED
                                                : DS_SUSPECT_UNCHANGED;
 }
@@ -308,8 +319,9 @@
 {
   struct entry *entry = suspects->used > 0 ? find (suspects, key) : NULL;
 
-  return entry != NULL ? clear (suspects, entry, began_ms, now_ms)
-                       : DS_SUSPECT_UNCHANGED;
+  return entry != NULL
+             ? clear (suspects, entry, in_table (began_ms), in_table (now_ms))
+             : DS_SUSPECT_UNCHANGED;
 }
 
 /* Whether the replicas of all active crashes of ENTRY are those of crashes of
@@ -392,8 +404,8 @@
   for (size_t i = 0; i < count && suspects->used > 0; i++)
     {
       const struct entry *entry = find (suspects, keys[i]);
-      uint64_t left_ms = entry != NULL ? wait_of_entry_ms (suspects, entry,
-                                                           keys, count, now_ms)
+      uint64_t left_ms = entry != NULL ? wait_of_entry_ms (
+                             suspects, entry, keys, count, in_table (now_ms))
                                        : 0;
 
       if (left_ms > longest_ms)
@@ -414,7 +426,7 @@
       struct entry *entry = find (suspects, keys[i]);
 
       if (entry != NULL && is_cause (suspects, entry))
-        entry->trial_ms = now_ms;
+        entry->trial_ms = in_table (now_ms);
     }
 }
 
@@ -443,6 +455,7 @@
       .replica = entry->crashes[i].replica,
       .host = entry->crashes[i].host,
       .age_ms = now_ms - entry->crashes[i].time_ms,
+      .several_hosts = entry->crashes[i].several_hosts,
     };
 }
 
@@ -456,6 +469,7 @@
 {
   size_t count = 0;
 
+  now_ms = in_table (now_ms);
   for (size_t i = 0; i < suspects->used && count < most; i++)
     if (active_crashes (&suspects->entries[i]) >= CRASHES_TO_BLOCK
         && now_ms - last_crash_ms (&suspects->entries[i]) < KEEP_MS)
@@ -472,12 +486,12 @@
   return count;
 }
 
-/* Adds what another host has reported.  Its crashes and successes are ordered
-   by their time, so a report from before a success cannot undo it.  */
-enum ds_suspect_change
-ds_crash_suspects_merge (struct ds_crash_suspects *suspects,
-                         const struct ds_suspect_report *report,
-                         uint64_t now_ms)
+/* Adds the crashes of REPORT that are less than OLDEST_MS ago, and its
+   success.  */
+static enum ds_suspect_change
+add_report (struct ds_crash_suspects *suspects,
+            const struct ds_suspect_report *report, uint64_t oldest_ms,
+            uint64_t now_ms)
 {
   struct entry *entry = find (suspects, report->key);
   bool before;
@@ -492,11 +506,12 @@
     {
       const struct ds_suspect_crash *reported = &report->crashes[i];
 
-      if (reported->age_ms < now_ms && reported->age_ms < KEEP_MS)
+      if (reported->age_ms < now_ms && reported->age_ms < oldest_ms)
         (void)add_crash (entry,
                          &(struct crash){
                              .replica = reported->replica,
                              .host = reported->host,
+                             .several_hosts = reported->several_hosts,
                              .time_ms = now_ms - reported->age_ms,
                          },
                          now_ms);
@@ -508,3 +523,76 @@
     return DS_SUSPECT_UNCHANGED;
   return after ? DS_SUSPECT_BLOCKED : DS_SUSPECT_CLEARED;
 }
+
+/* Adds what another host has reported.  Its crashes and successes are ordered
+   by their time, so a report from before a success cannot undo it.  */
+enum ds_suspect_change
+ds_crash_suspects_merge (struct ds_crash_suspects *suspects,
+                         const struct ds_suspect_report *report,
+                         uint64_t now_ms)
+{
+  return add_report (suspects, report, KEEP_MS, in_table (now_ms));
+}
+
+/* Adds what hosts have recorded, unless its last crash is too long ago.  The
+   earlier crashes count whenever they were: they make the block longer.  */
+enum ds_suspect_change
+ds_crash_suspects_restore (struct ds_crash_suspects *suspects,
+                           const struct ds_suspect_report *report,
+                           uint64_t now_ms)
+{
+  uint64_t newest_ms = UINT64_MAX;
+
+  for (size_t i = 0; i < report->crash_count; i++)
+    if (report->crashes[i].age_ms < newest_ms)
+      newest_ms = report->crashes[i].age_ms;
+  if (newest_ms >= KEEP_MS)
+    return DS_SUSPECT_UNCHANGED;
+  return add_report (suspects, report, PAST_MS, in_table (now_ms));
+}
+
+/* Writes reports of up to MOST causes of crashes, those with the newest
+   crashes first, to OUT and returns their number.  */
+size_t
+ds_crash_suspects_list_causes (const struct ds_crash_suspects *suspects,
+                               struct ds_suspect_report *out, size_t most,
+                               uint64_t now_ms)
+{
+  size_t count = 0;
+  uint64_t before_ms = UINT64_MAX;
+
+  now_ms = in_table (now_ms);
+  while (count < most)
+    {
+      uint64_t newest_ms = 0;
+
+      for (size_t i = 0; i < suspects->used; i++)
+        {
+          uint64_t last_ms = last_crash_ms (&suspects->entries[i]);
+
+          if (last_ms > newest_ms && last_ms < before_ms
+              && now_ms - last_ms < KEEP_MS
+              && is_cause (suspects, &suspects->entries[i]))
+            newest_ms = last_ms;
+        }
+      if (newest_ms == 0)
+        break;
+      before_ms = newest_ms;
+      for (size_t i = 0; i < suspects->used && count < most; i++)
+        if (last_crash_ms (&suspects->entries[i]) == newest_ms
+            && is_cause (suspects, &suspects->entries[i]))
+          make_report (&out[count++], &suspects->entries[i], now_ms);
+    }
+  return count;
+}
+
+/* Whether a success has ended the suspicion against KEY.  */
+bool
+ds_crash_suspects_is_cleared (const struct ds_crash_suspects *suspects,
+                              struct ds_suspect_key key)
+{
+  const struct entry *entry = find (suspects, key);
+
+  return entry != NULL && entry->cleared_ms > 0
+         && active_crashes (entry) < CRASHES_TO_BLOCK;
+}
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -33,9 +33,10 @@
   uint64_t replica;
   uint32_t host;
   uint64_t age_ms;
+  bool several_hosts; /* others have seen it, too; not sent between hosts */
 };
 
-/* What a host tells the others about a suspect.  */
+/* What a host tells the others about a suspect, or records in the store.  */
 struct ds_suspect_report
 {
   struct ds_suspect_key key;
@@ -80,5 +81,14 @@
 ds_crash_suspects_merge (struct ds_crash_suspects *suspects,
                          const struct ds_suspect_report *report,
                          uint64_t now_ms);
+size_t ds_crash_suspects_list_causes (const struct ds_crash_suspects *suspects,
+                                      struct ds_suspect_report *out,
+                                      size_t most, uint64_t now_ms);
+bool ds_crash_suspects_is_cleared (const struct ds_crash_suspects *suspects,
+                                   struct ds_suspect_key key);
+enum ds_suspect_change
+ds_crash_suspects_restore (struct ds_crash_suspects *suspects,
+                           const struct ds_suspect_report *report,
+                           uint64_t now_ms);
 
 #endif
--- a/src/entry/crash_evidence.c
+++ b/src/entry/crash_evidence.c
@@ -16,6 +16,9 @@
   struct tevent_context *ev;
   const struct ds_connection_pool *pool;
   struct ds_crash_suspects *suspects;
+  uint32_t host;
+  void (*on_change) (void *user_data); /* null for none */
+  void *user_data;
 };
 
 /* A failed attempt that may be due to a crash of its replica.  */
@@ -44,8 +47,33 @@
     return DS_ENOMEM;
   (*out)->ev = ev;
   (*out)->pool = pool;
-  return ds_crash_suspects_new (&(*out)->suspects, *out,
-                                (uint32_t)ds_str_hash (host, HOST_SEED));
+  (*out)->host = (uint32_t)ds_str_hash (host, HOST_SEED);
+  return ds_crash_suspects_new (&(*out)->suspects, *out, (*out)->host);
+}
+
+/* Sets what is called when a crash was counted, or a cause found or
+   cleared.  */
+void
+ds_crash_evidence_set_listener (struct ds_crash_evidence *evidence,
+                                void (*on_change) (void *user_data),
+                                void *user_data)
+{
+  evidence->on_change = on_change;
+  evidence->user_data = user_data;
+}
+
+/* The hash of this host in crashes that it has seen.  */
+uint32_t
+ds_crash_evidence_host (const struct ds_crash_evidence *evidence)
+{
+  return evidence->host;
+}
+
+static void
+report_change (const struct ds_crash_evidence *evidence)
+{
+  if (evidence->on_change != NULL)
+    evidence->on_change (evidence->user_data);
 }
 
 /* The suspects that the evidence leads to.  */
@@ -81,6 +109,18 @@
   if (peer.length > 0)
     ds_decision_line_add_text (&line, "peer", peer);
   ds_decision_line_end (&line);
+  report_change (evidence);
+}
+
+/* Adds what hosts have recorded in the store.  */
+void
+ds_crash_evidence_restore (struct ds_crash_evidence *evidence,
+                           const struct ds_suspect_report *report)
+{
+  ds_crash_evidence_log_change (
+      evidence, report->key,
+      ds_crash_suspects_restore (evidence->suspects, report, ds_clock_ms ()),
+      DS_STR ("store"));
 }
 
 static void
@@ -117,6 +157,7 @@
         most = crashes;
     }
   log_crash (crash, true, most);
+  report_change (crash->evidence);
 }
 
 /* Decides whether the replica has crashed: one that has not keeps the other
--- a/src/entry/crash_evidence.h
+++ b/src/entry/crash_evidence.h
@@ -24,6 +24,12 @@
                            struct tevent_context *ev,
                            const struct ds_connection_pool *pool,
                            struct ds_str host);
+void ds_crash_evidence_set_listener (struct ds_crash_evidence *evidence,
+                                     void (*on_change) (void *user_data),
+                                     void *user_data);
+uint32_t ds_crash_evidence_host (const struct ds_crash_evidence *evidence);
+void ds_crash_evidence_restore (struct ds_crash_evidence *evidence,
+                                const struct ds_suspect_report *report);
 struct ds_crash_suspects *
 ds_crash_evidence_suspects (struct ds_crash_evidence *evidence);
 void ds_crash_evidence_add_failure (struct ds_crash_evidence *evidence,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,6 +7,7 @@
 #include "entry/address_service.h"
 #include "entry/budget_manager.h"
 #include "entry/caller.h"
+#include "entry/crash_store.h"
 #include "entry/entry_settings.h"
 #include "entry/exchange.h"
 #include "entry/fleet_view.h"
@@ -101,6 +102,7 @@
   struct ds_store_watcher *replica_watcher;
   struct watched_subject watched[DS_STORE_SUBJECTS];
   struct ds_registration *registration;
+  struct ds_crash_store *crash_store;
 
   struct ds_replica_set *replicas;
   struct ds_fleet_view *fleet;
@@ -123,18 +125,26 @@
 };
 
 /* Publishes whether this host takes requests.  Before the first list of
-   replicas, it would refuse them all.  */
+   replicas, it would refuse them all; before the recorded causes of crashes,
+   it would let some of them crash replicas again.  */
 static void
 publish_state (struct ds_entry *entry)
 {
   entry->addresses.ready
       = entry->exchanges.config != NULL
         && ds_store_watcher_has_listed (entry->replica_watcher)
+        && ds_crash_store_is_settled (entry->crash_store)
         && entry->stopping_ms == 0;
   ds_fleet_view_set_state (entry->fleet, entry->addresses.ready,
                            entry->stopping_ms > 0);
 }
 
+static void
+on_crashes_settled (void *user_data)
+{
+  publish_state (user_data);
+}
+
 static void
 on_request (struct ds_caller *caller, const struct ds_http_head *head,
             struct ds_str body, void *user_data)
@@ -1180,6 +1190,13 @@
 ds_entry_run (struct ds_entry *entry)
 {
   struct ds_fleet_self self = make_self (entry);
+  struct ds_crash_store_options crashes = {
+    .ev = entry->ev,
+    .store = entry->store,
+    .evidence = entry->exchanges.crashes,
+    .on_settled = on_crashes_settled,
+    .user_data = entry,
+  };
   struct ds_decision_line line;
 
   ds_decision_log_open (entry->settings->host.data,
@@ -1193,9 +1210,10 @@
   (void)tevent_add_signal (entry->ev, entry, SIGTERM, 0, on_term, entry);
   (void)tevent_add_signal (entry->ev, entry, SIGINT, 0, on_term, entry);
   (void)tevent_add_signal (entry->ev, entry, SIGHUP, 0, on_hup, entry);
-  if (ds_registration_start (&entry->registration, entry, entry->ev,
-                             entry->store, entry->fleet, &self)
-      != 0)
+  if (ds_crash_store_new (&entry->crash_store, entry, &crashes) != 0
+      || ds_registration_start (&entry->registration, entry, entry->ev,
+                                entry->store, entry->fleet, &self)
+             != 0)
     return DS_ENOMEM;
   on_tick (entry);
   while (!entry->stopped)
--- a/src/entry/ledger_client.c
+++ b/src/entry/ledger_client.c
@@ -158,26 +158,6 @@
   talloc_free (page);
 }
 
-static const char *
-outcome_name (enum ds_store_outcome outcome)
-{
-  switch (outcome)
-    {
-    case DS_STORE_OK:
-      return "done";
-    case DS_STORE_CONFLICT:
-      return "conflict";
-    case DS_STORE_NOT_FOUND:
-      return "missing";
-    case DS_STORE_UNKNOWN:
-      return "unknown";
-    case DS_STORE_HISTORY_EXPIRED:
-    case DS_STORE_REFUSED:
-    default:
-      return "refused";
-    }
-}
-
 static void
 log_update (const struct ds_ledger_client *client,
             const struct ds_store_result *result)
@@ -186,8 +166,9 @@
       = ds_decision_line_begin ("ledger_update", DS_STR_EMPTY);
 
   ds_decision_line_add_text (&line, "page", ds_str_from_c (client->name));
-  ds_decision_line_add_text (&line, "outcome",
-                             ds_str_from_c (outcome_name (result->outcome)));
+  ds_decision_line_add_text (
+      &line, "outcome",
+      ds_str_from_c (ds_store_outcome_name (result->outcome)));
   ds_decision_line_add_number (&line, "status", result->status);
   ds_decision_line_add_number (&line, "number", (int64_t)client->number);
   ds_decision_line_add_number (&line, "revision", (int64_t)client->revision);
--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -402,3 +402,24 @@
 {
   return client->calls;
 }
+
+/* The name of OUTCOME in log lines.  */
+const char *
+ds_store_outcome_name (enum ds_store_outcome outcome)
+{
+  switch (outcome)
+    {
+    case DS_STORE_OK:
+      return "done";
+    case DS_STORE_CONFLICT:
+      return "conflict";
+    case DS_STORE_NOT_FOUND:
+      return "missing";
+    case DS_STORE_UNKNOWN:
+      return "unknown";
+    case DS_STORE_HISTORY_EXPIRED:
+    case DS_STORE_REFUSED:
+    default:
+      return "refused";
+    }
+}
--- a/src/entry/store_client.h
+++ b/src/entry/store_client.h
@@ -45,6 +45,7 @@
 void ds_store_client_set_slow_link (struct ds_store_client *client, bool slow);
 bool ds_store_client_is_reachable (const struct ds_store_client *client);
 uint64_t ds_store_client_succeeded_ms (const struct ds_store_client *client);
+const char *ds_store_outcome_name (enum ds_store_outcome outcome);
 uint64_t ds_store_client_calls (const struct ds_store_client *client);
 
 #endif
--- a/tests/test_entry_crash.c
+++ b/tests/test_entry_crash.c
@@ -17,6 +17,12 @@
    is back; "contact_ms" of the users' platform.  */
 #define CONTACT_MS 3000
 
+/* Crashes after which the part is refused for 30 s, and the time between
+   requests that lead to them.  Hosts must have heard of a crash before the
+   next, and replicas are back.  */
+#define LONG_BLOCK_CRASHES 4
+#define SEND_PERIOD_MS 1000
+
 static int serial;
 
 static void
@@ -37,10 +43,10 @@
   test_processes_clean_up ();
 }
 
-/* Sends a request whose prompt has the common part, PART and one of its own.
-   No two requests are alike.  */
+/* Sends a request to ROUTE whose prompt has the common part, PART and one of
+   its own.  No two requests are alike.  */
 static struct test_http_response *
-send_prompt (int host, const char *part)
+send_prompt_to (const char *route, int host, const char *part)
 {
   char id[48];
   char path[48];
@@ -60,13 +66,19 @@
 
   serial++;
   (void)snprintf (id, sizeof id, "Request-Id: id-%d", serial);
-  (void)snprintf (path, sizeof path, "/stream/%d", serial);
+  (void)snprintf (path, sizeof path, "/%s/%d", route, serial);
   (void)snprintf (parts, sizeof parts,
                   "Prompt-Prefix: " COMMON ":100,%s:100,own%d:100", part,
                   serial);
   return test_http (&call);
 }
 
+static struct test_http_response *
+send_prompt (int host, const char *part)
+{
+  return send_prompt_to ("stream", host, part);
+}
+
 static size_t
 count_runs (void)
 {
@@ -142,6 +154,124 @@
 }
 END_TEST
 
+static void
+kill_all_hosts (void)
+{
+  for (int i = 0; i < HOSTS; i++)
+    test_process_kill (entry_hosts[i]);
+  for (int i = 0; i < HOSTS; i++)
+    entry_start_host (i, "z");
+  for (int i = 0; i < HOSTS; i++)
+    entry_wait_ready (i);
+}
+
+/* The record of the causes of crashes in the store; null if there is none.  */
+static json_t *
+get_causes (void)
+{
+  json_t *object = test_get_json (entry_store->address,
+                                  ENTRY_OBJECTS "daisystep-crashes/causes");
+  json_t *causes = json_incref (test_json_at (object, "spec/causes"));
+
+  json_decref (object);
+  return causes;
+}
+
+/* Sends requests with the part until it has crashed four replicas, the last
+   one in a trial.  From then on it is refused for at least 30 s.  Requests to
+   this route run once.  */
+static void
+crash_four_replicas (void)
+{
+  size_t runs = 0;
+
+  for (int waited = 0; waited < 2 * ENTRY_WAIT_MS && runs < LONG_BLOCK_CRASHES;
+       waited += SEND_PERIOD_MS)
+    {
+      (void)send_prompt_to ("once", waited / SEND_PERIOD_MS % HOSTS, DEADLY);
+      if (count_runs () > runs)
+        for (int i = 0; i < ENTRY_REPLICAS; i++)
+          entry_restart_replica (i);
+      runs = count_runs ();
+      test_sleep_ms (SEND_PERIOD_MS);
+    }
+  ck_assert_uint_eq (runs, LONG_BLOCK_CRASHES);
+}
+
+static void
+expect_refusal (void)
+{
+  size_t runs = count_runs ();
+
+  for (int i = 0; i < HOSTS; i++)
+    ck_assert_int_eq (send_prompt (i, DEADLY)->status, 503);
+  ck_assert_uint_eq (count_runs (), runs);
+}
+
+/* Guards against a fleet that learns anew which part crashes replicas after
+   the death of all hosts, by crashes.  */
+START_TEST (a_part_is_refused_after_the_death_of_all_hosts)
+{
+  crash_four_replicas ();
+  expect_refusal ();
+  for (int death = 0; death < 2; death++)
+    {
+      kill_all_hosts ();
+      expect_refusal ();
+    }
+  for (int i = 0; i < HOSTS; i++)
+    {
+      int status = 0;
+
+      for (int waited = 0; waited < ENTRY_WAIT_MS && status != 200;
+           waited += ENTRY_POLL_MS)
+        {
+          status = (int)send_prompt (i, "s1")->status;
+          test_sleep_ms (ENTRY_POLL_MS);
+        }
+      ck_assert_int_eq (status, 200);
+    }
+  expect_refusal ();
+}
+END_TEST
+
+/* Guards against hosts that do not start, or give up, while the store turns
+   the record away.  */
+START_TEST (the_record_is_written_once_the_store_takes_it)
+{
+  json_t *causes = NULL;
+
+  entry_set_faults (entry_store, "{\"busy_kind\":\"daisystep-crashes\"}");
+  kill_all_hosts ();
+  crash_four_replicas ();
+  expect_refusal ();
+  entry_set_faults (entry_store, "{}");
+  for (int waited = 0; waited < ENTRY_WAIT_MS && causes == NULL;
+       waited += ENTRY_POLL_MS)
+    {
+      causes = get_causes ();
+      test_sleep_ms (ENTRY_POLL_MS);
+    }
+  /* The common part, too, as nothing with it has succeeded since.  */
+  ck_assert_uint_eq (json_array_size (causes), 2);
+  json_decref (causes);
+  kill_all_hosts ();
+  expect_refusal ();
+}
+END_TEST
+
+/* Guards against calls to the store, which are priced, while nothing crashes
+   replicas.  */
+START_TEST (nothing_is_recorded_without_crashes)
+{
+  for (int round = 0; round < 3; round++)
+    for (int i = 0; i < HOSTS; i++)
+      ck_assert_int_eq (send_prompt (i, "s1")->status, 200);
+  test_sleep_ms (CONTACT_MS);
+  ck_assert_ptr_null (get_causes ());
+}
+END_TEST
+
 int
 main (void)
 {
@@ -155,6 +285,9 @@
   tcase_add_test (test_case,
                   a_part_that_crashes_replicas_is_refused_at_every_host);
   tcase_add_test (test_case, a_host_that_starts_later_refuses_the_part);
+  tcase_add_test (test_case, a_part_is_refused_after_the_death_of_all_hosts);
+  tcase_add_test (test_case, the_record_is_written_once_the_store_takes_it);
+  tcase_add_test (test_case, nothing_is_recorded_without_crashes);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
