Count retries over the whole window of their limit

Cause: the window was counted in ten slices of a tenth, the newest of which has only begun, so that retries left the count after 9 to 10 s of a window of 10 s. A burst of them and a second one as soon as the first was forgotten lie within one window; where requests are few, the reserve of the ratio does not make up for it.

Change: eleven slices are counted.

Evidence: a_burst_of_retries_counts_for_the_whole_window failed before in 9 of 11 cases (a retry 9,200 ms after the burst, in the first).

--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -1,8 +1,11 @@
 #include "core/retry_budget.h"
 #include "daisystep/error.h"
 
-/* Subdivisions of the sliding window; expired ones are reset.  */
-#define SLICES 10
+/* Subdivisions of the sliding window; expired ones are reset.  The newest one
+   has only begun, so one more than the window has is counted: a burst of
+   retries leaves the count when it has left the window.  */
+#define WINDOW_SLICES 10
+#define SLICES (WINDOW_SLICES + 1)
 /* Share of the slack that is divided among the hosts; the rest covers hosts
    that do not know the current number of hosts yet.  */
 #define SLACK_SHARE 0.8
@@ -65,7 +68,7 @@
 advance (const struct ds_retry_budget *budget, struct service *service,
          uint64_t now_ms)
 {
-  uint64_t slice = now_ms / (budget->limit.window_ms / SLICES + 1);
+  uint64_t slice = now_ms / (budget->limit.window_ms / WINDOW_SLICES + 1);
 
   for (uint64_t i = 0; service->slice < slice && i < SLICES; i++)
     {
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -61,6 +61,26 @@
 }
 END_TEST
 
+/* Guards against a window that is counted shorter than it is: a burst of
+   retries at any moment, and another as soon as the first is forgotten.  */
+START_TEST (a_burst_of_retries_counts_for_the_whole_window)
+{
+  const struct ds_retry_limit limit
+      = { .ratio = 0, .slack = 10, .window_ms = 10000 };
+  struct ds_retry_budget *host;
+  uint64_t burst_ms = 100000 + (uint64_t)_i * 100;
+
+  ck_assert_int_eq (ds_retry_budget_new (&host, owner, &limit), 0);
+  while (ds_retry_budget_take (host, DS_STR ("a"), 1, burst_ms))
+    continue;
+  for (uint64_t later = 100; later < 10000; later += 100)
+    ck_assert_msg (
+        !ds_retry_budget_take (host, DS_STR ("a"), 1, burst_ms + later),
+        "a retry %u ms after the burst", (unsigned)later);
+  ck_assert (ds_retry_budget_take (host, DS_STR ("a"), 1, burst_ms + 11100));
+}
+END_TEST
+
 /* Guards against a service that uses up the retries of another.  */
 START_TEST (services_have_separate_retry_budgets)
 {
@@ -199,6 +219,8 @@
 
   tcase_add_checked_fixture (test_case, set_up, tear_down);
   tcase_add_test (test_case, fleet_retries_stay_within_the_limit);
+  tcase_add_loop_test (test_case,
+                       a_burst_of_retries_counts_for_the_whole_window, 0, 11);
   tcase_add_test (test_case, services_have_separate_retry_budgets);
   tcase_add_test (test_case, callers_get_the_hosts_of_their_zone);
   tcase_add_test (test_case,
