Use a fifth of the retry slack in the first window of a process

Cause: the count of retries is in the memory of the processes. After the death of all hosts each had its part of the slack again, 0.8 of it in all, though the processes before might have used the same within the window.

Change: until a window has passed since its start, a process uses the fifth that the others leave.

Evidence: fleet_retries_stay_within_the_limit_over_a_death_of_all_hosts failed before for 181 of 200 moments of the death (80 retries where 72 are allowed).

--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -96,6 +96,20 @@
   service->requests[service->slice % SLICES]++;
 }
 
+/* Returns the part of the slack that this host may use.  Incarnations before
+   it may have used theirs in the current window, and nothing tells of it:
+   until a window has passed since its start, it uses only what they left.  */
+static double
+own_slack (const struct ds_retry_budget *budget, size_t hosts, uint64_t now_ms)
+{
+  const struct ds_retry_limit *limit = &budget->limit;
+  bool has_just_started
+      = limit->started_ms > 0 && now_ms < limit->started_ms + limit->window_ms;
+
+  return limit->slack * (has_just_started ? 1 - SLACK_SHARE : SLACK_SHARE)
+         / (double)(hosts > 0 ? hosts : 1);
+}
+
 /* Takes one retry for service NAME from the share of this host; returns false
    if the share is used up.
 
@@ -120,8 +134,7 @@
       retries += service->retries[i];
     }
   if (retries + 1 > budget->limit.ratio * RATIO_SHARE * requests
-                        + budget->limit.slack * SLACK_SHARE
-                              / (double)(hosts > 0 ? hosts : 1))
+                        + own_slack (budget, hosts, now_ms))
     return false;
   service->retries[service->slice % SLICES]++;
   return true;
--- a/src/core/retry_budget.h
+++ b/src/core/retry_budget.h
@@ -7,12 +7,15 @@
 #include <stdint.h>
 
 /* Limit of the fleet for retries, the arrivals at a service beyond the first
-   of each request: in any WINDOW_MS at most RATIO x requests + SLACK.  */
+   of each request: in any WINDOW_MS at most RATIO x requests + SLACK.
+   STARTED_MS is when the process of the host started; 0 if no other ran before
+   it, or long ago.  */
 struct ds_retry_limit
 {
   double ratio;
   double slack;
   uint64_t window_ms;
+  uint64_t started_ms;
 };
 
 struct ds_retry_budget;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -955,6 +955,7 @@
     .ratio = settings->retry.ratio,
     .slack = settings->retry.slack,
     .window_ms = (uint64_t)(settings->retry.window_s * 1000),
+    .started_ms = settings->first_start ? 0 : ds_clock_ms (),
   };
   struct ds_budget_manager_options budgets = {
     .ev = entry->ev,
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -61,6 +61,11 @@
   REQUIRED (gossip_address, DS_FIELD_ADDRESS),
   REQUIRED (metrics_address, DS_FIELD_ADDRESS),
   REQUIRED (store_address, DS_FIELD_ADDRESS),
+  {
+      .name = "first_start",
+      .type = DS_FIELD_BOOL,
+      .offset = offsetof (struct ds_entry_settings, first_start),
+  },
   REAL (struct ds_entry_settings, grace_s, 1, 3600),
   REAL (struct ds_entry_settings, address_ttl_s, 0, 3600),
   OPTIONAL_REAL (struct ds_entry_settings, config_apply_ms, 100, 600000, 2000),
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -34,6 +34,7 @@
   struct ds_str gossip_address;
   struct ds_str metrics_address;
   struct ds_str store_address;
+  bool first_start; /* no process of the fleet ran before */
   double grace_s;
   double address_ttl_s;
   double config_apply_ms;
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -81,6 +81,50 @@
 }
 END_TEST
 
+/* Guards against hosts that use the slack again after the death of all of
+   them: every attempt of a service fails, and the hosts die at slot _I.  */
+START_TEST (fleet_retries_stay_within_the_limit_over_a_death_of_all_hosts)
+{
+  struct ds_retry_limit limit
+      = { .ratio = 0.02, .slack = 56, .window_ms = 10000 };
+  struct ds_retry_budget *hosts[8];
+  int retries[300] = { 0 };
+  int requests[300] = { 0 };
+
+  for (int slot = 0; slot < 300; slot++)
+    {
+      uint64_t now_ms = 100000 + (uint64_t)slot * 100;
+
+      for (int h = 0; h < 8; h++)
+        {
+          if (slot == 0 || slot == _i)
+            {
+              limit.started_ms = slot == 0 ? 0 : now_ms;
+              ck_assert_int_eq (ds_retry_budget_new (&hosts[h], owner, &limit),
+                                0);
+            }
+          ds_retry_budget_record_request (hosts[h], DS_STR ("s"), now_ms);
+          requests[slot]++;
+          if (ds_retry_budget_take (hosts[h], DS_STR ("s"), 8, now_ms))
+            retries[slot]++;
+        }
+    }
+  for (int start = 0; start + 100 <= 300; start++)
+    {
+      int sum = 0;
+      int sent = 0;
+
+      for (int slot = start; slot < start + 100; slot++)
+        {
+          sum += retries[slot];
+          sent += requests[slot];
+        }
+      ck_assert_msg (sum <= (int)(0.02 * sent) + 56,
+                     "%d retries of %d from %d", sum, sent, start);
+    }
+}
+END_TEST
+
 /* Guards against a service that uses up the retries of another.  */
 START_TEST (services_have_separate_retry_budgets)
 {
@@ -221,6 +265,9 @@
   tcase_add_test (test_case, fleet_retries_stay_within_the_limit);
   tcase_add_loop_test (test_case,
                        a_burst_of_retries_counts_for_the_whole_window, 0, 11);
+  tcase_add_loop_test (
+      test_case, fleet_retries_stay_within_the_limit_over_a_death_of_all_hosts,
+      1, 200);
   tcase_add_test (test_case, services_have_separate_retry_budgets);
   tcase_add_test (test_case, callers_get_the_hosts_of_their_zone);
   tcase_add_test (test_case,
