--- a/tests/test_entry_rejections.c
+++ b/tests/test_entry_rejections.c
@@ -22,9 +22,6 @@
 #define SOUND                                                                 \
   "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"            \
   "Content-Length: 9\r\n\r\ni-0:hello"
-#define SOUND_STREAM                                                          \
-  "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"            \
-  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define EVENT(n) "id: " #n "\ndata: piece " #n "\n\n"
 #define LAST_CHUNK "0\r\n\r\n"
 
@@ -33,6 +30,9 @@
 /* Longer than a replica waits in these scripts.  */
 #define PAUSE_MS 400
 
+static const char sound_stream[]
+    = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 static const char all_events[]
     = EVENT (1) EVENT (2) EVENT (3) EVENT (4) EVENT (5) EVENT (6);
 
@@ -426,7 +426,7 @@
 
   for (int i = 0; i < ENTRY_REPLICAS; i++)
     if (strstr (path, "/stream/") != NULL)
-      entry_add_response (entry_replicas[i], "send", cut, "send", SOUND_STREAM,
+      entry_add_response (entry_replicas[i], "send", cut, "send", sound_stream,
                           "chunk", all_events, "send", LAST_CHUNK,
                           (char *)NULL);
     else
