Adapt the record of crashes to entries that are decoded one by one

Change: a record whose spec cannot be read is reported like other entries, names no cause and is written anew. A buffer of test_entry_stream_faults has room for any length (the address sanitizer's build stops at it).

--- a/src/entry/crash_store.c
+++ b/src/entry/crash_store.c
@@ -3,6 +3,7 @@
 #include "core/crash_record.h"
 #include "daisystep/log.h"
 #include "daisystep/metrics.h"
+#include "entry/unreadable_entry.h"
 #include "io/clock.h"
 #include "io/timer.h"
 #include "platform/names.h"
@@ -80,20 +81,23 @@
 accept_object (struct ds_crash_store *store, struct ds_str body)
 {
   struct ds_error error = DS_ERROR_NONE;
-  struct ds_store_object object;
-  json_t *document;
+  struct ds_store_object *object;
 
   store->known = false;
-  if (ds_store_object_decode (&object, &document, body, &error) != 0)
+  if (ds_store_object_decode (&object, store, body, &error) != 0)
     {
       ds_log_error (&error, NULL);
       return;
     }
-  ds_crash_record_decode (&store->stored, object.spec, wall_ms ());
-  store->revision = object.revision;
+  /* A record that cannot be read names no cause, and is written anew.  */
+  if (object->spec == NULL)
+    ds_unreadable_entry_report (DS_KIND_CRASHES, object->name,
+                                object->revision, object->problem);
+  ds_crash_record_decode (&store->stored, object->spec, wall_ms ());
+  store->revision = object->revision;
   store->known = true;
   store->exists = true;
-  json_decref (document);
+  talloc_free (object);
   for (size_t i = 0; i < store->stored.count; i++)
     ds_crash_evidence_restore (store->options.evidence,
                                &store->stored.reports[i]);
--- a/tests/test_entry_stream_faults.c
+++ b/tests/test_entry_stream_faults.c
@@ -94,7 +94,7 @@
 append_event (char text[static TEXT_BYTES], int number, bool chunked)
 {
   char event[64];
-  char size[16];
+  char size[24];
 
   format_event (event, number);
   (void)snprintf (size, sizeof size, "%zx\r\n", strlen (event));
