Cap the minimum that the home of a budget holds by a share of what is left

Cause: the home drew the minimum of 30,000 tokens in any case, that is all of a small budget, and what a killed host held stays granted. Change: the minimum does not go beyond part_percent of what is left. Evidence: test_entry_budget, in which all of three hosts are killed twice, fails on the code before with "0 of 3 requests are served".

--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -90,8 +90,9 @@
    The tokens held by the home have to last for a store outage of eight or nine
    seconds at several times the usual load.  One host holds them, since
    a prompt of 50,000 tokens may arrive at any host and would not fit a part at
-   each.  What is held when all hosts crash is lost to the workspace, so less
-   is held when little is left.  */
+   each.  What is held when all hosts crash is lost to the workspace, so the
+   home never holds more than a fraction of what is left, not even the minimum:
+   homes that did took whole budgets of 30,000 tokens with them.  */
 uint64_t
 ds_allotment_target (const struct ds_allotment *allotment,
                      const struct ds_allotment_policy *policy)
@@ -107,10 +108,10 @@
     target = policy->initial_fraction * (double)allotment->limit;
   else
     target = fleet_demand * policy->hold_s;
-  if (target > policy->max_fraction * remaining)
-    target = policy->max_fraction * remaining;
   if (fleet_demand > 0 && target < (double)policy->minimum)
     target = (double)policy->minimum;
+  if (target > policy->max_fraction * remaining)
+    target = policy->max_fraction * remaining;
   target -= (double)allotment->peer_free;
   return target > 0 ? (uint64_t)target : 0;
 }
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -31,6 +31,8 @@
 extern struct test_process *entry_store;
 extern struct test_process *entry_replicas[ENTRY_REPLICAS];
 extern struct test_process *entry_hosts[ENTRY_HOSTS_MAX];
+/* "minimum_tokens" of the hosts started from now on.  */
+extern long entry_minimum_tokens;
 extern char entry_caller_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 extern char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 extern char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
--- /dev/null
+++ b/tests/test_entry_budget.c
@@ -0,0 +1,127 @@
+#include "support/entry_site.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define HOSTS 3
+#define PREPAID 30000
+/* Input and output tokens of a request, and their sum.  */
+#define TOKEN_COUNT "1476,24"
+#define REQUEST_TOKENS 1500
+#define ROUNDS 2
+#define REQUESTS_PER_ROUND 3
+/* Time between requests, in which a home is chosen and draws tokens.  */
+#define PAUSE_MS 500
+/* "recovery_s" of the users' platform.  */
+#define RECOVERY_MS 12000
+
+static int serial;
+
+static void
+set_up (void)
+{
+  /* As much as the whole budget, like in the settings of the users' sites.  */
+  entry_minimum_tokens = PREPAID;
+  entry_start_standins (PREPAID);
+  for (int i = 0; i < HOSTS; i++)
+    entry_start_host (i, "z");
+  for (int i = 0; i < HOSTS; i++)
+    entry_wait_ready (i);
+}
+
+static void
+tear_down (void)
+{
+  test_processes_clean_up ();
+}
+
+static bool
+is_served (int host)
+{
+  char id[32];
+
+  (void)snprintf (id, sizeof id, "id-%d", serial++);
+  return entry_request (host, "POST", "/stream/1", id, TOKEN_COUNT)->status
+         == 200;
+}
+
+/* Sends requests to all hosts in turn until COUNT have been served.  */
+static void
+serve (int count)
+{
+  int served = 0;
+
+  for (int waited = 0; served < count; waited += PAUSE_MS)
+    {
+      ck_assert_msg (waited < RECOVERY_MS, "%d of %d requests are served",
+                     served, count);
+      served += is_served (serial % HOSTS) ? 1 : 0;
+      test_sleep_ms (PAUSE_MS);
+    }
+}
+
+static void
+restart_all_hosts (void)
+{
+  for (int i = 0; i < HOSTS; i++)
+    (void)test_process_signal (entry_hosts[i], SIGKILL);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      (void)test_process_wait (entry_hosts[i], ENTRY_WAIT_MS);
+      entry_start_host (i, "z");
+    }
+  for (int i = 0; i < HOSTS; i++)
+    entry_wait_ready (i);
+}
+
+/* Guards against a small budget that is lost for the day when all hosts are
+   killed, also twice in a row, and against tokens that are spent twice after
+   it.  */
+START_TEST (a_small_budget_outlives_the_death_of_all_hosts)
+{
+  int total = 0;
+  int refused = 0;
+
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      serve (REQUESTS_PER_ROUND);
+      total += REQUESTS_PER_ROUND;
+      restart_all_hosts ();
+    }
+  serve (1);
+  total++;
+  while (refused < HOSTS)
+    {
+      if (is_served (serial % HOSTS))
+        {
+          total++;
+          refused = 0;
+        }
+      else
+        refused++;
+    }
+  ck_assert_int_le ((long)total * REQUEST_TOKENS, PREPAID);
+  ck_assert_int_ge (2L * total * REQUEST_TOKENS, PREPAID);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("entry_budget");
+  TCase *test_case = tcase_create ("entry_budget");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_set_timeout (test_case, 120);
+  tcase_add_test (test_case, a_small_budget_outlives_the_death_of_all_hosts);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
