Drop the body of a rejection before the next attempt

Cause: the body of a rejection was held for the caller, and stayed held when the request went to another replica. The tests' replicas reject with empty bodies. Change: what an attempt has left behind (held bytes, a part of an event, a pause of reading) goes with the attempt.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -180,6 +180,9 @@
   if (x->pooled != NULL)
     ds_connection_pool_discard (x->pooled);
   x->pooled = NULL;
+  x->paused = false;
+  ds_event_stream_discard_partial (&x->events);
+  release_held (x);
   release_load (x);
 }
 
@@ -448,8 +451,6 @@
   log_attempt_end (x, how);
   mark_tried (x);
   cancel_attempt (x);
-  ds_event_stream_discard_partial (&x->events);
-  release_held (x);
   if (may_retry (x, now_ms) && (!x->head_sent || x->stream_begun)
       && ds_retry_budget_take (x->context->retries,
                                x->placement_request.service, x->context->hosts,
@@ -821,7 +822,6 @@
           log_attempt_end (x, "replica responded with a 5xx status");
           mark_tried (x);
           cancel_attempt (x);
-          release_held (x);
           start_attempt (x);
           return;
         }
--- a/tests/test_entry_streams.c
+++ b/tests/test_entry_streams.c
@@ -299,6 +299,30 @@
 }
 END_TEST
 
+#define REJECTION_WITH_BODY                                                   \
+  "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\n"                  \
+  "Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+
+/* Guards against joining the body of a rejection to the answer of the next
+   replica.  */
+START_TEST (the_body_of_a_rejection_does_not_reach_the_caller)
+{
+  static const char *const paths[] = { "/look/1", "/book/1" };
+
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      struct test_http_response *reply;
+      char id[16];
+
+      entry_add_refusal (entry_replicas[0], "send", REJECTION_WITH_BODY, NULL);
+      (void)snprintf (id, sizeof id, "id-%d", i);
+      reply = entry_request (0, "POST", paths[_i], id, NULL);
+      ck_assert_int_eq (reply->status, 200);
+      ck_assert_ptr_eq (strstr (reply->body.data, "full"), NULL);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -328,6 +352,8 @@
                        sizeof empty_streams / sizeof empty_streams[0]);
   tcase_add_test (test_case,
                   a_broken_response_that_is_no_stream_is_not_resumed);
+  tcase_add_loop_test (
+      test_case, the_body_of_a_rejection_does_not_reach_the_caller, 0, 2);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
