Refuse responses with a status below 100

Cause: each status below 200 was taken for an interim one, whose head is passed over; http_parser reads a body for those below 100, and it went to the request. Change: a status below 100 is malformed. An attempt begins without the state of the one before, so that bytes without a head are not forwarded. Result: a_body_of_a_status_below_100_does_not_reach_the_caller (three cases) and events_of_a_status_below_100_do_not_continue_a_stream failed before.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -983,6 +983,9 @@
   x->expected_ms = placement->expected_ms;
   x->attempt_ms = now_ms;
   x->answer_ms = 0;
+  x->streaming = false;
+  x->framed = false;
+  x->tied = false;
   x->earlier_events = x->events.events;
   x->beyond_crash = false;
   if (x->runs + x->rejections > 0)
--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -295,7 +295,8 @@
     }
   if (build_head (reader) != 0)
     return -1;
-  if (parser->type == HTTP_RESPONSE && is_joined_head (reader))
+  if (parser->type == HTTP_RESPONSE
+      && (parser->status_code < 100 || is_joined_head (reader)))
     {
       (void)set_error (reader, DS_HTTP_PARSE_ERROR_MALFORMED);
       return -1;
--- a/tests/test_entry_streams.c
+++ b/tests/test_entry_streams.c
@@ -302,6 +302,7 @@
 #define REJECTION_WITH_BODY                                                   \
   "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\n"                  \
   "Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+#define SHORT_ANSWER ANSWER_HEAD ("200 OK") "Content-Length: 5\r\n\r\nsound"
 
 /* Guards against joining the body of a rejection to the answer of the next
    replica.  */
@@ -323,6 +324,41 @@
 }
 END_TEST
 
+static const char *const low_statuses[] = {
+  "HTTP/1.1 20 OK\r\nContent-Length: 4\r\n\r\nevil",
+  "HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nevil",
+  "HTTP/1.1 5 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nevil\r\n0\r\n\r\n",
+};
+
+/* Guards against forwarding the body of a response with a status below 100,
+   whose head is passed over as an interim one.  */
+START_TEST (a_body_of_a_status_below_100_does_not_reach_the_caller)
+{
+  char text[512];
+
+  (void)snprintf (text, sizeof text, "%s%s", low_statuses[_i], SHORT_ANSWER);
+  ADD_RESPONSES ("send", text);
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      struct test_http_response *reply = entry_request (
+          0, "POST", "/look/1", i == 0 ? "id-0" : "id-1", NULL);
+
+      ck_assert_ptr_eq (strstr (reply->body.data, "evil"), NULL);
+    }
+}
+END_TEST
+
+/* Guards against the same in a stream that is resumed.  */
+START_TEST (events_of_a_status_below_100_do_not_continue_a_stream)
+{
+  check_resume (
+      "HTTP/1.1 20 OK\r\nContent-Length: 21\r\n\r\n"
+      "id: 3\ndata: evil!!!\n\n" ANSWER_HEAD (
+          "200 OK") "Content-Type: text/event-stream\r\n\r\n" EVENT (4)
+          EVENT (5) EVENT (6));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -354,6 +390,11 @@
                   a_broken_response_that_is_no_stream_is_not_resumed);
   tcase_add_loop_test (
       test_case, the_body_of_a_rejection_does_not_reach_the_caller, 0, 2);
+  tcase_add_loop_test (test_case,
+                       a_body_of_a_status_below_100_does_not_reach_the_caller,
+                       0, sizeof low_statuses / sizeof low_statuses[0]);
+  tcase_add_test (test_case,
+                  events_of_a_status_below_100_do_not_continue_a_stream);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
