Forward nothing after the last event of a stream

Cause: the rest after the last event was looked at for line feeds only, and forwarded. Change: it is dropped. It may hold empty lines and comments alone, which say nothing. Result: a_rest_with_carriage_returns_does_not_reach_the_caller failed in both cases before.

--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -236,13 +236,6 @@
   return 0;
 }
 
-/* Returns the bytes after the last complete event.  */
-struct ds_str
-ds_event_stream_partial (const struct ds_event_stream *stream)
-{
-  return ds_byte_buffer_content (&stream->partial);
-}
-
 /* Whether the bytes after the last complete event begin another one.  Empty
    lines and comments belong to none.  */
 bool
--- a/src/entry/event_stream.h
+++ b/src/entry/event_stream.h
@@ -29,7 +29,6 @@
 int ds_event_stream_feed (TALLOC_CTX *owner, struct ds_event_stream *stream,
                           struct ds_str bytes, ds_event_stream_fn *on_event,
                           void *user_data);
-struct ds_str ds_event_stream_partial (const struct ds_event_stream *stream);
 bool ds_event_stream_is_inside_event (const struct ds_event_stream *stream);
 void ds_event_stream_discard_partial (struct ds_event_stream *stream);
 
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -835,8 +835,6 @@
       send_held_response (x);
       return;
     }
-  if (x->response.is_stream)
-    ds_caller_write_chunk (caller, ds_event_stream_partial (&x->events));
   ds_caller_write (caller, DS_STR ("0\r\n\r\n"));
   ds_metric_add (DS_METRIC_ANSWERS_WHOLE, 1);
   end_exchange (x, "answered");
--- a/tests/test_entry_streams.c
+++ b/tests/test_entry_streams.c
@@ -359,6 +359,26 @@
 }
 END_TEST
 
+static const char *const rests[] = {
+  CHUNKED_HEAD "29\r\n" EVENT (1) ":\rid: 9\rdata: evil\r\r\r\n" LAST_CHUNK,
+  UNFRAMED_HEAD EVENT (1) ":\rid: 9\rdata: evil\r\r",
+};
+
+/* Guards against forwarding what follows the last event without a check:
+   carriage returns end lines for parsers of callers.  */
+START_TEST (a_rest_with_carriage_returns_does_not_reach_the_caller)
+{
+  ADD_RESPONSES ("send", rests[_i], "close", "");
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      struct test_http_response *reply = entry_request (
+          0, "POST", "/stream/1", i == 0 ? "id-0" : "id-1", "100,24");
+
+      ck_assert_ptr_eq (strstr (reply->body.data, "evil"), NULL);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -395,6 +415,9 @@
                        0, sizeof low_statuses / sizeof low_statuses[0]);
   tcase_add_test (test_case,
                   events_of_a_status_below_100_do_not_continue_a_stream);
+  tcase_add_loop_test (test_case,
+                       a_rest_with_carriage_returns_does_not_reach_the_caller,
+                       0, sizeof rests / sizeof rests[0]);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
