--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -46,6 +46,16 @@
   fields->has_id = true;
 }
 
+/* Reads a reconnection time, in milliseconds.  */
+static void
+read_retry (struct event_fields *fields, struct ds_str value)
+{
+  uint64_t retry_ms;
+
+  if (ds_str_to_u64 (&retry_ms, value) != 0)
+    fields->fault = "the reconnection time is no number";
+}
+
 /* Reads a line without its end.  A carriage return or a zero byte inside a
    line would end it, or the event, for some parsers of callers.  Unknown
    fields precede the data; after a data line they may be the head of another
@@ -86,7 +96,7 @@
   else if (ds_str_equal (name, DS_STR ("data")))
     fields->has_data = true;
   else if (ds_str_equal (name, DS_STR ("retry")))
-    return;
+    read_retry (fields, value);
   else if (fields->has_data && !ds_str_equal (name, DS_STR ("event")))
     fields->fault = "an unknown field follows the data of an event";
   else
--- a/tests/test_entry_stream_faults.c
+++ b/tests/test_entry_stream_faults.c
@@ -21,6 +21,9 @@
 #define TEXT_BYTES 2048
 #define SEEDS_DEFAULT 3
 #define LOG_INTERVAL_MS 1500
+/* A quarter of the streams is whole at least: the sound responses must not be
+   cut off with the faulty ones.  */
+#define WHOLE_DIVISOR 4
 
 #define HEAD(type)                                                            \
   "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"            \
@@ -58,6 +61,7 @@
 
 static uint64_t random_state;
 static int seed;
+static int whole_streams;
 
 /* Returns a number below LIMIT (xorshift64).  */
 static size_t
@@ -233,7 +237,8 @@
 
   for (int i = 1; i <= EVENTS; i++)
     append_event (sound, i, false);
-  return strncmp (body.data, sound, body.length) == 0
+  return body.length <= strlen (sound)
+         && memcmp (body.data, sound, body.length) == 0
          && (!complete || body.length == strlen (sound));
 }
 
@@ -251,6 +256,8 @@
   bool honest = (reply->status != 503 && reply->status != 429) || runs == 0;
   bool ran_once = request->resumable || runs <= 1;
 
+  if (is_stream && reply->code == 0)
+    whole_streams++;
   if (sound && honest && ran_once)
     return;
   /* Hosts write their logs every second; the files are kept.  */
@@ -306,8 +313,10 @@
 {
   seed = environment_number ("DS_STREAM_FIRST_SEED", 1) + _i;
   random_state = 0x9e3779b97f4a7c15U * (uint64_t)(seed + 1);
+  whole_streams = 0;
   for (int round = 0; round < ROUNDS; round++)
     run_round (round);
+  ck_assert_int_ge (WHOLE_DIVISOR * whole_streams, ROUNDS * REQUESTS);
 }
 END_TEST
 
--- a/tests/test_entry_streams.c
+++ b/tests/test_entry_streams.c
@@ -155,32 +155,64 @@
 }
 END_TEST
 
-/* Guards against repeating events when a caller resumes a stream at a replica
-   that starts anew.  */
-START_TEST (a_caller_that_resumes_gets_no_event_twice)
+/* Sends a request of a caller that resumes after the event LAST.  */
+static struct test_http_response *
+resume_after (const char *last)
 {
+  char line[32];
   const char *headers[] = { "Host: d.example",
                             "Authorization: Bearer key-1",
                             "Deadline-Ms: 6000",
                             "Request-Id: id-1",
                             "Token-Count: 100,24",
-                            "Last-Event-Id: 2",
+                            line,
                             NULL };
   struct test_http_call call = { .method = "POST",
                                  .address = entry_caller_addresses[0],
                                  .path = "/stream/1",
                                  .headers = headers,
                                  .body = "hello" };
+
+  (void)snprintf (line, sizeof line, "Last-Event-Id: %s", last);
+  return test_http (&call);
+}
+
+/* Guards against repeating events when a caller resumes a stream at a replica
+   that starts anew.  */
+START_TEST (a_caller_that_resumes_gets_no_event_twice)
+{
   struct test_http_response *reply;
 
   ADD_RESPONSES ("send", CHUNKED_HEAD, "chunk", EVENT (1) EVENT (2), "chunk",
                  EVENT (3) EVENT (4) EVENT (5) EVENT (6), "send", LAST_CHUNK);
-  reply = test_http (&call);
+  reply = resume_after ("2");
   ck_assert_int_eq (reply->code, 0);
   ck_assert_str_eq (reply->body.data, EVENT (3) EVENT (4) EVENT (5) EVENT (6));
 }
 END_TEST
 
+/* Guards against failing a caller that has all events and asks for more, and
+   against telling it that the stream has ended on the word of a head alone. */
+START_TEST (only_a_declared_end_completes_a_stream_that_a_caller_resumes)
+{
+  struct test_http_response *reply;
+
+  ADD_RESPONSES ("send", CHUNKED_HEAD LAST_CHUNK);
+  reply = resume_after ("6");
+  ck_assert_int_eq (reply->code, 0);
+  ck_assert_int_eq (reply->status, 200);
+  ck_assert_str_eq (reply->body.data, "");
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    for (int k = 0; k < ENTRY_REPLICAS; k++)
+      entry_add_response (entry_replicas[i], "send", UNFRAMED_HEAD, "close",
+                          "", NULL);
+  /* The other replica still has the first script.  */
+  (void)resume_after ("6");
+  reply = resume_after ("6");
+  ck_assert (reply->code != 0 || reply->status == 502);
+}
+END_TEST
+
 /* Number of requests that replicas got to resume a stream.  */
 static int
 count_resumed (void)
@@ -399,6 +431,8 @@
   tcase_add_test (test_case,
                   garbage_after_the_last_event_does_not_reach_the_caller);
   tcase_add_test (test_case, a_caller_that_resumes_gets_no_event_twice);
+  tcase_add_test (
+      test_case, only_a_declared_end_completes_a_stream_that_a_caller_resumes);
   tcase_add_loop_test (test_case, a_resumed_stream_takes_events_only, 0,
                        sizeof other_answers / sizeof other_answers[0]);
   tcase_add_loop_test (test_case,
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -93,6 +93,7 @@
     DS_STR ("id: 3\n\n"),
     DS_STR ("id: 3\nid: 4\ndata: c\n\n"),
     DS_STR ("id: 9\nid: 3\ndata: c\n\n"),
+    DS_STR ("retry: \x01 garbage\n\n"),
     DS_STR ("id: 3\n!\x01 garbage\ndata: c\n\n"),
     DS_STR ("id: 3\nda\0ta: c\n\n"),
     DS_STR ("id: 3\ndata: c\r\rid: 4\ndata: d\n\n"),
