--- a/tests/test_entry_budget.c
+++ b/tests/test_entry_budget.c
@@ -9,7 +9,7 @@
 #define PREPAID 30000
 /* Input and output tokens of a request, and their sum.  */
 #define TOKEN_COUNT "1476,24"
-#define REQUEST_TOKENS 1500
+#define REQUEST_TOKENS 1500L
 #define ROUNDS 2
 #define REQUESTS_PER_ROUND 3
 /* Time between requests, in which a home is chosen and draws tokens.  */
@@ -76,10 +76,10 @@
     entry_wait_ready (i);
 }
 
-/* Guards against a small budget that is lost for the day when all hosts are
-   killed, also twice in a row, and against tokens that are spent twice after
-   it.  */
-START_TEST (a_small_budget_outlives_the_death_of_all_hosts)
+/* Serves requests in ROUNDS that end with the death of all hosts, and then as
+   many as the budget has tokens for.  Returns how many were served.  */
+static int
+serve_in_spite_of_deaths (void)
 {
   int total = 0;
   int refused = 0;
@@ -102,8 +102,23 @@
       else
         refused++;
     }
-  ck_assert_int_le ((long)total * REQUEST_TOKENS, PREPAID);
-  ck_assert_int_ge (2L * total * REQUEST_TOKENS, PREPAID);
+  return total;
+}
+
+/* Guards against a small budget that is lost for the day when all hosts are
+   killed, also twice in a row, and against tokens that are spent twice after
+   it.  */
+START_TEST (a_small_budget_outlives_the_death_of_all_hosts)
+{
+  ck_assert_int_le (serve_in_spite_of_deaths () * REQUEST_TOKENS, PREPAID);
+}
+END_TEST
+
+/* Guards against deaths that take most of a budget with them.  */
+START_TEST (two_deaths_of_all_hosts_leave_half_of_a_small_budget)
+{
+  ck_assert_int_ge (2L * serve_in_spite_of_deaths () * REQUEST_TOKENS,
+                    PREPAID);
 }
 END_TEST
 
@@ -118,6 +133,8 @@
   tcase_add_checked_fixture (test_case, set_up, tear_down);
   tcase_set_timeout (test_case, 120);
   tcase_add_test (test_case, a_small_budget_outlives_the_death_of_all_hosts);
+  tcase_add_test (test_case,
+                  two_deaths_of_all_hosts_leave_half_of_a_small_budget);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
