--- a/src/core/body_pool.c
+++ b/src/core/body_pool.c
@@ -1,7 +1,7 @@
 #include "core/body_pool.h"
 
-/* Above the bodies of ordinary calls (100,000 bytes at most on the users'
-   sites), so that none of them waits behind an upload.  */
+/* Above the bodies of ordinary calls, 100,000 bytes at most, so that none of
+   them waits behind an upload.  */
 #define SMALL_BODY_BYTES_MAX 131072
 /* Part of the memory that large bodies never get.  */
 #define SMALL_DIVISOR 4
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -74,7 +74,7 @@
   OPTIONAL_REAL (struct ds_entry_settings, cpu_share, 0, 1000, 1),
   OPTIONAL_REAL (struct ds_entry_settings, cpu_cores, 0, 1000, 1),
   OPTIONAL_REAL (struct ds_entry_settings, link_mbps, 0, 1000000, 1000),
-  /* The least of the users' machines.  */
+  /* The default suits the smallest supported machine.  */
   OPTIONAL_REAL (struct ds_entry_settings, memory_mb, 32, 1048576, 88),
   OBJECT (retry, retry_fields),
   OBJECT (budget, budget_fields),
