Limit what cold replicas receive from all hosts together

Replicas of a service with cold_per_s take few requests per second for some time after their start, and crash well above that.

--- a/include/daisystep/routing_config.h
+++ b/include/daisystep/routing_config.h
@@ -50,6 +50,8 @@
   uint32_t slots;
   uint64_t kv_capacity;      /* tokens in the cache of one replica */
   uint32_t tokens_per_event; /* maximum per event of a stream */
+  uint64_t cold_start_ms;    /* cold time of a replica after its start */
+  double cold_per_s;         /* requests that it takes until then; 0: any */
 };
 
 /* The owner of API keys and of a prepaid token budget.  */
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -74,7 +74,17 @@
   [DS_METRIC_REQUESTS_PASSED_OVER]
   = { .name = "requests_passed_over_total",
       .help = "Attempts kept from the best upstream by what it said in an "
-              "answer." },
+              "answer, or because it was cold." },
+  [DS_METRIC_COLD_REQUESTS]
+  = { .name = "cold_requests_total",
+      .help = "Attempts sent to upstreams that were cold." },
+  [DS_METRIC_COLD_REFUSED]
+  = { .name = "cold_refused_total",
+      .help = "Requests refused because the upstreams left were cold." },
+  [DS_METRIC_COLD_HOST_LISTS]
+  = { .name = "cold_host_lists_total",
+      .help = "Pages of the list of hosts read to share the limit of cold "
+              "upstreams." },
   [DS_METRIC_TOKENS_BILLED]
   = { .name = "tokens_billed_total", .help = "Tokens in bills of this host." },
   [DS_METRIC_TOKENS_RELAYED] = { .name = "tokens_relayed_total",
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -121,11 +121,37 @@
   return cached < request->prompt_tokens ? request->prompt_tokens - cached : 1;
 }
 
-/* Returns the replica of SERVICE that all hosts prefer for the prompts of the
-   part KEY, by rendezvous hashing; null if there is none.  */
+/* Returns for how long REPLICA takes no request from this host because it is
+   cold; 0 if it takes one now.  */
+static uint64_t
+cold_wait_ms (struct ds_replica *replica,
+              const struct ds_placement_request *request, uint64_t now_ms)
+{
+  if (request->cold_limit == NULL)
+    return 0;
+  return ds_cold_limit_wait_ms (request->cold_limit, &request->cold_rule,
+                                &replica->cold, replica->hash,
+                                request->urgency, now_ms);
+}
+
+static bool
+is_cold (const struct ds_replica *replica,
+         const struct ds_placement_request *request, uint64_t now_ms)
+{
+  return request->cold_limit != NULL
+         && ds_cold_state_remaining_ms (&replica->cold, &request->cold_rule,
+                                        now_ms)
+                > 0;
+}
+
+/* Returns the replica of the service that all hosts prefer for the prompts of
+   the part KEY, by rendezvous hashing; null if there is none.  Hosts that may
+   not send to a cold one would each choose another replica and prefill the
+   part there.  */
 static const struct ds_replica *
-find_preferred (const struct ds_replica_set *set, struct ds_str service,
-                uint64_t key)
+find_preferred (const struct ds_replica_set *set,
+                const struct ds_placement_request *request, uint64_t key,
+                uint64_t now_ms)
 {
   const struct ds_replica *preferred = NULL;
   uint64_t best_weight = 0;
@@ -136,8 +162,9 @@
       uint64_t weight = mix_hash (replica->hash ^ key);
 
       if ((preferred != NULL && weight <= best_weight)
-          || !ds_str_equal (replica->record.service, service)
-          || !ds_replica_accepts_requests (replica))
+          || !ds_str_equal (replica->record.service, request->service)
+          || !ds_replica_accepts_requests (replica)
+          || is_cold (replica, request, now_ms))
         continue;
       preferred = replica;
       best_weight = weight;
@@ -205,7 +232,7 @@
 /* Returns what keeps the request from REPLICA.  LAST_RESORT allows replicas
    that leave and still serve.  */
 static enum ds_placement_obstacle
-find_obstacle (const struct ds_replica *replica,
+find_obstacle (struct ds_replica *replica,
                const struct ds_placement_request *request, bool last_resort,
                uint64_t now_ms)
 {
@@ -216,6 +243,8 @@
     return DS_PLACEMENT_LEAVING;
   if (ds_replica_notice_wait_ms (&replica->notice, now_ms) > 0)
     return DS_PLACEMENT_HELD;
+  if (cold_wait_ms (replica, request, now_ms) > 0)
+    return DS_PLACEMENT_COLD;
   return DS_PLACEMENT_UNOBSTRUCTED;
 }
 
@@ -247,6 +276,10 @@
   if (obstacle == DS_PLACEMENT_HELD
       && search->best.status == DS_PLACEMENT_NO_REPLICA)
     search->best.status = DS_PLACEMENT_ALL_HELD;
+  if (obstacle == DS_PLACEMENT_COLD
+      && (search->best.status == DS_PLACEMENT_NO_REPLICA
+          || search->best.status == DS_PLACEMENT_ALL_HELD))
+    search->best.status = DS_PLACEMENT_ALL_COLD;
   if (was_tried (search->request, replica->hash))
     return;
   cost = expected_ms (replica, search->preferred, search->request,
@@ -279,7 +312,7 @@
   uint64_t key = affinity_key (request);
   struct search search = {
     .request = request,
-    .preferred = key != 0 ? find_preferred (set, request->service, key) : NULL,
+    .preferred = key != 0 ? find_preferred (set, request, key, now_ms) : NULL,
     .last_resort = last_resort,
     .now_ms = now_ms,
     .best = { .status = DS_PLACEMENT_NO_REPLICA },
@@ -332,21 +365,29 @@
   return placement;
 }
 
-/* Returns the time until the first replica of SERVICE takes requests again if
-   all of them, but for those that leave, want none for now; else 0.  */
+/* Returns the time until the first replica of the service takes the request,
+   if all of them, but for those that leave, want none for now or are cold;
+   else 0.  */
 uint64_t
-ds_placement_wait_ms (const struct ds_replica_set *set, struct ds_str service,
+ds_placement_wait_ms (const struct ds_replica_set *set,
+                      const struct ds_placement_request *request,
                       uint64_t now_ms)
 {
   uint64_t least = UINT64_MAX;
 
   for (size_t i = 0; i < ds_replica_set_count (set); i++)
     {
-      const struct ds_replica *replica = ds_replica_set_at (set, i);
+      struct ds_replica *replica = ds_replica_set_at (set, i);
       uint64_t wait_ms = ds_replica_notice_wait_ms (&replica->notice, now_ms);
+      uint64_t cold_ms;
 
-      if (ds_str_equal (replica->record.service, service)
-          && ds_replica_accepts_requests (replica) && wait_ms < least)
+      if (!ds_str_equal (replica->record.service, request->service)
+          || !ds_replica_accepts_requests (replica))
+        continue;
+      cold_ms = cold_wait_ms (replica, request, now_ms);
+      if (cold_ms > wait_ms)
+        wait_ms = cold_ms;
+      if (wait_ms < least)
         least = wait_ms;
     }
   return least == UINT64_MAX ? 0 : least;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -27,6 +27,9 @@
   uint64_t tried[4];          /* hashes of replicas to exclude */
   size_t tried_count;
   uint64_t drain_ms; /* for which a replica that leaves still serves */
+  const struct ds_cold_limit *cold_limit; /* null: no replica is cold */
+  struct ds_cold_rule cold_rule;          /* of SERVICE */
+  unsigned urgency;                       /* 0 is the most urgent */
 };
 
 /* DS_PLACEMENT_OK, or why there is no replica.  */
@@ -36,6 +39,7 @@
   DS_PLACEMENT_NO_REPLICA, /* none is known for the service */
   DS_PLACEMENT_ALL_TRIED,  /* all known ones were tried */
   DS_PLACEMENT_ALL_HELD,   /* all known ones want no requests for now */
+  DS_PLACEMENT_ALL_COLD,   /* all others are cold and take none now */
   DS_PLACEMENT_FULL        /* all slots are in use */
 };
 
@@ -44,7 +48,8 @@
 {
   DS_PLACEMENT_UNOBSTRUCTED,
   DS_PLACEMENT_LEAVING, /* it said that it leaves */
-  DS_PLACEMENT_HELD     /* it said that it wants no requests for a while */
+  DS_PLACEMENT_HELD,    /* it said that it wants no requests for a while */
+  DS_PLACEMENT_COLD     /* it is cold and takes none from this host now */
 };
 
 /* EXPECTED_MS is the estimated time to the first event, UNCACHED_TOKENS the
@@ -65,7 +70,8 @@
                                          const struct ds_placement_request *r,
                                          uint64_t now_ms);
 uint64_t ds_placement_wait_ms (const struct ds_replica_set *set,
-                               struct ds_str service, uint64_t now_ms);
+                               const struct ds_placement_request *request,
+                               uint64_t now_ms);
 uint64_t
 ds_placement_uncached_tokens (const struct ds_replica *replica,
                               const struct ds_placement_request *request,
--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -132,6 +132,7 @@
         {
           replica->record.slots = record->slots;
           replica->record.draining = record->draining;
+          replica->record.cold_remaining_ms = record->cold_remaining_ms;
           replica->expiry_ms = 0;
           entry->listed = true;
           return 0;
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -1,6 +1,7 @@
 #ifndef DS_CORE_REPLICA_SET_H
 #define DS_CORE_REPLICA_SET_H
 
+#include "core/cold_limit.h"
 #include "core/replica_notice.h"
 #include "daisystep/error.h"
 #include "daisystep/str.h"
@@ -18,6 +19,7 @@
   struct ds_str zone;
   uint32_t slots;
   bool draining;
+  uint64_t cold_remaining_ms; /* when it was written; or DS_COLD_UNKNOWN */
 };
 
 /* Unfinished requests that a host has sent to a replica.  */
@@ -57,6 +59,7 @@
   uint64_t left_reported_ms;
   uint64_t left_refuted_ms; /* when a report was last found wrong; or 0 */
   struct ds_replica_notice notice;
+  struct ds_cold_state cold;
   bool removed;
 };
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,11 +7,13 @@
 #include "entry/address_service.h"
 #include "entry/budget_manager.h"
 #include "entry/caller.h"
+#include "entry/cold_starts.h"
 #include "entry/crash_store.h"
 #include "entry/entry_settings.h"
 #include "entry/exchange.h"
 #include "entry/fleet_view.h"
 #include "entry/registration.h"
+#include "entry/replica_log.h"
 #include "entry/store_watcher.h"
 #include "entry/unreadable_entry.h"
 #include "io/clock.h"
@@ -377,26 +379,6 @@
   return true;
 }
 
-static void
-log_replica (const struct ds_store_object *object, struct ds_str state,
-             const struct ds_replica_record *record, const char *reason)
-{
-  struct ds_decision_line line
-      = ds_decision_line_begin ("replica", DS_STR_EMPTY);
-
-  ds_decision_line_add_text (&line, "replica", object->name);
-  ds_decision_line_add_number (&line, "revision", (int64_t)object->revision);
-  ds_decision_line_add_text (&line, "state", state);
-  if (record != NULL)
-    {
-      ds_decision_line_add_text (&line, "service", record->service);
-      ds_decision_line_add_text (&line, "address", record->address);
-    }
-  if (reason != NULL)
-    ds_decision_line_add_text (&line, "reason", ds_str_from_c (reason));
-  ds_decision_line_end (&line);
-}
-
 /* Handles an entry that names no replica to use.  A replica that it named
    before is gone at once: unlike a missing entry, it has not expired in an
    outage.  */
@@ -410,7 +392,7 @@
   if (!ds_store_watcher_is_change (entry->replica_watcher, object))
     return;
   ds_metric_add (DS_METRIC_UNREADABLE_ENTRIES, 1);
-  log_replica (object, DS_STR ("unreadable"), NULL, reason);
+  ds_replica_log (object, DS_STR ("unreadable"), NULL, reason);
 }
 
 static void
@@ -425,7 +407,7 @@
       announce_departure (entry, object, true);
       ds_replica_set_remove (entry->replicas, object->name,
                              removal_time (entry));
-      log_replica (object, DS_STR ("gone"), NULL, NULL);
+      ds_replica_log (object, DS_STR ("gone"), NULL, NULL);
     }
   else if (object->problem != NULL)
     on_unreadable_replica (entry, object, object->problem);
@@ -436,8 +418,9 @@
     {
       if (record.draining)
         announce_departure (entry, object, false);
-      (void)ds_replica_set_put (entry->replicas, &record);
-      log_replica (object,
+      (void)ds_cold_starts_put_replica (entry->exchanges.cold_starts, &record,
+                                        object->revision, ds_clock_ms ());
+      ds_replica_log (object,
                    record.draining ? DS_STR ("draining") : DS_STR ("ready"),
                    &record, NULL);
     }
@@ -834,6 +817,8 @@
   count_hosts (entry, now_ms);
   note_outage (entry, now_ms);
   update_watches (entry, now_ms);
+  ds_cold_starts_tick (entry->exchanges.cold_starts, entry->exchanges.config,
+                       now_ms);
   ds_budget_manager_tick (entry->budgets, now_ms);
   ds_fleet_view_set_ledger_reachable (
       entry->fleet, ds_store_client_is_reachable (entry->store));
@@ -977,6 +962,9 @@
   };
 
   if (ds_replica_set_new (&entry->replicas, entry) != 0
+      || ds_cold_starts_new (&entry->exchanges.cold_starts, entry,
+                             entry->store, entry->replicas, settings)
+             != 0
       || ds_connection_pool_new (&entry->exchanges.pool, entry, entry->ev) != 0
       || ds_crash_evidence_new (&entry->exchanges.crashes, entry, entry->ev,
                                 entry->exchanges.pool, settings->host)
@@ -1213,7 +1201,8 @@
   (void)tevent_add_signal (entry->ev, entry, SIGHUP, 0, on_hup, entry);
   if (ds_crash_store_new (&entry->crash_store, entry, &crashes) != 0
       || ds_registration_start (&entry->registration, entry, entry->ev,
-                                entry->store, entry->fleet, &self)
+                                entry->store, entry->fleet,
+                                entry->exchanges.cold_starts, &self)
              != 0)
     return DS_ENOMEM;
   on_tick (entry);
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -39,6 +39,8 @@
   double address_ttl_s;
   double config_apply_ms;
   double drain_ms;
+  double cold_overage;
+  double cold_slack;
   uint64_t log_lines_per_s;
   double cpu_share; /* of a core */
   double cpu_cores; /* speed of that core */
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -3,6 +3,7 @@
 #include "daisystep/metrics.h"
 #include "entry/event_stream.h"
 #include "entry/replica_notices.h"
+#include "entry/token_log.h"
 #include "io/clock.h"
 #include "io/timer.h"
 #include "platform/caller_codec.h"
@@ -325,7 +326,7 @@
   uint64_t now_ms = ds_clock_ms ();
 
   return ds_replica_notices_retry_after_ms (
-      ds_placement_wait_ms (x->context->replicas, x->placement_request.service,
+      ds_placement_wait_ms (x->context->replicas, &x->placement_request,
                             now_ms),
       time_left (x, now_ms), x->request.id);
 }
@@ -521,6 +522,8 @@
   ds_wire_read_response (&response, head);
   ds_replica_notices_record (x->context->replicas, x->replica, &response,
                              x->request.id, ds_clock_ms ());
+  ds_cold_starts_record_response (x->context->cold_starts, x->replica,
+                                  &response, x->request.id, ds_clock_ms ());
   if (response.request_id.length > 0
       && !ds_str_equal (response.request_id, x->request.id))
     {
@@ -972,6 +975,7 @@
   x->replica = talloc_reference (x, placement->replica);
   x->replica->local_load.running++;
   ds_replica_notice_record_sent (&x->replica->notice, now_ms);
+  ds_cold_starts_record_sent (x->replica, &x->placement_request, now_ms);
   x->uncached_tokens = placement->uncached_tokens;
   x->replica->local_load.prefill_tokens += x->uncached_tokens;
   x->prefill_counted = true;
@@ -1030,6 +1034,8 @@
   ds_decision_line_add_number (&line, "running_others",
                                placement->replica->remote_load.running);
   ds_replica_notices_describe_choice (&line, placement);
+  ds_cold_starts_describe (&line, &x->placement_request, placement->replica,
+                           now_ms);
   ds_decision_line_add_number (&line, "left_ms",
                                (int64_t)time_left (x, now_ms));
   ds_decision_line_end (&line);
@@ -1068,6 +1074,9 @@
                                    now_ms);
   if (placement.status != DS_PLACEMENT_OK)
     {
+      ds_cold_starts_record_refusal (x->context->cold_starts,
+                                     &x->placement_request, &placement,
+                                     x->request.id, now_ms);
       fail_request (x, 502, ds_replica_notices_refusal (&placement));
       return;
     }
@@ -1097,43 +1106,6 @@
     }
 }
 
-static void
-log_tokens (struct ds_exchange *x, enum ds_budget_outcome outcome)
-{
-  const struct ds_allotment *a
-      = ds_budget_manager_find (x->context->budgets, x->workspace);
-  struct ds_decision_line line
-      = ds_decision_line_begin ("tokens", x->request.id);
-
-  ds_decision_line_add_text (&line, "workspace", x->workspace);
-  ds_decision_line_add_text (
-      &line, "outcome",
-      outcome == DS_BUDGET_GRANTED       ? DS_STR ("granted")
-      : outcome == DS_BUDGET_EXHAUSTED   ? DS_STR ("exhausted")
-      : outcome == DS_BUDGET_UNAVAILABLE ? DS_STR ("away")
-                                         : DS_STR ("waits"));
-  ds_decision_line_add_number (&line, "needed", (int64_t)x->reserved);
-  if (a != NULL)
-    {
-      ds_decision_line_add_number (&line, "free", (int64_t)a->free);
-      ds_decision_line_add_number (&line, "limit", (int64_t)a->limit);
-      ds_decision_line_add_number (&line, "settled",
-                                   (int64_t)a->ledger_settled);
-      ds_decision_line_add_number (&line, "rest",
-                                   (int64_t)a->ledger_ungranted);
-      ds_decision_line_add_number (
-          &line, "age_ms", (int64_t)(ds_clock_ms () - a->ledger_observed_ms));
-      ds_decision_line_add_number (&line, "others_free",
-                                   (int64_t)a->peer_free);
-      ds_decision_line_add_text (&line, "home",
-                                 a->home == DS_HOME_SELF ? DS_STR ("this host")
-                                 : a->home == DS_HOME_OTHER
-                                     ? DS_STR ("another host")
-                                     : DS_STR ("unknown"));
-    }
-  ds_decision_line_end (&line);
-}
-
 /* Reserves the most tokens that the request can use, then starts the first
    attempt.  */
 static void
@@ -1149,7 +1121,8 @@
                                x->workspace, x->reserved, now_ms + wait_ms,
                                on_reservation, x);
   if (outcome != DS_BUDGET_GRANTED)
-    log_tokens (x, outcome);
+    ds_token_log (x->context->budgets, x->request.id, x->workspace,
+                  x->reserved, outcome);
   if (outcome == DS_BUDGET_WAITING)
     x->phase = RESERVING;
   else
@@ -1215,6 +1188,8 @@
   };
   memcpy (x->placement_request.parts, x->request.parts,
           sizeof x->placement_request.parts);
+  ds_cold_starts_fill_request (x->context->cold_starts, &x->placement_request,
+                               x->config, engine_priority (x));
 }
 
 /* Collects what a crash of a replica may be due to: the request as a whole,
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -8,6 +8,7 @@
 #include "daisystep/routing_config.h"
 #include "entry/budget_manager.h"
 #include "entry/caller.h"
+#include "entry/cold_starts.h"
 #include "entry/connection_pool.h"
 #include "entry/crash_evidence.h"
 #include "entry/fleet_view.h"
@@ -26,6 +27,7 @@
   struct ds_retry_budget *retries;
   struct ds_budget_manager *budgets;
   struct ds_crash_evidence *crashes;
+  struct ds_cold_starts *cold_starts;
   struct ds_fleet_view *fleet;
   struct ds_host_strain strain;
   struct ds_host_memory memory;
--- a/src/entry/registration.c
+++ b/src/entry/registration.c
@@ -28,6 +28,7 @@
   struct tevent_context *ev;
   struct ds_store_client *store;
   struct ds_fleet_view *fleet;
+  struct ds_cold_starts *cold_starts;
   struct ds_fleet_self self;
   struct ds_store_pending_call *pending;
   enum step step;
@@ -131,6 +132,8 @@
 
   registration->pending = NULL;
   registration->retry_scheduled = false;
+  if (result->outcome == DS_STORE_OK && registration->step != REGISTER_LIST)
+    ds_cold_starts_set_registered (registration->cold_starts, ds_clock_ms ());
   switch (registration->step)
     {
     case REGISTER_CREATE:
@@ -204,13 +207,14 @@
   json_decref (spec);
 }
 
-/* Registers the host in SELF and adds the other hosts to FLEET; retries until
-   it succeeds.  */
+/* Registers the host in SELF, tells COLD_STARTS and adds the other hosts to
+   FLEET; retries until it succeeds.  */
 int
 ds_registration_start (struct ds_registration **out, TALLOC_CTX *owner,
                        struct tevent_context *ev,
                        struct ds_store_client *store,
                        struct ds_fleet_view *fleet,
+                       struct ds_cold_starts *cold_starts,
                        const struct ds_fleet_self *self)
 {
   struct ds_registration *registration
@@ -221,6 +225,7 @@
   registration->ev = ev;
   registration->store = store;
   registration->fleet = fleet;
+  registration->cold_starts = cold_starts;
   registration->self = *self;
   run_step (registration);
   *out = registration;
--- a/src/entry/registration.h
+++ b/src/entry/registration.h
@@ -1,6 +1,7 @@
 #ifndef DS_ENTRY_REGISTRATION_H
 #define DS_ENTRY_REGISTRATION_H
 
+#include "entry/cold_starts.h"
 #include "entry/fleet_view.h"
 #include "entry/store_client.h"
 
@@ -11,6 +12,7 @@
                            struct tevent_context *ev,
                            struct ds_store_client *store,
                            struct ds_fleet_view *fleet,
+                           struct ds_cold_starts *cold_starts,
                            const struct ds_fleet_self *self);
 
 #endif
--- a/src/entry/replica_notices.c
+++ b/src/entry/replica_notices.c
@@ -79,6 +79,8 @@
       return "leaves";
     case DS_PLACEMENT_HELD:
       return "pushes back";
+    case DS_PLACEMENT_COLD:
+      return "cold";
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
@@ -110,12 +112,16 @@
     ds_metric_add (DS_METRIC_REQUESTS_PASSED_OVER, 1);
   if (placement->status == DS_PLACEMENT_ALL_HELD)
     return "all replicas push back";
+  if (placement->status == DS_PLACEMENT_ALL_COLD)
+    return "all replicas are cold";
   switch (placement->obstacle)
     {
     case DS_PLACEMENT_LEAVING:
       return "all replicas that are left leave";
     case DS_PLACEMENT_HELD:
       return "all replicas that are left push back";
+    case DS_PLACEMENT_COLD:
+      return "all replicas that are left are cold";
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -198,7 +198,7 @@
   add_replica ("b3", "ledger", "riedenburg", false);
   first = ds_placement_choose (set, &request, 1000);
   (void)ds_replica_set_record_hold (set, first.replica, 2000, 1000);
-  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1000), 0);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1000), 0);
   for (int i = 0; i < 2; i++)
     {
       next = ds_placement_choose (set, &request, 1000);
@@ -238,15 +238,15 @@
   (void)ds_replica_set_record_hold (set, held[1], 700, 1000);
   ck_assert_int_eq (ds_placement_choose (set, &request, 1100).status,
                     DS_PLACEMENT_ALL_HELD);
-  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1100), 600);
-  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1700), 0);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1100), 600);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1700), 0);
   ck_assert_ptr_eq (ds_placement_choose (set, &request, 1700).replica,
                     held[1]);
   /* Both at once: it is not used when the hold has ended.  */
   (void)ds_replica_set_record_leaving (set, held[1], 1200);
   ck_assert_int_eq (ds_placement_choose (set, &request, 1700).status,
                     DS_PLACEMENT_ALL_HELD);
-  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1700), 1300);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1700), 1300);
 }
 END_TEST
 
