--- a/src/core/cold_limit.c
+++ b/src/core/cold_limit.c
@@ -9,10 +9,10 @@
    senders, each of which sends at a fixed spacing.  All hosts that may send
    agree on the senders for the following reason.  A host uses its list for
    LIST_VALID_MS after it requested it, and sends nothing to cold replicas for
-   LIST_VALID_MS and a margin after its registration was acknowledged.  So every
-   list in use contains every host that may send at that moment, and a host
-   that is among the first of a larger set is also among the first of these.
-   Both times are durations on the clock of one host.  */
+   LIST_VALID_MS and a margin after its registration was acknowledged.  So
+   every list in use contains every host that may send at that moment, and a
+   host that is among the first of a larger set is also among the first of
+   these. Both times are durations on the clock of one host.  */
 
 #include "core/cold_limit.h"
 
@@ -240,6 +240,7 @@
   state->observed_ms = now_ms;
   state->remaining_ms = remaining_ms;
   state->revision = revision;
+  state->doubted_ms = 0;
   return true;
 }
 
@@ -250,16 +251,17 @@
 ds_cold_state_hear (struct ds_cold_state *state, uint64_t remaining_ms,
                     bool may_shorten, uint64_t now_ms)
 {
-  uint64_t known_until_ms
-      = state->remaining_ms == DS_COLD_UNKNOWN
-            ? DS_COLD_UNKNOWN
-            : state->observed_ms + state->remaining_ms;
+  uint64_t known_until_ms = state->remaining_ms == DS_COLD_UNKNOWN
+                                ? DS_COLD_UNKNOWN
+                                : state->observed_ms + state->remaining_ms;
 
   if (state->observed_ms == 0
       || (!may_shorten && now_ms + remaining_ms < known_until_ms))
     return;
   state->observed_ms = now_ms;
   state->remaining_ms = remaining_ms;
+  if (may_shorten)
+    state->doubted_ms = 0;
 }
 
 /* Records that the replica may have become cold without notice.  What its
@@ -273,6 +275,23 @@
   state->remaining_ms = DS_COLD_UNKNOWN;
 }
 
+/* Records a sign that the replica has ended while this host cannot learn from
+   the store whether it has started again.  */
+void
+ds_cold_state_doubt (struct ds_cold_state *state, uint64_t now_ms)
+{
+  state->doubted_ms = now_ms;
+}
+
+/* Ends the doubt: what the store said to a call begun at ASKED_MS has been
+   applied, and the replica is still the same.  */
+void
+ds_cold_state_end_doubt (struct ds_cold_state *state, uint64_t asked_ms)
+{
+  if (asked_ms > state->doubted_ms)
+    state->doubted_ms = 0;
+}
+
 /* Returns for how long the replica stays cold as far as this host knows; 0 if
    it is warm.  A host that does not know it takes the replica for cold.  */
 uint64_t
@@ -282,10 +301,13 @@
   uint64_t remaining_ms = state->remaining_ms == DS_COLD_UNKNOWN
                               ? rule->start_ms
                               : state->remaining_ms;
+  uint64_t warm_ms = state->observed_ms + remaining_ms;
 
   if (rule->per_s <= 0)
     return 0;
   if (state->observed_ms == 0)
     return rule->start_ms > 0 ? rule->start_ms : 1;
-  return until (state->observed_ms + remaining_ms, now_ms);
+  if (state->doubted_ms > 0 && state->doubted_ms + rule->start_ms > warm_ms)
+    warm_ms = state->doubted_ms + rule->start_ms;
+  return until (warm_ms, now_ms);
 }
--- a/src/core/cold_limit.h
+++ b/src/core/cold_limit.h
@@ -35,6 +35,7 @@
   uint64_t remaining_ms; /* or DS_COLD_UNKNOWN */
   uint64_t revision;     /* of the registration last read */
   uint64_t sent_ms;      /* of this host's last request */
+  uint64_t doubted_ms;   /* since when it may have restarted; or 0 */
   uint64_t set_version;  /* of the set of hosts that RANK is for */
   unsigned rank;         /* of this host among the senders */
 };
@@ -61,9 +62,9 @@
   uint64_t spacing_ms; /* of the requests of each */
 };
 
-struct ds_cold_share
-ds_cold_limit_share (const struct ds_cold_bounds *bounds,
-                     const struct ds_cold_rule *rule, size_t host_count);
+struct ds_cold_share ds_cold_limit_share (const struct ds_cold_bounds *bounds,
+                                          const struct ds_cold_rule *rule,
+                                          size_t host_count);
 int ds_cold_limit_set_hosts (struct ds_cold_limit *limit, TALLOC_CTX *owner,
                              const uint64_t *hosts, size_t count,
                              uint64_t asked_ms);
@@ -84,6 +85,8 @@
 void ds_cold_state_hear (struct ds_cold_state *state, uint64_t remaining_ms,
                          bool may_shorten, uint64_t now_ms);
 void ds_cold_state_forget (struct ds_cold_state *state, uint64_t now_ms);
+void ds_cold_state_doubt (struct ds_cold_state *state, uint64_t now_ms);
+void ds_cold_state_end_doubt (struct ds_cold_state *state, uint64_t asked_ms);
 uint64_t ds_cold_state_remaining_ms (const struct ds_cold_state *state,
                                      const struct ds_cold_rule *rule,
                                      uint64_t now_ms);
--- a/src/entry/cold_starts.c
+++ b/src/entry/cold_starts.c
@@ -173,10 +173,10 @@
       = config != NULL ? ds_routing_config_find_service (config, service)
                        : NULL;
 
-  return found != NULL ? (struct ds_cold_rule){ .start_ms
-                                                = found->cold_start_ms,
-                                                .per_s = found->cold_per_s }
-                       : (struct ds_cold_rule){ .per_s = 0 };
+  return found != NULL
+             ? (struct ds_cold_rule){ .start_ms = found->cold_start_ms,
+                                      .per_s = found->cold_per_s }
+             : (struct ds_cold_rule){ .per_s = 0 };
 }
 
 static bool
@@ -198,8 +198,7 @@
     return false;
   for (size_t i = 0; i < ds_replica_set_count (starts->replicas); i++)
     {
-      struct ds_replica *replica
-          = ds_replica_set_at (starts->replicas, i);
+      struct ds_replica *replica = ds_replica_set_at (starts->replicas, i);
       struct ds_cold_rule rule = find_rule (config, replica->record.service);
 
       if (ds_cold_state_remaining_ms (&replica->cold, &rule, now_ms) > 0
@@ -220,9 +219,13 @@
 {
   if (starts->pending != NULL || starts->limit.registered_ms == 0
       || now_ms < starts->retry_ms
-      || !ds_cold_limit_needs_list (&starts->limit, now_ms)
-      || !may_send_to_cold (starts, config, now_ms))
+      || !ds_cold_limit_needs_list (&starts->limit, now_ms))
     return;
+  if (!may_send_to_cold (starts, config, now_ms))
+    {
+      starts->due_ms = 0;
+      return;
+    }
   if (starts->due_ms == 0)
     starts->due_ms = now_ms + starts->limit.self % LIST_SPREAD_MS;
   if (now_ms < starts->due_ms)
@@ -271,8 +274,7 @@
                              unsigned urgency)
 {
   request->cold_rule = find_rule (config, request->service);
-  request->cold_limit
-      = request->cold_rule.per_s > 0 ? &starts->limit : NULL;
+  request->cold_limit = request->cold_rule.per_s > 0 ? &starts->limit : NULL;
   request->urgency = urgency;
 }
 
@@ -312,14 +314,36 @@
 
   if (response->cold_ms == DS_COLD_UNKNOWN)
     return;
-  current
-      = ds_replica_set_find_by_hash (starts->replicas, replica->hash);
+  current = ds_replica_set_find_by_hash (starts->replicas, replica->hash);
   if (current == NULL)
     return;
   ds_cold_state_hear (&current->cold, response->cold_ms,
                       ds_str_equal (response->request_id, request_id), now_ms);
 }
 
+/* Records that a connection to REPLICA was not established or broke.  While
+   the store is unreachable, the replica may have started again unseen.  */
+void
+ds_cold_starts_record_failure (struct ds_cold_starts *starts,
+                               struct ds_replica *replica, uint64_t now_ms)
+{
+  struct ds_replica *current
+      = ds_replica_set_find_by_hash (starts->replicas, replica->hash);
+
+  if (current != NULL && !ds_store_client_is_reachable (starts->store))
+    ds_cold_state_doubt (&current->cold, now_ms);
+}
+
+/* Ends doubts about replicas that a call to the store begun at ASKED_MS still
+   names.  */
+void
+ds_cold_starts_end_doubts (struct ds_cold_starts *starts, uint64_t asked_ms)
+{
+  for (size_t i = 0; i < ds_replica_set_count (starts->replicas); i++)
+    ds_cold_state_end_doubt (&ds_replica_set_at (starts->replicas, i)->cold,
+                             asked_ms);
+}
+
 /* Records that REQUEST was refused although PLACEMENT knew a replica that will
    take it.  */
 void
@@ -333,8 +357,7 @@
 
   if (placement->obstacle != DS_PLACEMENT_COLD)
     return;
-  wait_ms
-      = ds_placement_wait_ms (starts->replicas, request, now_ms);
+  wait_ms = ds_placement_wait_ms (starts->replicas, request, now_ms);
   ds_metric_add (DS_METRIC_COLD_REFUSED, 1);
   ds_cold_limit_record_refusal (&starts->limit, request->urgency, wait_ms,
                                 now_ms);
@@ -346,9 +369,9 @@
   ds_decision_line_add_number (&line, "wait_ms", (int64_t)wait_ms);
   ds_decision_line_add_number (&line, "hosts",
                                (int64_t)starts->limit.host_count);
-  ds_decision_line_add_number (
-      &line, "list_age_ms",
-      starts->limit.host_count > 0 ? (int64_t)(now_ms - starts->limit.asked_ms)
+  ds_decision_line_add_number (&line, "list_age_ms",
+                               starts->limit.host_count > 0
+                                   ? (int64_t)(now_ms - starts->limit.asked_ms)
                                    : -1);
   ds_decision_line_end (&line);
 }
--- a/src/entry/cold_starts.h
+++ b/src/entry/cold_starts.h
@@ -36,11 +36,15 @@
                                 const struct ds_replica *replica,
                                 const struct ds_upstream_response *response,
                                 struct ds_str request_id, uint64_t now_ms);
-void
-ds_cold_starts_record_refusal (struct ds_cold_starts *starts,
-                               const struct ds_placement_request *request,
-                               const struct ds_placement *placement,
-                               struct ds_str request_id, uint64_t now_ms);
+void ds_cold_starts_record_failure (struct ds_cold_starts *starts,
+                                    struct ds_replica *replica,
+                                    uint64_t now_ms);
+void ds_cold_starts_end_doubts (struct ds_cold_starts *starts,
+                                uint64_t asked_ms);
+void ds_cold_starts_record_refusal (struct ds_cold_starts *starts,
+                                    const struct ds_placement_request *request,
+                                    const struct ds_placement *placement,
+                                    struct ds_str request_id, uint64_t now_ms);
 void ds_cold_starts_describe (struct ds_decision_line *line,
                               const struct ds_placement_request *request,
                               const struct ds_replica *replica,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -330,6 +330,9 @@
   ds_replica_set_end_reports (
       entry->replicas, ds_store_watcher_revision (entry->replica_watcher),
       ds_store_watcher_asked_ms (entry->replica_watcher), ds_clock_ms ());
+  ds_cold_starts_end_doubts (
+      entry->exchanges.cold_starts,
+      ds_store_watcher_asked_ms (entry->replica_watcher));
 }
 
 /* Tells the other hosts that the replica of OBJECT drains or is gone.  One
@@ -421,8 +424,8 @@
       (void)ds_cold_starts_put_replica (entry->exchanges.cold_starts, &record,
                                         object->revision, ds_clock_ms ());
       ds_replica_log (object,
-                   record.draining ? DS_STR ("draining") : DS_STR ("ready"),
-                   &record, NULL);
+                      record.draining ? DS_STR ("draining") : DS_STR ("ready"),
+                      &record, NULL);
     }
 }
 
--- a/src/entry/replica_log.c
+++ b/src/entry/replica_log.c
@@ -5,7 +5,7 @@
    null.  */
 void
 ds_replica_log (const struct ds_store_object *object, struct ds_str state,
-             const struct ds_replica_record *record, const char *reason)
+                const struct ds_replica_record *record, const char *reason)
 {
   struct ds_decision_line line
       = ds_decision_line_begin ("replica", DS_STR_EMPTY);
--- a/src/entry/token_log.c
+++ b/src/entry/token_log.c
@@ -9,10 +9,8 @@
               struct ds_str request_id, struct ds_str workspace,
               uint64_t needed, enum ds_budget_outcome outcome)
 {
-  const struct ds_allotment *a
-      = ds_budget_manager_find (budgets, workspace);
-  struct ds_decision_line line
-      = ds_decision_line_begin ("tokens", request_id);
+  const struct ds_allotment *a = ds_budget_manager_find (budgets, workspace);
+  struct ds_decision_line line = ds_decision_line_begin ("tokens", request_id);
 
   ds_decision_line_add_text (&line, "workspace", workspace);
   ds_decision_line_add_text (
