--- a/src/core/cold_limit.c
+++ b/src/core/cold_limit.c
@@ -31,8 +31,10 @@
 #define SECOND_MS 1000
 /* Outlasts the partitions of 8 s that were observed.  */
 #define LIST_VALID_MS 9000
-/* The difference covers the arrival of the last request under an old list.  */
-#define REGISTRATION_WAIT_MS (LIST_VALID_MS + 2 * ARRIVAL_SPREAD_MS)
+/* The difference keeps the last arrivals from those senders that a new host
+   replaces out of any second with arrivals from it.  */
+#define REGISTRATION_WAIT_MS                                                  \
+  (LIST_VALID_MS + SECOND_MS + ARRIVAL_SPREAD_MS + 1)
 /* Age from which a list is read again while a replica is cold.  */
 #define LIST_RENEW_MS (LIST_VALID_MS / 2)
 /* A list that has expired is renewed within this time, unless the store is
