--- a/src/core/cold_limit.c
+++ b/src/core/cold_limit.c
@@ -55,6 +55,12 @@
   return value ^ (value >> 33);
 }
 
+static uint64_t
+until (uint64_t then_ms, uint64_t now_ms)
+{
+  return then_ms > now_ms ? then_ms - now_ms : 0;
+}
+
 /* Returns the share of a host in the limit of a cold replica, with HOST_COUNT
    hosts registered.
 
@@ -109,6 +115,24 @@
   return 0;
 }
 
+/* Returns the time until every list in use has this host, which is
+   registered.  */
+static uint64_t
+settled_in_ms (const struct ds_cold_limit *limit, uint64_t now_ms)
+{
+  return limit->settled
+             ? 0
+             : until (limit->registered_ms + REGISTRATION_WAIT_MS, now_ms);
+}
+
+/* Whether every list in use has this host.  That holds for its later
+   incarnations too, as long as the registration is not removed.  */
+bool
+ds_cold_limit_is_settled (const struct ds_cold_limit *limit, uint64_t now_ms)
+{
+  return limit->registered_ms > 0 && settled_in_ms (limit, now_ms) == 0;
+}
+
 /* Whether the list of hosts should be read again before it expires.  */
 bool
 ds_cold_limit_needs_list (const struct ds_cold_limit *limit, uint64_t now_ms)
@@ -168,12 +192,6 @@
   return false;
 }
 
-static uint64_t
-until (uint64_t then_ms, uint64_t now_ms)
-{
-  return then_ms > now_ms ? then_ms - now_ms : 0;
-}
-
 static uint64_t
 least (uint64_t a, uint64_t b)
 {
@@ -192,8 +210,7 @@
                        unsigned urgency, uint64_t now_ms)
 {
   uint64_t warm_in_ms = ds_cold_state_remaining_ms (state, rule, now_ms);
-  uint64_t registered_in_ms
-      = until (limit->registered_ms + REGISTRATION_WAIT_MS, now_ms);
+  uint64_t settled_ms = settled_in_ms (limit, now_ms);
   struct ds_cold_share share;
   uint64_t turn_ms;
 
@@ -203,8 +220,8 @@
   if (limit->registered_ms == 0
       || !ds_cold_limit_is_sender (limit, rule, state, replica))
     return warm_in_ms;
-  if (registered_in_ms > 0)
-    return least (warm_in_ms, registered_in_ms);
+  if (settled_ms > 0)
+    return least (warm_in_ms, settled_ms);
   if (now_ms - limit->asked_ms >= LIST_VALID_MS)
     return least (warm_in_ms, LIST_RETRY_MS);
   turn_ms = state->sent_ms + share.spacing_ms;
--- a/src/core/cold_limit.h
+++ b/src/core/cold_limit.h
@@ -50,6 +50,7 @@
   uint64_t set_version;
   uint64_t asked_ms;      /* when the list was requested */
   uint64_t registered_ms; /* when the registration was acknowledged; or 0 */
+  bool settled;           /* all lists in use have it, as the store says */
   /* Until when requests that were refused for a cold replica are expected
      back.  */
   uint64_t expected_ms[DS_COLD_URGENCIES];
@@ -68,6 +69,8 @@
 int ds_cold_limit_set_hosts (struct ds_cold_limit *limit, TALLOC_CTX *owner,
                              const uint64_t *hosts, size_t count,
                              uint64_t asked_ms);
+bool ds_cold_limit_is_settled (const struct ds_cold_limit *limit,
+                               uint64_t now_ms);
 bool ds_cold_limit_needs_list (const struct ds_cold_limit *limit,
                                uint64_t now_ms);
 bool ds_cold_limit_is_sender (const struct ds_cold_limit *limit,
--- a/src/entry/cold_starts.c
+++ b/src/entry/cold_starts.c
@@ -12,6 +12,8 @@
 /* Time over which hosts spread their lists after the replicas of a zone have
    returned; 390 hosts in a list take 80 KB.  */
 #define LIST_SPREAD_MS 1000
+/* Pause after an attempt to write the registration as settled.  */
+#define SETTLE_RETRY_MS 5000
 /* Seed of the hash that identifies hosts.  */
 #define HOST_SEED 31
 
@@ -23,9 +25,10 @@
   struct ds_store_pending_call *pending;
   GArray *names; /* hashes of the names on the pages read so far */
   struct ds_str after;
-  uint64_t asked_ms; /* for the first page */
-  uint64_t retry_ms; /* no list before */
-  uint64_t due_ms;   /* when a list that is needed is due; 0 for none */
+  uint64_t asked_ms;  /* for the first page */
+  uint64_t retry_ms;  /* no list before */
+  uint64_t due_ms;    /* when a list that is needed is due; 0 for none */
+  uint64_t settle_ms; /* the registration is not written as settled before */
 };
 
 static int
@@ -61,12 +64,16 @@
   return 0;
 }
 
-/* Notes that the store has acknowledged the registration of this host.  It
-   sends nothing to cold replicas until the other hosts have read it.  */
+/* Notes that the store has acknowledged the registration of this host, which
+   says whether all other hosts that may send to cold replicas have read it:
+   SETTLED.  Until then, this host sends nothing to them.  */
 void
-ds_cold_starts_set_registered (struct ds_cold_starts *starts, uint64_t now_ms)
+ds_cold_starts_set_registered (struct ds_cold_starts *starts, bool settled,
+                               uint64_t now_ms)
 {
-  starts->limit.registered_ms = now_ms;
+  if (starts->limit.registered_ms == 0)
+    starts->limit.registered_ms = now_ms;
+  starts->limit.settled = settled;
 }
 
 static void
@@ -194,8 +201,6 @@
 may_send_to_cold (struct ds_cold_starts *starts,
                   const struct ds_routing_config *config, uint64_t now_ms)
 {
-  if (!has_cold_phase (config))
-    return false;
   for (size_t i = 0; i < ds_replica_set_count (starts->replicas); i++)
     {
       struct ds_replica *replica = ds_replica_set_at (starts->replicas, i);
@@ -210,15 +215,12 @@
   return false;
 }
 
-/* Reads the list of hosts while this host needs it: about every five seconds
-   while a replica is cold of which it is a sender.  Call it several times a
-   second.  */
-void
-ds_cold_starts_tick (struct ds_cold_starts *starts,
-                     const struct ds_routing_config *config, uint64_t now_ms)
+/* Reads the list of hosts while this host needs it.  */
+static void
+update_list (struct ds_cold_starts *starts,
+             const struct ds_routing_config *config, uint64_t now_ms)
 {
-  if (starts->pending != NULL || starts->limit.registered_ms == 0
-      || now_ms < starts->retry_ms
+  if (starts->pending != NULL || now_ms < starts->retry_ms
       || !ds_cold_limit_needs_list (&starts->limit, now_ms))
     return;
   if (!may_send_to_cold (starts, config, now_ms))
@@ -236,6 +238,23 @@
     starts->retry_ms = now_ms + RETRY_MS;
 }
 
+/* Reads the list of hosts about every five seconds while a replica is cold of
+   which this host may be a sender.  Returns whether the registration should be
+   written as settled now.  Call it several times a second.  */
+bool
+ds_cold_starts_tick (struct ds_cold_starts *starts,
+                     const struct ds_routing_config *config, uint64_t now_ms)
+{
+  if (starts->limit.registered_ms == 0 || !has_cold_phase (config))
+    return false;
+  update_list (starts, config, now_ms);
+  if (starts->limit.settled || now_ms < starts->settle_ms
+      || !ds_cold_limit_is_settled (&starts->limit, now_ms))
+    return false;
+  starts->settle_ms = now_ms + SETTLE_RETRY_MS;
+  return true;
+}
+
 /* Adds or updates the replica of RECORD, as by ds_replica_set_put, and notes
    what its registration at REVISION says of its cold time.  */
 int
--- a/src/entry/cold_starts.h
+++ b/src/entry/cold_starts.h
@@ -17,8 +17,8 @@
                         struct ds_replica_set *replicas,
                         const struct ds_entry_settings *settings);
 void ds_cold_starts_set_registered (struct ds_cold_starts *starts,
-                                    uint64_t now_ms);
-void ds_cold_starts_tick (struct ds_cold_starts *starts,
+                                    bool settled, uint64_t now_ms);
+bool ds_cold_starts_tick (struct ds_cold_starts *starts,
                           const struct ds_routing_config *config,
                           uint64_t now_ms);
 int ds_cold_starts_put_replica (struct ds_cold_starts *starts,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -820,8 +820,9 @@
   count_hosts (entry, now_ms);
   note_outage (entry, now_ms);
   update_watches (entry, now_ms);
-  ds_cold_starts_tick (entry->exchanges.cold_starts, entry->exchanges.config,
-                       now_ms);
+  if (ds_cold_starts_tick (entry->exchanges.cold_starts,
+                           entry->exchanges.config, now_ms))
+    ds_registration_settle (entry->registration);
   ds_budget_manager_tick (entry->budgets, now_ms);
   ds_fleet_view_set_ledger_reachable (
       entry->fleet, ds_store_client_is_reachable (entry->store));
--- a/src/entry/registration.c
+++ b/src/entry/registration.c
@@ -20,6 +20,7 @@
   REGISTER_CREATE,
   REGISTER_REPLACE,
   REGISTER_LIST,
+  REGISTER_SETTLE,
   REGISTERED
 };
 
@@ -32,6 +33,7 @@
   struct ds_fleet_self self;
   struct ds_store_pending_call *pending;
   enum step step;
+  bool settled; /* the entry says that all hosts know it */
   bool retry_scheduled;
 };
 
@@ -125,6 +127,21 @@
   return true;
 }
 
+/* Whether the entry in BODY, of an earlier incarnation, is settled.  */
+static bool
+says_settled (struct ds_registration *registration, struct ds_str body)
+{
+  struct ds_error error = DS_ERROR_NONE;
+  struct ds_store_object *object;
+  bool settled;
+
+  if (ds_store_object_decode (&object, registration, body, &error) != 0)
+    return false;
+  settled = json_is_true (json_object_get (object->spec, "settled"));
+  talloc_free (object);
+  return settled;
+}
+
 static void
 on_step_done (const struct ds_store_result *result, void *user_data)
 {
@@ -133,12 +150,16 @@
   registration->pending = NULL;
   registration->retry_scheduled = false;
   if (result->outcome == DS_STORE_OK && registration->step != REGISTER_LIST)
-    ds_cold_starts_set_registered (registration->cold_starts, ds_clock_ms ());
+    ds_cold_starts_set_registered (registration->cold_starts,
+                                   registration->settled, ds_clock_ms ());
   switch (registration->step)
     {
     case REGISTER_CREATE:
       if (result->outcome == DS_STORE_CONFLICT)
-        registration->step = REGISTER_REPLACE;
+        {
+          registration->settled = says_settled (registration, result->body);
+          registration->step = REGISTER_REPLACE;
+        }
       else if (result->outcome == DS_STORE_OK)
         registration->step = REGISTER_LIST;
       else
@@ -148,10 +169,17 @@
       if (result->outcome == DS_STORE_OK)
         registration->step = REGISTER_LIST;
       else if (result->outcome == DS_STORE_NOT_FOUND)
-        registration->step = REGISTER_CREATE;
+        {
+          registration->settled = false;
+          registration->step = REGISTER_CREATE;
+        }
       else
         schedule_retry (registration);
       break;
+    case REGISTER_SETTLE:
+      registration->settled = result->outcome == DS_STORE_OK;
+      registration->step = REGISTERED;
+      break;
     default:
       if (result->outcome == DS_STORE_OK
           && add_hosts (registration, result->body))
@@ -196,6 +224,8 @@
                         self->region.length, "incarnation",
                         (json_int_t)self->incarnation, "capacity",
                         (json_int_t)self->capacity);
+      if (registration->settled)
+        (void)json_object_set_new (spec, "settled", json_true ());
       store_call.spec = spec;
       break;
     }
@@ -231,3 +261,16 @@
   *out = registration;
   return 0;
 }
+
+/* Writes into the entry of this host that all hosts know it, so that its next
+   incarnation may send to cold replicas at once.  A failure has no effect but
+   that it may be called again.  */
+void
+ds_registration_settle (struct ds_registration *registration)
+{
+  if (registration->step != REGISTERED)
+    return;
+  registration->step = REGISTER_SETTLE;
+  registration->settled = true;
+  run_step (registration);
+}
--- a/src/entry/registration.h
+++ b/src/entry/registration.h
@@ -14,5 +14,6 @@
                            struct ds_fleet_view *fleet,
                            struct ds_cold_starts *cold_starts,
                            const struct ds_fleet_self *self);
+void ds_registration_settle (struct ds_registration *registration);
 
 #endif
--- a/tests/test_cold_limit.c
+++ b/tests/test_cold_limit.c
@@ -27,6 +27,7 @@
   uint64_t cut_ms;
   uint64_t cut_end_ms;
   bool registered;
+  bool settled;      /* as the store says */
   uint64_t asked_ms; /* of a list that has no response yet; or 0 */
   uint64_t listed[HOSTS];
   size_t listed_count;
@@ -97,8 +98,11 @@
     {
       host->registered = true;
       host->limit.registered_ms = now_ms;
+      host->limit.settled = host->settled;
       return;
     }
+  if (ds_cold_limit_is_settled (&host->limit, now_ms))
+    host->settled = true;
   if (!ds_cold_limit_needs_list (&host->limit, now_ms))
     return;
   host->asked_ms = now_ms;
