Test cold replicas with real processes; check doubts with the store

A broken connection to a replica of a service with a cold phase ends the waiting watch early, at most once a second, as a waiting watch does not show whether the store can be reached.

--- a/src/core/cold_limit.c
+++ b/src/core/cold_limit.c
@@ -307,7 +307,7 @@
 void
 ds_cold_state_end_doubt (struct ds_cold_state *state, uint64_t asked_ms)
 {
-  if (asked_ms > state->doubted_ms)
+  if (asked_ms >= state->doubted_ms)
     state->doubted_ms = 0;
 }
 
--- a/src/entry/cold_starts.c
+++ b/src/entry/cold_starts.c
@@ -12,6 +12,8 @@
 /* Time over which hosts spread their lists after the replicas of a zone have
    returned; 390 hosts in a list take 80 KB.  */
 #define LIST_SPREAD_MS 1000
+/* Shortest interval of checks whether a replica has started again.  */
+#define CHECK_INTERVAL_MS 1000
 /* Pause after an attempt to write the registration as settled.  */
 #define SETTLE_RETRY_MS 5000
 /* Seed of the hash that identifies hosts.  */
@@ -20,6 +22,7 @@
 struct ds_cold_starts
 {
   struct ds_store_client *store;
+  struct ds_store_watcher *replica_watcher;
   struct ds_replica_set *replicas;
   struct ds_cold_limit limit;
   struct ds_store_pending_call *pending;
@@ -28,6 +31,8 @@
   uint64_t asked_ms;  /* for the first page */
   uint64_t retry_ms;  /* no list before */
   uint64_t due_ms;    /* when a list that is needed is due; 0 for none */
+  uint64_t check_ms;  /* the watch is not ended early before */
+  bool doubts;        /* about replicas, since the last response */
   uint64_t settle_ms; /* the registration is not written as settled before */
 };
 
@@ -215,6 +220,24 @@
   return false;
 }
 
+/* Sets the watcher of the registrations of replicas.  */
+void
+ds_cold_starts_set_watcher (struct ds_cold_starts *starts,
+                            struct ds_store_watcher *replica_watcher)
+{
+  starts->replica_watcher = replica_watcher;
+}
+
+/* Asks the store whether the replicas in doubt are still the same.  */
+static void
+check_doubts (struct ds_cold_starts *starts, uint64_t now_ms)
+{
+  if (starts->doubts && now_ms >= starts->check_ms
+      && ds_store_watcher_check (starts->replica_watcher,
+                                 "a replica may have started again"))
+    starts->check_ms = now_ms + CHECK_INTERVAL_MS;
+}
+
 /* Reads the list of hosts while this host needs it.  */
 static void
 update_list (struct ds_cold_starts *starts,
@@ -247,6 +270,7 @@
 {
   if (starts->limit.registered_ms == 0 || !has_cold_phase (config))
     return false;
+  check_doubts (starts, now_ms);
   update_list (starts, config, now_ms);
   if (starts->limit.settled || now_ms < starts->settle_ms
       || !ds_cold_limit_is_settled (&starts->limit, now_ms))
@@ -340,17 +364,24 @@
                       ds_str_equal (response->request_id, request_id), now_ms);
 }
 
-/* Records that a connection to REPLICA was not established or broke.  While
-   the store is unreachable, the replica may have started again unseen.  */
+/* Records that a connection to REPLICA, for REQUEST, was not established or
+   broke.  The replica may have started again unseen, and counts as cold until
+   the store has answered; a waiting watch does not show whether the store can
+   be reached, so it is ended early.  */
 void
 ds_cold_starts_record_failure (struct ds_cold_starts *starts,
-                               struct ds_replica *replica, uint64_t now_ms)
+                               const struct ds_replica *replica,
+                               const struct ds_placement_request *request,
+                               uint64_t now_ms)
 {
   struct ds_replica *current
       = ds_replica_set_find_by_hash (starts->replicas, replica->hash);
 
-  if (current != NULL && !ds_store_client_is_reachable (starts->store))
-    ds_cold_state_doubt (&current->cold, now_ms);
+  if (current == NULL || request->cold_limit == NULL)
+    return;
+  ds_cold_state_doubt (&current->cold, now_ms);
+  starts->doubts = true;
+  check_doubts (starts, now_ms);
 }
 
 /* Ends doubts about replicas that a call to the store begun at ASKED_MS still
@@ -358,9 +389,15 @@
 void
 ds_cold_starts_end_doubts (struct ds_cold_starts *starts, uint64_t asked_ms)
 {
+  starts->doubts = false;
   for (size_t i = 0; i < ds_replica_set_count (starts->replicas); i++)
-    ds_cold_state_end_doubt (&ds_replica_set_at (starts->replicas, i)->cold,
-                             asked_ms);
+    {
+      struct ds_cold_state *state
+          = &ds_replica_set_at (starts->replicas, i)->cold;
+
+      ds_cold_state_end_doubt (state, asked_ms);
+      starts->doubts = starts->doubts || state->doubted_ms > 0;
+    }
 }
 
 /* Records that REQUEST was refused although PLACEMENT knew a replica that will
--- a/src/entry/cold_starts.h
+++ b/src/entry/cold_starts.h
@@ -6,6 +6,7 @@
 #include "daisystep/routing_config.h"
 #include "entry/entry_settings.h"
 #include "entry/store_client.h"
+#include "entry/store_watcher.h"
 #include "platform/caller_codec.h"
 
 /* What this host knows of cold replicas and of the hosts that may send to
@@ -18,6 +19,8 @@
                         const struct ds_entry_settings *settings);
 void ds_cold_starts_set_registered (struct ds_cold_starts *starts,
                                     bool settled, uint64_t now_ms);
+void ds_cold_starts_set_watcher (struct ds_cold_starts *starts,
+                                 struct ds_store_watcher *replica_watcher);
 bool ds_cold_starts_tick (struct ds_cold_starts *starts,
                           const struct ds_routing_config *config,
                           uint64_t now_ms);
@@ -37,7 +40,8 @@
                                 const struct ds_upstream_response *response,
                                 struct ds_str request_id, uint64_t now_ms);
 void ds_cold_starts_record_failure (struct ds_cold_starts *starts,
-                                    struct ds_replica *replica,
+                                    const struct ds_replica *replica,
+                                    const struct ds_placement_request *request,
                                     uint64_t now_ms);
 void ds_cold_starts_end_doubts (struct ds_cold_starts *starts,
                                 uint64_t asked_ms);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1031,6 +1031,8 @@
       != 0)
     return ds_error_set (error, DS_ENOMEM, "watch the store", "store",
                          "out of memory");
+  ds_cold_starts_set_watcher (entry->exchanges.cold_starts,
+                              entry->replica_watcher);
   entry->watched[DS_STORE_CONFIG] = (struct watched_subject){
     .watcher = entry->config_watcher,
     .interval_ms = watch_interval_ms (entry->settings->config_apply_ms),
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -889,7 +889,8 @@
   struct ds_http_connection *connection
       = ds_pooled_connection_http (x->pooled);
 
-  ds_cold_starts_record_failure (x->context->cold_starts, x->replica, now_ms);
+  ds_cold_starts_record_failure (x->context->cold_starts, x->replica,
+                                 &x->placement_request, now_ms);
   if (failure == DS_HTTP_FAILURE_NOT_CONNECTED
       || !ds_http_connection_has_sent (connection))
     {
--- a/tests/standins/platform_replica.c
+++ b/tests/standins/platform_replica.c
@@ -20,8 +20,9 @@
    is the number of requests that get status 500 and a body without end;
    "deadly" is a part of prompts whose requests get the header of a response
    and then a reset; with "leaving" all responses say that it leaves;
-   "retry_after" is the Retry-After of rejections.  GET
-   /standin/runs returns the executed requests.  */
+   "retry_after" is the Retry-After of rejections; "cold_ms" is the Cold-Ms of
+   all responses.  GET /standin/runs returns the executed requests, with the
+   time of their arrival.  */
 
 /* Above max_body_bytes of any configuration.  */
 #define BODY_BYTES_MAX ((size_t)8 * 1024 * 1024)
@@ -43,6 +44,7 @@
   bool reset;
   bool leaving;
   char retry_after[32]; /* empty for none */
+  char cold_ms[32];     /* the same */
   char deadly[32];      /* empty for none */
 };
 
@@ -72,6 +74,8 @@
   pthread_mutex_lock (&replica->lock);
   if (replica->leaving)
     (void)MHD_add_response_header (response, "Server-Leaving", "1");
+  if (replica->cold_ms[0] != '\0')
+    (void)MHD_add_response_header (response, "Cold-Ms", replica->cold_ms);
   if (rejected && replica->retry_after[0] != '\0')
     (void)MHD_add_response_header (response, "Retry-After",
                                    replica->retry_after);
@@ -320,7 +324,7 @@
     json_array_append_new (
         replica->runs,
         json_pack (
-            "{s:s,s:s,s:s,s:s,s:s,s:I,s:I}", "id",
+            "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I}", "id",
             or_empty (standin_request_header (request, "Request-Id")),
             "tenant", or_empty (standin_request_header (request, "Tenant")),
             "deadline",
@@ -328,7 +332,8 @@
             or_empty (standin_request_header (request, "Authorization")),
             "last",
             or_empty (standin_request_header (request, "Last-Event-Id")),
-            "bytes", (json_int_t)request->body_length, "hash",
+            "at_ms", (json_int_t)standin_now_ms (), "bytes",
+            (json_int_t)request->body_length, "hash",
             (json_int_t)(ds_str_hash (
                              (struct ds_str){ .data = request->body,
                                               .length = request->body_length },
@@ -369,6 +374,9 @@
   (void)snprintf (
       replica->retry_after, sizeof replica->retry_after, "%s",
       or_empty (json_string_value (json_object_get (body, "retry_after"))));
+  (void)snprintf (
+      replica->cold_ms, sizeof replica->cold_ms, "%s",
+      or_empty (json_string_value (json_object_get (body, "cold_ms"))));
   replica->shed = json_integer_value (json_object_get (body, "shed"));
   replica->fail = json_integer_value (json_object_get (body, "fail"));
   replica->drop = json_integer_value (json_object_get (body, "drop"));
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -22,6 +22,9 @@
 static int entry_config_version;
 static long entry_body_limit;
 static int entry_restarts[ENTRY_REPLICAS];
+static double entry_cold_start_s;
+static double entry_cold_per_s;
+static long entry_cold_remaining_ms;
 
 /* Addresses derived from the process id, since several test programs may run
    at the same time.  Ten numbers share a port.  */
@@ -93,6 +96,11 @@
       (json_int_t)prepaid);
 
   ck_assert_ptr_nonnull (spec);
+  if (entry_cold_start_s > 0)
+    json_object_update_new (
+        json_array_get (json_object_get (spec, "services"), 0),
+        json_pack ("{s:f,s:f}", "cold_start_s", entry_cold_start_s,
+                   "cold_per_s", entry_cold_per_s));
   if (path_prefix != NULL)
     json_array_append_new (json_object_get (spec, "routes"),
                            json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:s}", "name",
@@ -121,6 +129,17 @@
   entry_body_limit = bytes;
 }
 
+/* Sets the cold phase of the service in configurations, and what replicas
+   state of it in registrations, that are written from now on.  A START_S of 0
+   is none.  */
+void
+entry_set_cold_phase (double start_s, double per_s, long remaining_ms)
+{
+  entry_cold_start_s = start_s;
+  entry_cold_per_s = per_s;
+  entry_cold_remaining_ms = remaining_ms;
+}
+
 static void
 put_replica (int i, const char *state, bool exists)
 {
@@ -131,6 +150,9 @@
                             "state", state, "slots", 8, "born",
                             1000 + i + (json_int_t)entry_restarts[i] * 1000);
 
+  if (entry_cold_start_s > 0)
+    json_object_set_new (spec, "cold_remaining_ms",
+                         json_integer (entry_cold_remaining_ms));
   (void)sprintf (id, "i-%d", i);
   (void)sprintf (path, exists ? OBJECTS "servers/%s" : OBJECTS "servers", id);
   ck_assert_int_eq (entry_put_object (exists ? "PUT" : "POST", path, spec, id),
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -45,6 +45,7 @@
                        const char *condition, const char *const *steps);
 void entry_put_config (long prepaid);
 void entry_set_body_limit (long bytes);
+void entry_set_cold_phase (double start_s, double per_s, long remaining_ms);
 void entry_put_config_with_route (long prepaid, const char *path_prefix);
 void entry_format_address (char *out, int number, int port);
 void entry_put_replica (int i, const char *state);
