--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -145,9 +145,9 @@
 }
 
 /* Returns the replica of the service that all hosts prefer for the prompts of
-   the part KEY, by rendezvous hashing; null if there is none.  Hosts that may
-   not send to a cold one would each choose another replica and prefill the
-   part there.  */
+   the part KEY, by rendezvous hashing; null if there is none.  A cold one is
+   preferred only if all are cold: hosts that may not send to it would each
+   choose another replica and prefill the part there.  */
 static const struct ds_replica *
 find_preferred (const struct ds_replica_set *set,
                 const struct ds_placement_request *request, uint64_t key,
@@ -155,19 +155,24 @@
 {
   const struct ds_replica *preferred = NULL;
   uint64_t best_weight = 0;
+  bool best_cold = true;
 
   for (size_t i = 0; i < ds_replica_set_count (set); i++)
     {
       const struct ds_replica *replica = ds_replica_set_at (set, i);
       uint64_t weight = mix_hash (replica->hash ^ key);
+      bool cold;
 
-      if ((preferred != NULL && weight <= best_weight)
-          || !ds_str_equal (replica->record.service, request->service)
-          || !ds_replica_accepts_requests (replica)
-          || is_cold (replica, request, now_ms))
+      if (!ds_str_equal (replica->record.service, request->service)
+          || !ds_replica_accepts_requests (replica))
+        continue;
+      cold = is_cold (replica, request, now_ms);
+      if (preferred != NULL
+          && (cold != best_cold ? cold : weight <= best_weight))
         continue;
       preferred = replica;
       best_weight = weight;
+      best_cold = cold;
     }
   return preferred;
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -219,6 +219,76 @@
 }
 END_TEST
 
+/* Returns a limit under which the only host may send to cold replicas.  */
+static struct ds_cold_limit
+lone_host (void)
+{
+  struct ds_cold_limit limit = { .bounds = { .overage = 1.5, .slack = 5 },
+                                 .self = 7,
+                                 .registered_ms = 1,
+                                 .settled = true };
+
+  ck_assert_int_eq (
+      ds_cold_limit_set_hosts (&limit, owner, &limit.self, 1, 900), 0);
+  return limit;
+}
+
+/* Guards against a request to a cold replica before its turn: the warm one
+   gets it, and once that was tried, it is refused with the time of the turn.
+   A service without a rate has no cold replicas.  */
+START_TEST (a_cold_replica_is_passed_over_until_its_turn)
+{
+  struct ds_cold_limit limit = lone_host ();
+  struct ds_placement_request request
+      = { .service = DS_STR ("ledger"),
+          .zone = DS_STR ("kelheim"),
+          .cold_limit = &limit,
+          .cold_rule = { .start_ms = 30000, .per_s = 2 } };
+  struct ds_replica *cold = ds_replica_set_find (set, DS_STR ("b1"));
+  struct ds_replica *warm = ds_replica_set_find (set, DS_STR ("b2"));
+  struct ds_placement next;
+
+  (void)ds_cold_state_observe (&cold->cold, 9000, 1, 1000);
+  (void)ds_cold_state_observe (&warm->cold, 0, 1, 1000);
+  next = ds_placement_choose (set, &request, 1000);
+  ck_assert_ptr_eq (next.replica, warm);
+  ck_assert_ptr_eq (next.passed_over, cold);
+  ck_assert_int_eq (next.obstacle, DS_PLACEMENT_COLD);
+  (void)ds_cold_state_observe (&warm->cold, 3000, 2, 1000);
+  next = ds_placement_choose (set, &request, 1000);
+  ck_assert_int_eq (next.status, DS_PLACEMENT_ALL_COLD);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1000), 501);
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 1501).replica, cold);
+  cold->cold.sent_ms = 1501;
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 1501).replica, warm);
+  request.cold_rule.per_s = 0;
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 1501).replica, cold);
+}
+END_TEST
+
+/* Guards against a part that each host has prefilled at another replica, since
+   the preferred one is cold and takes none from most of them.  */
+START_TEST (a_cold_replica_is_not_preferred)
+{
+  struct ds_cold_limit limit = lone_host ();
+  struct ds_cold_limit unlisted = { .registered_ms = 1 };
+  struct ds_placement_request request = shared_part_request (77, 1);
+  struct ds_placement first = ds_placement_choose (set, &request, 1000);
+
+  for (size_t i = 0; i < ds_replica_set_count (set); i++)
+    (void)ds_cold_state_observe (&ds_replica_set_at (set, i)->cold, 0, 1,
+                                 1000);
+  (void)ds_cold_state_observe (&first.replica->cold, 9000, 2, 1000);
+  request.cold_rule
+      = (struct ds_cold_rule){ .start_ms = 30000, .per_s = 7.3 };
+  request.cold_limit = &limit;
+  first = ds_placement_choose (set, &request, 3000);
+  request.cold_limit = &unlisted;
+  ck_assert_ptr_eq (ds_placement_choose (set, &request, 3000).replica,
+                    first.replica);
+}
+END_TEST
+
 /* Guards against telling callers another time than that of the replica that is
    back first, and against a request to one that leaves while the others only
    push back.  */
@@ -417,6 +487,8 @@
   tcase_add_test (test_case, a_replica_that_leaves_is_passed_over);
   tcase_add_test (test_case, replicas_that_all_leave_serve_while_they_drain);
   tcase_add_test (test_case, a_replica_that_pushes_back_is_passed_over);
+  tcase_add_test (test_case, a_cold_replica_is_passed_over_until_its_turn);
+  tcase_add_test (test_case, a_cold_replica_is_not_preferred);
   tcase_add_test (test_case, the_shortest_hold_decides_when_all_push_back);
   tcase_add_test (test_case,
                   a_replica_that_leaves_and_pushes_back_is_no_last_resort);
