Describe cold replicas; read the default of a fractional setting

Defaults of settings with a fraction were whole numbers; cold_overage was 1 instead of 1.5 where the platform sets none. Found by the new test that renders the settings template with and without the bounds.

--- a/include/daisystep/fields.h
+++ b/include/daisystep/fields.h
@@ -65,9 +65,9 @@
 };
 
 /* Maps one field of a JSON object to a member of a C struct.  NUMBER is the
-   default of numbers, booleans and choices, TEXT that of strings; lists
-   default to empty.  MINIMUM and MAXIMUM limit the value of a number, the
-   bytes of a text and the items of a list.  */
+   default of whole numbers, booleans and choices, REAL that of other numbers,
+   TEXT that of strings; lists default to empty.  MINIMUM and MAXIMUM limit the
+   value of a number, the bytes of a text and the items of a list.  */
 struct ds_field
 {
   const char *name;
@@ -77,6 +77,7 @@
   uint64_t minimum;
   uint64_t maximum;
   uint64_t number;
+  double real;
   const char *text;
   const char *const *choices;
   const struct ds_field *members;
--- a/src/base/fields.c
+++ b/src/base/fields.c
@@ -361,7 +361,7 @@
       *(uint64_t *)out = field->number;
       return 0;
     case DS_FIELD_REAL:
-      *(double *)out = (double)field->number;
+      *(double *)out = field->real;
       return 0;
     case DS_FIELD_CHOICE:
       *(unsigned int *)out = (unsigned int)field->number;
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -21,7 +21,7 @@
   {                                                                           \
     .name = #member, .type = DS_FIELD_REAL,                                   \
     .offset = offsetof (object, member), .minimum = (low), .maximum = (high), \
-    .number = (fallback),                                                     \
+    .real = (fallback),                                                       \
   }
 #define REQUIRED(member, kind)                                                \
   {                                                                           \
--- a/tests/test_entry_settings.c
+++ b/tests/test_entry_settings.c
@@ -2,7 +2,9 @@
 #include "support/process.h"
 
 #include <check.h>
+#include <glib.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Loads settings with the bounds in the order of the settings template.  */
 static int
@@ -81,6 +83,68 @@
 }
 END_TEST
 
+/* Replaces what PATTERN matches in TEXT, which is freed.  */
+static char *
+replace (char *text, const char *pattern, const char *by)
+{
+  GRegex *regex = g_regex_new (pattern, G_REGEX_DOTALL, 0, NULL);
+  char *replaced = g_regex_replace (regex, text, -1, 0, by, 0, NULL);
+
+  ck_assert_ptr_nonnull (replaced);
+  g_regex_unref (regex);
+  g_free (text);
+  return replaced;
+}
+
+/* Loads the settings that the platform renders from the template.  NUMBER
+   stands for all numbers, in an allowed range.  */
+static struct ds_entry_settings *
+load_template (bool has_cold_bounds, const char *number)
+{
+  struct ds_entry_settings *settings;
+  struct ds_error error = DS_ERROR_NONE;
+  char *text;
+
+  ck_assert (g_file_get_contents (
+      DS_SOURCE_DIR "/deploy/settings.json.template", &text, NULL, NULL));
+  if (!has_cold_bounds)
+    text = replace (text, "\\{\\{#(bounds\\.[a-z_]+)\\}\\}.*?\\{\\{/\\1\\}\\}",
+                    "");
+  text = replace (text, "\\{\\{[#/][a-z_.]+\\}\\}", "");
+  text = replace (text, "\\{\\{ip\\}\\}:\\{\\{[a-z0-9_.]+\\}\\}",
+                  "127.0.0.1:9");
+  text = replace (text, "\\{\\{(listen|platform)[a-z.]+\\|json\\}\\}",
+                  "\"127.0.0.1:8\"");
+  text = replace (text, "\\{\\{bootstrap\\|json\\}\\}", "true");
+  text = replace (text, "\\{\\{[a-z]+\\|json\\}\\}", "\"name\"");
+  text = replace (text, "\\{\\{bounds\\.retry_budget_ratio\\}\\}", "0.2");
+  text = replace (text, "\\{\\{[a-z_.]+\\}\\}", number);
+  ck_assert_ptr_null (strstr (text, "{{"));
+  ck_assert_msg (ds_entry_settings_load (&settings, NULL,
+                                         test_file_write ("rendered", text),
+                                         &error)
+                     == 0,
+                 "%s", error.message);
+  g_free (text);
+  return settings;
+}
+
+/* Guards against a host that does not start, or uses other bounds, where the
+   platform sets or omits those of cold replicas.  */
+START_TEST (the_template_is_valid_with_and_without_cold_bounds)
+{
+  struct ds_entry_settings *settings = load_template (true, "102.25");
+
+  ck_assert_double_eq (settings->cold_overage, 102.25);
+  ck_assert_double_eq (settings->cold_slack, 102.25);
+  ds_entry_settings_free (settings);
+  settings = load_template (false, "102.25");
+  ck_assert_double_eq (settings->cold_overage, 1.5);
+  ck_assert_double_eq (settings->cold_slack, 5);
+  ds_entry_settings_free (settings);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -92,6 +156,8 @@
   tcase_add_test (test_case, bounds_may_be_fractions);
   tcase_add_test (test_case, extreme_bounds_are_accepted);
   tcase_add_test (test_case, bounds_outside_their_range_are_refused);
+  tcase_add_test (test_case,
+                  the_template_is_valid_with_and_without_cold_bounds);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -279,8 +279,7 @@
     (void)ds_cold_state_observe (&ds_replica_set_at (set, i)->cold, 0, 1,
                                  1000);
   (void)ds_cold_state_observe (&first.replica->cold, 9000, 2, 1000);
-  request.cold_rule
-      = (struct ds_cold_rule){ .start_ms = 30000, .per_s = 7.3 };
+  request.cold_rule = (struct ds_cold_rule){ .start_ms = 30000, .per_s = 7.3 };
   request.cold_limit = &limit;
   first = ds_placement_choose (set, &request, 3000);
   request.cold_limit = &unlisted;
--- a/tests/test_routing_config.c
+++ b/tests/test_routing_config.c
@@ -22,7 +22,9 @@
       "\"services\":[{\"name\":\"s1\",\"health_path\":\"/health\","
       "\"max_connections\":370,\"engine\":{\"slots\":64,\"kv_capacity\":"
       "421968,"
-      "\"stride\":4}},{\"name\":\"s2\",\"health_path\":\"/h\"}],"
+      "\"stride\":4},\"cold_start_s\":12.5,\"cold_per_s\":7.3},{\"name\":"
+      "\"s2\","
+      "\"health_path\":\"/h\",\"cold_start_s\":-1,\"cold_per_s\":\"7\"}],"
       "\"limits\":{\"max_header_bytes\":9000,\"max_body_bytes\":70000,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
       "\"tenants\":[{\"name\":\"hule930\",\"api_keys\":[\"k1\",\"k2\"],"
@@ -198,6 +200,57 @@
 }
 END_TEST
 
+/* Guards against a cold phase that is overlooked, or that a value which is
+   none brings about.  */
+START_TEST (cold_phases_are_read)
+{
+  struct ds_routing_config *config = load ();
+  const struct ds_service *cold
+      = ds_routing_config_find_service (config, DS_STR ("s1"));
+  const struct ds_service *other
+      = ds_routing_config_find_service (config, DS_STR ("s2"));
+
+  ck_assert_uint_eq (cold->cold_start_ms, 12500);
+  ck_assert_double_eq (cold->cold_per_s, 7.3);
+  ck_assert_uint_eq (other->cold_start_ms, 0);
+  ck_assert_double_eq (other->cold_per_s, 0);
+}
+END_TEST
+
+/* Members of registrations, and the remaining cold time that they state.  */
+static const struct
+{
+  const char *members;
+  uint64_t remaining_ms;
+} registrations[] = {
+  { "", DS_COLD_UNKNOWN },
+  { ",\"cold_remaining_ms\":0", 0 },
+  { ",\"cold_remaining_ms\":4100.5", 4100 },
+  { ",\"cold_remaining_ms\":-1", DS_COLD_UNKNOWN },
+  { ",\"cold_remaining_ms\":\"0\"", DS_COLD_UNKNOWN },
+  { ",\"cold_remaining_ms\":1e20", DS_COLD_UNKNOWN },
+};
+
+/* Guards against a replica that counts as warm although its registration does
+   not say so.  */
+START_TEST (registrations_state_the_remaining_cold_time)
+{
+  struct ds_replica_record record;
+  struct ds_error error;
+  char *text = talloc_asprintf (
+      owner,
+      "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\","
+      "\"address\":\"1.2.3.4:1\"%s}",
+      registrations[_i].members);
+  json_t *spec = json_loads (text, 0, NULL);
+
+  ck_assert_int_eq (ds_replica_decode (&record, DS_STR ("i-1"), spec, &error),
+                    0);
+  ck_assert_uint_eq (record.cold_remaining_ms, registrations[_i].remaining_ms);
+  json_decref (spec);
+}
+END_TEST
+
 /* Guards against requests that are sent to what another writer has left, and
    against numbers that lose their upper bits.  */
 START_TEST (entries_with_values_out_of_range_are_refused)
@@ -294,6 +347,9 @@
                   a_configuration_without_version_or_routes_is_refused);
   tcase_add_test (test_case, foreign_replica_entries_are_refused);
   tcase_add_test (test_case, entries_with_values_out_of_range_are_refused);
+  tcase_add_test (test_case, cold_phases_are_read);
+  tcase_add_loop_test (test_case, registrations_state_the_remaining_cold_time,
+                       0, sizeof registrations / sizeof registrations[0]);
   tcase_add_test (test_case, numbers_out_of_range_get_the_default);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -171,6 +171,39 @@
 }
 END_TEST
 
+/* Guards against a replica that counts as warm although it has not said so:
+   in a 421 another one speaks, and a value without sense says nothing.  */
+START_TEST (the_cold_time_of_an_upstream_is_parsed)
+{
+  static const struct
+  {
+    unsigned status;
+    const char *value;
+    uint64_t cold_ms;
+  } cases[] = { { 200, "0", 0 },
+                { 503, " 1200 ", 1200 },
+                { 421, "0", DS_COLD_UNKNOWN },
+                { 200, "", DS_COLD_UNKNOWN },
+                { 200, "-1", DS_COLD_UNKNOWN },
+                { 200, "99999999999999999999", DS_COLD_UNKNOWN } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct ds_http_header_line line
+          = { DS_STR ("cold-ms"), ds_str_from_c (cases[i].value) };
+      struct ds_http_head from
+          = { .status = cases[i].status, .lines = &line, .line_count = 1 };
+      struct ds_upstream_response response;
+
+      ds_wire_read_response (&response, &from);
+      ck_assert_uint_eq (response.cold_ms, cases[i].cold_ms);
+      from.line_count = 0;
+      ds_wire_read_response (&response, &from);
+      ck_assert_uint_eq (response.cold_ms, DS_COLD_UNKNOWN);
+    }
+}
+END_TEST
+
 /* Guards against a wait that an upstream did not ask for: a value without
    sense is none.  */
 START_TEST (the_wait_of_an_upstream_is_parsed)
@@ -511,6 +544,7 @@
   tcase_add_test (test_case, a_duplicate_header_is_refused);
   tcase_add_test (test_case, a_response_header_is_parsed);
   tcase_add_test (test_case, a_notice_of_leaving_is_parsed);
+  tcase_add_test (test_case, the_cold_time_of_an_upstream_is_parsed);
   tcase_add_test (test_case, the_wait_of_an_upstream_is_parsed);
   tcase_add_test (test_case, the_wait_of_an_upstream_is_not_forwarded);
   tcase_add_test (test_case, address_queries_are_answered);
