--- a/tests/test_cold_limit.c
+++ b/tests/test_cold_limit.c
@@ -10,7 +10,7 @@
 #define HOSTS 60
 #define REPLICAS 6
 #define STEP_MS 5
-#define RUN_MS 90000
+#define RUN_MS UINT64_C (90000)
 #define ARRIVALS_MAX 20000
 /* Hosts that may send to one replica.  */
 #define SENDERS 4
@@ -294,15 +294,16 @@
   for (size_t count = 0; count < 8; count++)
     {
       struct ds_cold_share share = ds_cold_limit_share (&bounds, &rule, count);
+      uint64_t most;
 
-      ck_assert_uint_eq (share.hosts == 0, count == 0 || limit < 1);
+      ck_assert_int_eq (share.hosts == 0, count == 0 || limit < 1);
       if (share.hosts == 0)
         continue;
       ck_assert_uint_le (share.hosts, count);
+      most = share.hosts * (1250 / share.spacing_ms + 1);
+      ck_assert_double_le ((double)most, limit);
       ck_assert_double_le (
-          (double)(share.hosts * (1250 / share.spacing_ms + 1)), limit);
-      ck_assert_double_le (
-          (double)share.hosts * 1000 / (double)share.spacing_ms, rule.per_s);
+          (double)(share.hosts * 1000) / (double)share.spacing_ms, rule.per_s);
     }
 }
 END_TEST
@@ -328,6 +329,8 @@
 
   ck_assert_uint_eq (ds_cold_state_remaining_ms (&state, &RULE, 99999), 30000);
   ck_assert (ds_cold_state_observe (&state, DS_COLD_UNKNOWN, 4, 1000));
+  /* An earlier incarnation of the host may have sent a request just now.  */
+  ck_assert_uint_eq (state.sent_ms, 1000);
   ck_assert_uint_eq (ds_cold_state_remaining_ms (&state, &RULE, 2000), 29000);
   ck_assert (!ds_cold_state_observe (&state, DS_COLD_UNKNOWN, 4, 20000));
   ck_assert_uint_eq (ds_cold_state_remaining_ms (&state, &RULE, 31000), 0);
