Use new connections to cold replicas

Requests on kept connections of a stalled link arrive together at its end: four senders would exceed the limit of a replica. On new connections, which must be established within 250 ms, one request of each sender may be held up.

--- a/src/core/cold_limit.c
+++ b/src/core/cold_limit.c
@@ -24,17 +24,13 @@
 /* Senders beyond those chosen that the limit must bear, such as a host that
    was suspended while its clock stood still.  */
 #define EXTRA_SENDERS 1
-/* Longest delay between the decision to send and the arrival at the replica,
-   that of a slow connection: two requests may arrive closer together than they
-   were sent.  */
-#define ARRIVAL_SPREAD_MS 250
 #define SECOND_MS 1000
 /* Outlasts the partitions of 8 s that were observed.  */
 #define LIST_VALID_MS 9000
 /* The difference keeps the last arrivals from those senders that a new host
    replaces out of any second with arrivals from it.  */
 #define REGISTRATION_WAIT_MS                                                  \
-  (LIST_VALID_MS + SECOND_MS + ARRIVAL_SPREAD_MS + 1)
+  (LIST_VALID_MS + SECOND_MS + DS_COLD_ARRIVAL_MS + 1)
 /* Age from which a list is read again while a replica is cold.  */
 #define LIST_RENEW_MS (LIST_VALID_MS / 2)
 /* A list that has expired is renewed within this time, unless the store is
@@ -64,9 +60,11 @@
 /* Returns the share of a host in the limit of a cold replica, with HOST_COUNT
    hosts registered.
 
-   In any second, a host with spacing S causes at most (1000 + the spread) / S
-   + 1 arrivals, rounded down.  These are kept within the host's part of the
-   limit, and the sum of the rates within that of the RULE.  */
+   With spacing S, a host causes at most (1000 + DS_COLD_ARRIVAL_MS) / S + 1
+   arrivals in any second, rounded down.  If its link stalls, one request whose
+   connection was just established may arrive with the next one: 1000 / S + 2.
+   Both are kept within the host's part of the limit, and the sum of the rates
+   within that of the RULE.  */
 struct ds_cold_share
 ds_cold_limit_share (const struct ds_cold_bounds *bounds,
                      const struct ds_cold_rule *rule, size_t host_count)
@@ -77,15 +75,18 @@
   uint64_t spacing_ms;
   uint64_t least_ms;
 
-  /* Below two requests per second there is no room for an extra sender.  */
-  while (hosts > 1 && limit < (double)(hosts + EXTRA_SENDERS))
-    hosts--;
   if (hosts == 0 || limit < 1 || rule->per_s <= 0)
     return (struct ds_cold_share){ .hosts = 0 };
+  while (hosts > 1 && limit < (double)(2 * (hosts + EXTRA_SENDERS)))
+    hosts--;
   part = (uint64_t)(limit / (double)(hosts + EXTRA_SENDERS));
+  /* Below a limit of two there is no room for an extra sender, and below four
+     none for a stall.  */
   if (part == 0)
     part = 1;
-  least_ms = (SECOND_MS + ARRIVAL_SPREAD_MS) / part + 1;
+  least_ms = (SECOND_MS + DS_COLD_ARRIVAL_MS) / part + 1;
+  if (part > 1 && SECOND_MS / (part - 1) + 1 > least_ms)
+    least_ms = SECOND_MS / (part - 1) + 1;
   spacing_ms = (uint64_t)((double)(hosts * SECOND_MS) / rule->per_s) + 1;
   return (struct ds_cold_share){
     .hosts = hosts,
--- a/src/core/cold_limit.h
+++ b/src/core/cold_limit.h
@@ -25,6 +25,9 @@
 
 /* Urgencies of requests, 0 the most urgent.  */
 #define DS_COLD_URGENCIES 10
+/* Longest time between the decision to send to a cold replica and the arrival
+   there: that of a slow connection.  */
+#define DS_COLD_ARRIVAL_MS 250
 /* Remaining cold time that is not known: that of a whole start.  */
 #define DS_COLD_UNKNOWN UINT64_MAX
 
--- a/src/entry/cold_starts.c
+++ b/src/entry/cold_starts.c
@@ -332,6 +332,17 @@
                                            now_ms);
 }
 
+/* Whether REPLICA is cold for REQUEST, as far as this host knows.  A request
+   to a cold one needs a new connection, established within DS_COLD_ARRIVAL_MS:
+   on one that is kept, several would arrive at once after a stall of the link.
+ */
+bool
+ds_cold_starts_is_cold (const struct ds_placement_request *request,
+                        const struct ds_replica *replica, uint64_t now_ms)
+{
+  return remaining_ms (request, replica, now_ms) > 0;
+}
+
 /* Records that REQUEST is sent to REPLICA.  Those to warm replicas count as
    well, since one may become cold at any time.  */
 void
--- a/src/entry/cold_starts.h
+++ b/src/entry/cold_starts.h
@@ -31,6 +31,9 @@
                                   struct ds_placement_request *request,
                                   const struct ds_routing_config *config,
                                   unsigned urgency);
+bool ds_cold_starts_is_cold (const struct ds_placement_request *request,
+                             const struct ds_replica *replica,
+                             uint64_t now_ms);
 void ds_cold_starts_record_sent (struct ds_replica *replica,
                                  const struct ds_placement_request *request,
                                  uint64_t now_ms);
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -931,12 +931,14 @@
 acquire_connection (struct ds_exchange *x, struct ds_replica *replica,
                     uint64_t now_ms)
 {
-  bool fresh = x->runs > 0 || !is_repeatable (x);
+  bool cold = ds_cold_starts_is_cold (&x->placement_request, replica, now_ms);
+  bool fresh = x->runs > 0 || !is_repeatable (x) || cold;
 
   return ds_connection_pool_acquire (
       &x->pooled, x->context->pool, replica, now_ms, fresh,
-      ds_host_strain_connect_timeout_ms (&x->context->strain,
-                                         time_left (x, now_ms)));
+      cold ? DS_COLD_ARRIVAL_MS
+           : ds_host_strain_connect_timeout_ms (&x->context->strain,
+                                                time_left (x, now_ms)));
 }
 
 /* Sends the request to the replica of PLACEMENT.  */
