--- a/src/core/cold_limit.c
+++ b/src/core/cold_limit.c
@@ -33,8 +33,8 @@
   (LIST_VALID_MS + SECOND_MS + DS_COLD_ARRIVAL_MS + 1)
 /* Age from which a list is read again while a replica is cold.  */
 #define LIST_RENEW_MS (LIST_VALID_MS / 2)
-/* A list that has expired is renewed within this time, unless the store is
-   unreachable.  */
+/* A list that is missing or has expired is read within this time, unless the
+   store is unreachable.  */
 #define LIST_RETRY_MS 1000
 /* Callers return within this time after the one that they were told.  */
 #define RETURN_SPREAD_MS 300
@@ -199,8 +199,9 @@
   return a < b ? a : b;
 }
 
-/* Returns the time until this host may send a request of URGENCY to REPLICA, 0
-   for now: until its next turn, or until the replica is warm.
+/* Returns the time until a request of URGENCY may be sent to REPLICA, 0 if
+   this host may send it now: until the next turn of this host or, if it is no
+   sender, of any that is, and until the replica is warm at the latest.
 
    A turn is left to a more urgent request that was refused and is expected
    back, for one spacing at most.  */
@@ -218,9 +219,12 @@
   if (warm_in_ms == 0)
     return 0;
   share = ds_cold_limit_share (&limit->bounds, rule, limit->host_count);
-  if (limit->registered_ms == 0
-      || !ds_cold_limit_is_sender (limit, rule, state, replica))
+  if (limit->registered_ms == 0 || limit->host_count == 0)
+    return least (warm_in_ms, LIST_RETRY_MS);
+  if (share.hosts == 0)
     return warm_in_ms;
+  if (!ds_cold_limit_is_sender (limit, rule, state, replica))
+    return least (warm_in_ms, share.spacing_ms);
   if (settled_ms > 0)
     return least (warm_in_ms, settled_ms);
   if (now_ms - limit->asked_ms >= LIST_VALID_MS)
