--- a/include/daisystep/fields.h
+++ b/include/daisystep/fields.h
@@ -54,6 +54,7 @@
   DS_FIELD_NAMES,     /* struct ds_str_list of names */
   DS_FIELD_SHA256S,   /* struct ds_str_list of 64 lower-case hex digits */
   DS_FIELD_ADDRESSES, /* struct ds_str_list of addresses */
+  DS_FIELD_NAME_MAP,  /* struct ds_name_map, from an object of names */
   DS_FIELD_OBJECT     /* a struct described by MEMBERS */
 };
 
@@ -64,6 +65,19 @@
   size_t count;
 };
 
+/* Names by names, owned by the enclosing object.  */
+struct ds_name_pair
+{
+  struct ds_str key;
+  struct ds_str value;
+};
+
+struct ds_name_map
+{
+  struct ds_name_pair *items;
+  size_t count;
+};
+
 /* Maps one field of a JSON object to a member of a C struct.  NUMBER is the
    default of numbers, booleans and choices, TEXT that of strings; lists
    default to empty.  MINIMUM and MAXIMUM limit the value of a number, the
--- a/include/daisystep/routing_config.h
+++ b/include/daisystep/routing_config.h
@@ -23,6 +23,15 @@
   uint32_t weight;
 };
 
+/* The regions that a route or a workspace allows.  Without IS_SET, all are
+   allowed.  */
+struct ds_allowed_regions
+{
+  bool is_set;
+  struct ds_str *items;
+  size_t count;
+};
+
 struct ds_route
 {
   struct ds_str name;
@@ -39,6 +48,7 @@
   uint32_t priority;            /* 0 is the most urgent */
   struct ds_route_target *targets;
   size_t target_count;
+  struct ds_allowed_regions allowed_regions;
 };
 
 struct ds_service
@@ -61,6 +71,7 @@
   uint32_t priority;
   bool has_budget;
   uint64_t prepaid; /* tokens */
+  struct ds_allowed_regions allowed_regions;
 };
 
 /* Size limits and timeouts for caller connections.  */
--- a/src/base/fields.c
+++ b/src/base/fields.c
@@ -81,6 +81,8 @@
       return talloc_asprintf (
           owner, "a list of %" PRIu64 "..%" PRIu64 " strings \"IP:PORT\"",
           field->minimum, field->maximum);
+    case DS_FIELD_NAME_MAP:
+      return "an object of names of 1..63 characters of [a-z0-9.-]";
     case DS_FIELD_OBJECT:
       return "an object";
     }
@@ -300,6 +302,44 @@
   return status;
 }
 
+/* Reads an object whose keys and values are names.  */
+static int
+read_name_map (struct ds_name_map *out, const struct reader *reader,
+               const struct ds_field *field, const char *path,
+               const json_t *value)
+{
+  const char *key;
+  json_t *item;
+  int status = 0;
+
+  if (!json_is_object (value))
+    return report_invalid_value (reader, field, path, value, DS_EINVAL);
+  out->items = talloc_zero_array (reader->owner, struct ds_name_pair,
+                                  (unsigned)json_object_size (value) + 1);
+  if (out->items == NULL)
+    return DS_ENOMEM;
+  json_object_foreach ((json_t *)value, key, item)
+  {
+    struct ds_str name = ds_str_from_c (key);
+
+    if (!ds_name_is_valid (name) || !json_is_string (item)
+        || !ds_name_is_valid (json_text (item)))
+      {
+        char *item_path = member_path (NULL, path, key);
+
+        status
+            = report_invalid_value (reader, field, item_path, item, DS_EINVAL);
+        talloc_free (item_path);
+        continue;
+      }
+    out->items[out->count++] = (struct ds_name_pair){
+      .key = ds_str_copy (reader->owner, name),
+      .value = ds_str_copy (reader->owner, json_text (item)),
+    };
+  }
+  return status;
+}
+
 static int
 read_value (void *out, const struct reader *reader,
             const struct ds_field *field, const char *path,
@@ -330,6 +370,8 @@
     case DS_FIELD_SHA256S:
     case DS_FIELD_ADDRESSES:
       return read_list (out, reader, field, path, value);
+    case DS_FIELD_NAME_MAP:
+      return read_name_map (out, reader, field, path, value);
     case DS_FIELD_OBJECT:
       return ds_fields_read (out, reader->owner, value, field->members,
                              field->member_count, &location, reader->problems);
@@ -371,6 +413,9 @@
     case DS_FIELD_ADDRESSES:
       *(struct ds_str_list *)out = (struct ds_str_list){ .items = NULL };
       return 0;
+    case DS_FIELD_NAME_MAP:
+      *(struct ds_name_map *)out = (struct ds_name_map){ .items = NULL };
+      return 0;
     case DS_FIELD_OBJECT:
       empty = json_object ();
       status
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -75,6 +75,18 @@
   = { .name = "requests_passed_over_total",
       .help = "Attempts kept from the best upstream by what it said in an "
               "answer." },
+  [DS_METRIC_EVACUATIONS] = { .name = "evacuations",
+                              .help = "Zones whose upstreams get no requests "
+                                      "because they are evacuated.",
+                              .type = GAUGE },
+  [DS_METRIC_REQUESTS_EVACUATED]
+  = { .name = "requests_evacuated_total",
+      .help = "Attempts kept from the best upstream because its zone is "
+              "evacuated." },
+  [DS_METRIC_REQUESTS_OUT_OF_REGION]
+  = { .name = "requests_out_of_region_total",
+      .help = "Requests refused because no upstream is in an allowed "
+              "region." },
   [DS_METRIC_TOKENS_BILLED]
   = { .name = "tokens_billed_total", .help = "Tokens in bills of this host." },
   [DS_METRIC_TOKENS_RELAYED] = { .name = "tokens_relayed_total",
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -13,6 +13,8 @@
 #define CALL_MS 60.0
 /* Cost of another zone: two network delays and the transferred bytes.  */
 #define OTHER_ZONE_MS 4.0
+/* Above the cost of any replica in an allowed region.  */
+#define OTHER_REGION_MS 1e9
 /* A part unused for this long may have been evicted by the replica.  */
 #define CACHED_PART_LIFETIME_MS 60000
 /* Entries per hash bucket of the table of cached parts; with two thousand
@@ -121,11 +123,25 @@
   return cached < request->prompt_tokens ? request->prompt_tokens - cached : 1;
 }
 
-/* Returns the replica of SERVICE that all hosts prefer for the prompts of the
-   part KEY, by rendezvous hashing; null if there is none.  */
+/* Returns what keeps all requests like REQUEST from REPLICA, whatever its
+   load: an evacuation, or the regions that are allowed.  */
+static enum ds_placement_obstacle
+find_exclusion (const struct ds_replica *replica,
+                const struct ds_placement_request *request)
+{
+  if (!ds_region_rule_allows_zone (&request->regions, replica->record.zone))
+    return DS_PLACEMENT_REGION;
+  if (request->evacuations != NULL
+      && ds_evacuations_cover (request->evacuations, replica->record.zone))
+    return DS_PLACEMENT_EVACUATED;
+  return DS_PLACEMENT_UNOBSTRUCTED;
+}
+
+/* Returns the replica that all hosts prefer for the prompts of the part KEY,
+   by rendezvous hashing; null if there is none.  */
 static const struct ds_replica *
-find_preferred (const struct ds_replica_set *set, struct ds_str service,
-                uint64_t key)
+find_preferred (const struct ds_replica_set *set,
+                const struct ds_placement_request *request, uint64_t key)
 {
   const struct ds_replica *preferred = NULL;
   uint64_t best_weight = 0;
@@ -136,8 +152,9 @@
       uint64_t weight = mix_hash (replica->hash ^ key);
 
       if ((preferred != NULL && weight <= best_weight)
-          || !ds_str_equal (replica->record.service, service)
-          || !ds_replica_accepts_requests (replica))
+          || !ds_str_equal (replica->record.service, request->service)
+          || !ds_replica_accepts_requests (replica)
+          || find_exclusion (replica, request) != DS_PLACEMENT_UNOBSTRUCTED)
         continue;
       preferred = replica;
       best_weight = weight;
@@ -209,6 +226,10 @@
                const struct ds_placement_request *request, bool last_resort,
                uint64_t now_ms)
 {
+  enum ds_placement_obstacle exclusion = find_exclusion (replica, request);
+
+  if (exclusion != DS_PLACEMENT_UNOBSTRUCTED)
+    return exclusion;
   if (replica->notice.leaving_ms > 0
       && !(last_resort
            && ds_replica_notice_may_serve_last (&replica->notice,
@@ -254,6 +275,10 @@
   /* A failing replica is chosen only if there is no other.  */
   if (replica->avoid_until_ms > search->now_ms)
     cost += 100000;
+  /* One in another region is named only where there is no other reason: it is
+     passed over by every request that must not leave its regions.  */
+  if (obstacle == DS_PLACEMENT_REGION)
+    cost += OTHER_REGION_MS;
   if (obstacle != DS_PLACEMENT_UNOBSTRUCTED && cost < search->passed_over_cost)
     {
       search->passed_over_cost = cost;
@@ -279,7 +304,7 @@
   uint64_t key = affinity_key (request);
   struct search search = {
     .request = request,
-    .preferred = key != 0 ? find_preferred (set, request->service, key) : NULL,
+    .preferred = key != 0 ? find_preferred (set, request, key) : NULL,
     .last_resort = last_resort,
     .now_ms = now_ms,
     .best = { .status = DS_PLACEMENT_NO_REPLICA },
@@ -332,10 +357,39 @@
   return placement;
 }
 
-/* Returns the time until the first replica of SERVICE takes requests again if
-   all of them, but for those that leave, want none for now; else 0.  */
+/* Returns why no replica of the service may ever get REQUEST as things are:
+   all are evacuated or in regions that are not allowed.  Such a request is
+   refused before it waits for tokens.  */
+enum ds_placement_obstacle
+ds_placement_exclusion (const struct ds_replica_set *set,
+                        const struct ds_placement_request *request)
+{
+  enum ds_placement_obstacle result = DS_PLACEMENT_UNOBSTRUCTED;
+
+  for (size_t i = 0; i < ds_replica_set_count (set); i++)
+    {
+      const struct ds_replica *replica = ds_replica_set_at (set, i);
+      enum ds_placement_obstacle exclusion;
+
+      if (!ds_str_equal (replica->record.service, request->service)
+          || !ds_replica_is_available (replica))
+        continue;
+      exclusion = find_exclusion (replica, request);
+      if (exclusion == DS_PLACEMENT_UNOBSTRUCTED)
+        return DS_PLACEMENT_UNOBSTRUCTED;
+      /* An evacuation ends, unlike the rule.  */
+      if (result != DS_PLACEMENT_EVACUATED)
+        result = exclusion;
+    }
+  return result;
+}
+
+/* Returns the time until the first replica of the service takes requests again
+   if all of them, but for those that leave or are excluded, want none for now;
+   else 0.  */
 uint64_t
-ds_placement_wait_ms (const struct ds_replica_set *set, struct ds_str service,
+ds_placement_wait_ms (const struct ds_replica_set *set,
+                      const struct ds_placement_request *request,
                       uint64_t now_ms)
 {
   uint64_t least = UINT64_MAX;
@@ -345,8 +399,10 @@
       const struct ds_replica *replica = ds_replica_set_at (set, i);
       uint64_t wait_ms = ds_replica_notice_wait_ms (&replica->notice, now_ms);
 
-      if (ds_str_equal (replica->record.service, service)
-          && ds_replica_accepts_requests (replica) && wait_ms < least)
+      if (ds_str_equal (replica->record.service, request->service)
+          && ds_replica_accepts_requests (replica)
+          && find_exclusion (replica, request) == DS_PLACEMENT_UNOBSTRUCTED
+          && wait_ms < least)
         least = wait_ms;
     }
   return least == UINT64_MAX ? 0 : least;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -1,6 +1,8 @@
 #ifndef DS_CORE_PLACEMENT_H
 #define DS_CORE_PLACEMENT_H
 
+#include "core/evacuation.h"
+#include "core/region_rule.h"
 #include "core/replica_set.h"
 
 /* A part of a prompt, identified by the hash of its id.  */
@@ -15,7 +17,8 @@
 #define DS_PROMPT_PARTS_MAX 16
 
 /* The request to place.  PARTS are in the order of the prompt; the last one is
-   private to the request or its session.  */
+   private to the request or its session.  EVACUATIONS is null if evacuations
+   are not watched.  */
 struct ds_placement_request
 {
   struct ds_str service;
@@ -27,6 +30,8 @@
   uint64_t tried[4];          /* hashes of replicas to exclude */
   size_t tried_count;
   uint64_t drain_ms; /* for which a replica that leaves still serves */
+  const struct ds_evacuations *evacuations;
+  struct ds_region_rule regions;
 };
 
 /* DS_PLACEMENT_OK, or why there is no replica.  */
@@ -43,8 +48,10 @@
 enum ds_placement_obstacle
 {
   DS_PLACEMENT_UNOBSTRUCTED,
-  DS_PLACEMENT_LEAVING, /* it said that it leaves */
-  DS_PLACEMENT_HELD     /* it said that it wants no requests for a while */
+  DS_PLACEMENT_LEAVING,   /* it said that it leaves */
+  DS_PLACEMENT_HELD,      /* it said that it wants no requests for a while */
+  DS_PLACEMENT_EVACUATED, /* its zone is evacuated */
+  DS_PLACEMENT_REGION     /* its region is not allowed */
 };
 
 /* EXPECTED_MS is the estimated time to the first event, UNCACHED_TOKENS the
@@ -64,8 +71,12 @@
 struct ds_placement ds_placement_choose (const struct ds_replica_set *set,
                                          const struct ds_placement_request *r,
                                          uint64_t now_ms);
+enum ds_placement_obstacle
+ds_placement_exclusion (const struct ds_replica_set *set,
+                        const struct ds_placement_request *request);
 uint64_t ds_placement_wait_ms (const struct ds_replica_set *set,
-                               struct ds_str service, uint64_t now_ms);
+                               const struct ds_placement_request *request,
+                               uint64_t now_ms);
 uint64_t
 ds_placement_uncached_tokens (const struct ds_replica *replica,
                               const struct ds_placement_request *request,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,10 +9,11 @@
 #include "entry/caller.h"
 #include "entry/crash_store.h"
 #include "entry/entry_settings.h"
+#include "entry/evacuation_watch.h"
 #include "entry/exchange.h"
 #include "entry/fleet_view.h"
 #include "entry/registration.h"
-#include "entry/store_watcher.h"
+#include "entry/store_subjects.h"
 #include "entry/unreadable_entry.h"
 #include "io/clock.h"
 #include "io/event_context.h"
@@ -57,12 +58,6 @@
 /* Shortest interval of checks of the store because other hosts have lost
    it.  */
 #define STORE_CHECK_INTERVAL_MS 3000
-/* Divisor of the time in which a change must take effect: the interval at
-   which some host ends its watch, also when no change is reported.  */
-#define WATCH_INTERVAL_DIVISOR 2
-/* Time in which this host's own watch usually reports what another host has
-   had from the store.  */
-#define OWN_WATCH_DELAY_MS 400
 
 #define BYTES_PER_MB 1048576.0
 /* Readiness, address and metrics questions are GET requests.  */
@@ -78,15 +73,6 @@
 #define LINK_MBPS_PER_CORE 200
 #define PERCENT 100
 
-/* What this host watches in the store, compared with what other hosts say.  */
-struct watched_subject
-{
-  struct ds_store_watcher *watcher;
-  uint32_t interval_ms;
-  uint64_t behind_since_ms; /* 0 while no host has reported more */
-  uint64_t checked_ms;      /* because of another host */
-};
-
 struct ds_entry
 {
   struct tevent_context *ev;
@@ -100,7 +86,8 @@
   struct ds_store_client *store;
   struct ds_store_watcher *config_watcher;
   struct ds_store_watcher *replica_watcher;
-  struct watched_subject watched[DS_STORE_SUBJECTS];
+  struct ds_store_subjects subjects;
+  struct ds_evacuation_watch *evacuations; /* null without the setting */
   struct ds_registration *registration;
   struct ds_crash_store *crash_store;
 
@@ -125,14 +112,16 @@
 };
 
 /* Publishes whether this host takes requests.  Before the first list of
-   replicas, it would refuse them all; before the recorded causes of crashes,
-   it would let some of them crash replicas again.  */
+   replicas, or of evacuations, it would refuse them all; before the recorded
+   causes of crashes, it would let some of them crash replicas again.  */
 static void
 publish_state (struct ds_entry *entry)
 {
   entry->addresses.ready
       = entry->exchanges.config != NULL
         && ds_store_watcher_has_listed (entry->replica_watcher)
+        && (entry->evacuations == NULL
+            || ds_evacuation_watch_has_listed (entry->evacuations))
         && ds_crash_store_is_settled (entry->crash_store)
         && entry->stopping_ms == 0;
   ds_fleet_view_set_state (entry->fleet, entry->addresses.ready,
@@ -140,7 +129,7 @@
 }
 
 static void
-on_crashes_settled (void *user_data)
+on_start_progress (void *user_data)
 {
   publish_state (user_data);
 }
@@ -561,8 +550,7 @@
 {
   struct ds_entry *entry = user_data;
 
-  ds_store_watcher_probe (entry->config_watcher);
-  ds_store_watcher_probe (entry->replica_watcher);
+  ds_store_subjects_probe (&entry->subjects);
 }
 
 static int
@@ -772,55 +760,6 @@
   ds_decision_line_end (&line);
 }
 
-/* Checks a watch that has not reported what another host has had from the
-   store: its response may be lost.  A wrong report costs one call an
-   interval.  */
-static void
-compare_revisions (struct ds_entry *entry, enum ds_store_subject subject,
-                   uint64_t now_ms)
-{
-  struct watched_subject *watched = &entry->watched[subject];
-  uint64_t heard = ds_fleet_view_heard_revision (entry->fleet, subject);
-
-  ds_fleet_view_set_store_revision (
-      entry->fleet, subject,
-      ds_store_watcher_object_revision (watched->watcher));
-  if (heard <= ds_store_watcher_revision (watched->watcher))
-    {
-      watched->behind_since_ms = 0;
-      return;
-    }
-  if (watched->behind_since_ms == 0)
-    watched->behind_since_ms = now_ms;
-  if (now_ms - watched->behind_since_ms < OWN_WATCH_DELAY_MS)
-    return;
-  if (watched->checked_ms > watched->behind_since_ms
-      && ds_store_watcher_responded_ms (watched->watcher)
-             > watched->checked_ms)
-    {
-      ds_fleet_view_reject_revision (entry->fleet, subject);
-      watched->behind_since_ms = 0;
-      return;
-    }
-  if (now_ms - watched->checked_ms >= watched->interval_ms
-      && ds_store_watcher_check (watched->watcher, "another host knows more"))
-    watched->checked_ms = now_ms;
-}
-
-static void
-update_watches (struct ds_entry *entry, uint64_t now_ms)
-{
-  struct ds_watch_place place
-      = ds_fleet_view_watch_place (entry->fleet, now_ms);
-
-  for (int subject = 0; subject < DS_STORE_SUBJECTS; subject++)
-    {
-      place.interval_ms = entry->watched[subject].interval_ms;
-      ds_store_watcher_set_place (entry->watched[subject].watcher, &place);
-      compare_revisions (entry, (enum ds_store_subject)subject, now_ms);
-    }
-}
-
 static void
 on_tick (void *user_data)
 {
@@ -833,7 +772,9 @@
   ds_connection_pool_close_expired (entry->exchanges.pool, now_ms);
   count_hosts (entry, now_ms);
   note_outage (entry, now_ms);
-  update_watches (entry, now_ms);
+  ds_store_subjects_update (&entry->subjects, entry->fleet, now_ms);
+  if (entry->evacuations != NULL)
+    ds_evacuation_watch_expire (entry->evacuations, now_ms);
   ds_budget_manager_tick (entry->budgets, now_ms);
   ds_fleet_view_set_ledger_reachable (
       entry->fleet, ds_store_client_is_reachable (entry->store));
@@ -990,20 +931,34 @@
   entry->exchanges.replicas = entry->replicas;
   entry->exchanges.budgets = entry->budgets;
   entry->exchanges.zone = settings->zone;
+  entry->exchanges.zones = &settings->zones;
   entry->exchanges.drain_ms = (uint64_t)settings->drain_ms;
   entry->exchanges.hosts = 1;
   return 0;
 }
 
-/* Returns the interval of the watches of something that must take effect
-   within APPLY_MS.  */
-static uint32_t
-watch_interval_ms (double apply_ms)
+/* Watches evacuations if the settings say how soon they take effect.  */
+static int
+open_evacuations (struct ds_entry *entry, struct ds_error *error)
 {
-  uint32_t interval_ms = (uint32_t)(apply_ms / WATCH_INTERVAL_DIVISOR);
+  struct ds_evacuation_watch_options options = {
+    .ev = entry->ev,
+    .store = entry->store,
+    .primary = entry->config_watcher,
+    .fleet = entry->fleet,
+    .subjects = &entry->subjects,
+    .apply_ms = entry->settings->evacuation_ms,
+    .on_listed = on_start_progress,
+    .user_data = entry,
+  };
 
-  return interval_ms > DS_GOSSIP_INTERVAL_MS ? interval_ms
-                                             : DS_GOSSIP_INTERVAL_MS;
+  if (options.apply_ms <= 0)
+    return 0;
+  if (ds_evacuation_watch_new (&entry->evacuations, entry, &options) != 0)
+    return ds_error_set (error, DS_ENOMEM, "watch the store", "store",
+                         "out of memory");
+  entry->exchanges.evacuations = ds_evacuation_watch_set (entry->evacuations);
+  return 0;
 }
 
 static int
@@ -1039,15 +994,12 @@
       != 0)
     return ds_error_set (error, DS_ENOMEM, "watch the store", "store",
                          "out of memory");
-  entry->watched[DS_STORE_CONFIG] = (struct watched_subject){
-    .watcher = entry->config_watcher,
-    .interval_ms = watch_interval_ms (entry->settings->config_apply_ms),
-  };
-  entry->watched[DS_STORE_REPLICAS] = (struct watched_subject){
-    .watcher = entry->replica_watcher,
-    .interval_ms = watch_interval_ms (entry->settings->drain_ms),
-  };
-  return 0;
+  ds_store_subjects_add (&entry->subjects, DS_STORE_CONFIG,
+                         entry->config_watcher,
+                         entry->settings->config_apply_ms);
+  ds_store_subjects_add (&entry->subjects, DS_STORE_REPLICAS,
+                         entry->replica_watcher, entry->settings->drain_ms);
+  return open_evacuations (entry, error);
 }
 
 /* A group for questions to this host, which need no body.  */
@@ -1195,7 +1147,7 @@
     .ev = entry->ev,
     .store = entry->store,
     .evidence = entry->exchanges.crashes,
-    .on_settled = on_crashes_settled,
+    .on_settled = on_start_progress,
     .user_data = entry,
   };
   struct ds_decision_line line;
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -76,6 +76,12 @@
   OPTIONAL_REAL (struct ds_entry_settings, link_mbps, 0, 1000000, 1000),
   /* The default suits the smallest supported machine.  */
   OPTIONAL_REAL (struct ds_entry_settings, memory_mb, 32, 1048576, 88),
+  OPTIONAL_REAL (struct ds_entry_settings, evacuation_ms, 100, 600000, 0),
+  {
+      .name = "zones",
+      .type = DS_FIELD_NAME_MAP,
+      .offset = offsetof (struct ds_entry_settings, zones),
+  },
   OBJECT (retry, retry_fields),
   OBJECT (budget, budget_fields),
 };
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -43,7 +43,9 @@
   double cpu_share; /* of a core */
   double cpu_cores; /* speed of that core */
   double link_mbps;
-  double memory_mb; /* MiB; limit of the process */
+  double memory_mb;         /* MiB; limit of the process */
+  double evacuation_ms;     /* 0: evacuations are not watched */
+  struct ds_name_map zones; /* regions by zone; may be empty */
   struct ds_retry_settings retry;
   struct ds_budget_settings budget;
 };
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -2,6 +2,7 @@
 #include "base/decision_log.h"
 #include "daisystep/metrics.h"
 #include "entry/event_stream.h"
+#include "entry/refusal_count.h"
 #include "entry/replica_notices.h"
 #include "io/clock.h"
 #include "io/timer.h"
@@ -258,30 +259,6 @@
   talloc_free (x);
 }
 
-static void
-count_refusal (unsigned status)
-{
-  switch (status)
-    {
-    case 400:
-    case 404:
-      ds_metric_add (DS_METRIC_REFUSED_INVALID, 1);
-      break;
-    case 401:
-      ds_metric_add (DS_METRIC_REFUSED_CREDENTIAL, 1);
-      break;
-    case 402:
-      ds_metric_add (DS_METRIC_REFUSED_BUDGET, 1);
-      break;
-    case 503:
-      ds_metric_add (DS_METRIC_REFUSED_OVERLOAD, 1);
-      break;
-    default:
-      ds_metric_add (DS_METRIC_REFUSED_UNKNOWN, 1);
-      break;
-    }
-}
-
 /* Refuses the request with STATUS.  REASON goes into the body and the log.  */
 static void
 refuse (struct ds_exchange *x, unsigned status, uint64_t retry_after_ms,
@@ -295,7 +272,7 @@
                   reason, x->may_have_run ? "unknown" : "no");
 
   x->status = status;
-  count_refusal (status);
+  ds_refusal_count (status);
   if (ds_wire_write_local_response (
           x, &out, status, x->request.id, retry_after_ms,
           (struct ds_str){ .data = body, .length = (size_t)length },
@@ -325,7 +302,7 @@
   uint64_t now_ms = ds_clock_ms ();
 
   return ds_replica_notices_retry_after_ms (
-      ds_placement_wait_ms (x->context->replicas, x->placement_request.service,
+      ds_placement_wait_ms (x->context->replicas, &x->placement_request,
                             now_ms),
       time_left (x, now_ms), x->request.id);
 }
@@ -1202,7 +1179,8 @@
 }
 
 static void
-fill_placement_request (struct ds_exchange *x)
+fill_placement_request (struct ds_exchange *x,
+                        const struct ds_routing_workspace *workspace)
 {
   x->placement_request = (struct ds_placement_request){
     .zone = x->context->zone,
@@ -1212,6 +1190,12 @@
     .prompt_tokens = x->request.prompt_tokens,
     .target_latency_ms = x->route->target_latency_ms,
     .drain_ms = x->context->drain_ms,
+    .evacuations = x->context->evacuations,
+    .regions = {
+      .zones = x->context->zones,
+      .route = &x->route->allowed_regions,
+      .workspace = workspace != NULL ? &workspace->allowed_regions : NULL,
+    },
   };
   memcpy (x->placement_request.parts, x->request.parts,
           sizeof x->placement_request.parts);
@@ -1291,6 +1275,7 @@
       = open_exchange (context, caller, head, body, &workspace);
   uint64_t now_ms;
   uint64_t wait_ms;
+  const char *exclusion;
 
   if (x == NULL)
     return;
@@ -1299,10 +1284,14 @@
   if (x->request.deadline_ms > 0 && x->request.deadline_ms < wait_ms)
     wait_ms = x->request.deadline_ms;
   x->expires_ms = now_ms + wait_ms;
-  fill_placement_request (x);
-  if (x->placement_request.service.length == 0)
+  fill_placement_request (x, workspace);
+  exclusion = x->placement_request.service.length == 0
+                  ? "the route has no service"
+                  : ds_replica_notices_exclusion (context->replicas,
+                                                  &x->placement_request);
+  if (exclusion != NULL)
     {
-      refuse (x, 503, RETRY_UNAVAILABLE_MS, "the route has no service");
+      refuse (x, 503, RETRY_UNAVAILABLE_MS, exclusion);
       return;
     }
   if (x->request.resumes)
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -1,10 +1,12 @@
 #ifndef DS_ENTRY_EXCHANGE_H
 #define DS_ENTRY_EXCHANGE_H
 
+#include "core/evacuation.h"
 #include "core/host_memory.h"
 #include "core/host_strain.h"
 #include "core/replica_set.h"
 #include "core/retry_budget.h"
+#include "daisystep/fields.h"
 #include "daisystep/routing_config.h"
 #include "entry/budget_manager.h"
 #include "entry/caller.h"
@@ -30,6 +32,8 @@
   struct ds_host_strain strain;
   struct ds_host_memory memory;
   struct ds_str zone;
+  const struct ds_name_map *zones;          /* regions by zone */
+  const struct ds_evacuations *evacuations; /* null: not watched */
   uint64_t drain_ms; /* for which a replica that leaves still serves */
   size_t hosts;
   bool stopping; /* no new requests: they would be interrupted */
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -36,6 +36,7 @@
   datagram->strained = view->strained;
   datagram->config_revision = view->store_revisions[DS_STORE_CONFIG];
   datagram->replica_revision = view->store_revisions[DS_STORE_REPLICAS];
+  datagram->evacuation_revision = view->store_revisions[DS_STORE_EVACUATIONS];
 }
 
 /* Adds HOLDING to DATAGRAM, which has room for DS_HOLDINGS_MAX.  */
@@ -257,9 +258,10 @@
   return messages;
 }
 
-static void
-receive_revision (struct ds_fleet_view *view, enum ds_store_subject subject,
-                  uint64_t revision)
+/* Notes that another host has had REVISION of SUBJECT from the store.  */
+void
+ds_fleet_receive_revision (struct ds_fleet_view *view,
+                           enum ds_store_subject subject, uint64_t revision)
 {
   if (revision > view->heard_revisions[subject])
     view->heard_revisions[subject] = revision;
@@ -281,7 +283,7 @@
       };
 
       /* A host that has not read this yet asks the store soon.  */
-      receive_revision (view, DS_STORE_REPLICAS, departure.revision);
+      ds_fleet_receive_revision (view, DS_STORE_REPLICAS, departure.revision);
       if (view->handlers.on_departure (&departure, member->info.host,
                                        view->handlers.user_data))
         ds_fleet_view_announce_departure (view, &departure);
@@ -349,6 +351,7 @@
 {
   ds_fleet_fill_reports (view, owner, datagram);
   ds_fleet_fill_suspects (view, owner, datagram);
+  ds_fleet_fill_evacuations (view, owner, datagram);
   fill_cached_parts (view, owner, datagram);
   datagram->departures
       = ds_fleet_take_departures (view, owner, &datagram->n_departures);
@@ -531,14 +534,18 @@
   if (member == NULL || !receive_self (view, member, datagram, now_ms))
     return;
   member->address = address;
-  receive_revision (view, DS_STORE_CONFIG, datagram->config_revision);
-  receive_revision (view, DS_STORE_REPLICAS, datagram->replica_revision);
+  ds_fleet_receive_revision (view, DS_STORE_CONFIG, datagram->config_revision);
+  ds_fleet_receive_revision (view, DS_STORE_REPLICAS,
+                             datagram->replica_revision);
+  ds_fleet_receive_revision (view, DS_STORE_EVACUATIONS,
+                             datagram->evacuation_revision);
   if (!datagram->partial)
     receive_loads (member, datagram);
   ds_fleet_record_parts (view, datagram->reads, datagram->n_reads, now_ms);
   receive_suspects (view, member, datagram, now_ms);
   ds_fleet_receive_departures (view, member, datagram->departures,
                                datagram->n_departures);
+  ds_fleet_receive_evacuations (view, member, datagram);
   if (datagram->summary != NULL)
     ds_fleet_receive_summary (view, member, datagram->summary, now_ms);
   ds_fleet_receive_tokens (view, member, datagram);
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -402,6 +402,7 @@
   fill_summary_loads (view, owner, summary, fleet);
   fill_records (view, owner, summary, fleet, now_ms);
   ds_fleet_fill_suspects (view, owner, datagram);
+  ds_fleet_fill_evacuations (view, owner, datagram);
   summary->departures
       = ds_fleet_take_departures (view, owner, &summary->n_departures);
   datagram->summary = summary;
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include "core/allotment.h"
 #include "core/crash_suspects.h"
+#include "core/evacuation.h"
 #include "core/replica_set.h"
 #include "core/watch_pace.h"
 #include "daisystep/error.h"
@@ -101,11 +102,22 @@
   void *user_data;
 };
 
-/* What each host watches in the store.  */
+/* LIST writes up to DS_EVACUATION_REPORTS_MAX evacuations that this host tells
+   the others, and returns their number; ON_REPORT takes one of SENDER.  */
+struct ds_fleet_evacuation_handlers
+{
+  size_t (*list) (struct ds_evacuation_report *out, void *user_data);
+  void (*on_report) (const struct ds_evacuation_report *report,
+                     struct ds_str sender, void *user_data);
+  void *user_data;
+};
+
+/* What hosts watch in the store.  */
 enum ds_store_subject
 {
   DS_STORE_CONFIG,
   DS_STORE_REPLICAS,
+  DS_STORE_EVACUATIONS,
   DS_STORE_SUBJECTS
 };
 
@@ -147,6 +159,9 @@
                                   uint64_t part);
 void ds_fleet_view_announce_departure (struct ds_fleet_view *view,
                                        const struct ds_departure *departure);
+void ds_fleet_view_set_evacuations (
+    struct ds_fleet_view *view,
+    const struct ds_fleet_evacuation_handlers *handlers);
 void ds_fleet_view_set_store_revision (struct ds_fleet_view *view,
                                        enum ds_store_subject subject,
                                        uint64_t revision);
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -135,6 +135,7 @@
   struct ds_replica_set *replicas;
   struct ds_crash_suspects *suspects;
   struct ds_fleet_handlers handlers;
+  struct ds_fleet_evacuation_handlers evacuations; /* null: not watched */
   struct ds_fleet_peer **members;
   size_t count;
   GHashTable *by_short_id; /* of struct ds_fleet_peer */
@@ -208,10 +209,22 @@
                     Daisystep__Gossip__Datagram *datagram, TALLOC_CTX *owner);
 void ds_fleet_receive (struct ds_fleet_view *view,
                        const Daisystep__Gossip__Datagram *datagram);
+void ds_fleet_receive_revision (struct ds_fleet_view *view,
+                                enum ds_store_subject subject,
+                                uint64_t revision);
 void ds_fleet_record_parts (struct ds_fleet_view *view,
                             Daisystep__Gossip__PartRead *const *reads,
                             size_t count, uint64_t now_ms);
 
+/* fleet_evacuations.c */
+void ds_fleet_fill_evacuations (const struct ds_fleet_view *view,
+                                TALLOC_CTX *owner,
+                                Daisystep__Gossip__Datagram *datagram);
+void
+ds_fleet_receive_evacuations (struct ds_fleet_view *view,
+                              const struct ds_fleet_peer *member,
+                              const Daisystep__Gossip__Datagram *datagram);
+
 /* fleet_relay.c */
 void ds_fleet_relay_tick (struct ds_fleet_view *view, uint64_t now_ms);
 void ds_fleet_receive_summary (struct ds_fleet_view *view,
--- a/src/entry/replica_notices.c
+++ b/src/entry/replica_notices.c
@@ -79,12 +79,37 @@
       return "leaves";
     case DS_PLACEMENT_HELD:
       return "pushes back";
+    case DS_PLACEMENT_EVACUATED:
+      return "its zone is evacuated";
+    case DS_PLACEMENT_REGION:
+      return "its region is not allowed";
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
   return "";
 }
 
+/* Counts an attempt that OBSTACLE kept from the best replica.  */
+static void
+count_obstacle (enum ds_placement_obstacle obstacle)
+{
+  switch (obstacle)
+    {
+    case DS_PLACEMENT_LEAVING:
+    case DS_PLACEMENT_HELD:
+      ds_metric_add (DS_METRIC_REQUESTS_PASSED_OVER, 1);
+      break;
+    case DS_PLACEMENT_EVACUATED:
+      ds_metric_add (DS_METRIC_REQUESTS_EVACUATED, 1);
+      break;
+    case DS_PLACEMENT_REGION:
+      ds_metric_add (DS_METRIC_REQUESTS_OUT_OF_REGION, 1);
+      break;
+    case DS_PLACEMENT_UNOBSTRUCTED:
+      break;
+    }
+}
+
 /* Adds to the LINE of a placement which better replica was passed over, and
    counts it.  */
 void
@@ -95,7 +120,7 @@
     ds_decision_line_add_number (line, "last_resort", 1);
   if (placement->passed_over == NULL)
     return;
-  ds_metric_add (DS_METRIC_REQUESTS_PASSED_OVER, 1);
+  count_obstacle (placement->obstacle);
   ds_decision_line_add_text (line, "passed_over",
                              placement->passed_over->record.id);
   ds_decision_line_add_text (
@@ -107,7 +132,7 @@
 ds_replica_notices_refusal (const struct ds_placement *placement)
 {
   if (placement->passed_over != NULL)
-    ds_metric_add (DS_METRIC_REQUESTS_PASSED_OVER, 1);
+    count_obstacle (placement->obstacle);
   if (placement->status == DS_PLACEMENT_ALL_HELD)
     return "all replicas push back";
   switch (placement->obstacle)
@@ -116,8 +141,28 @@
       return "all replicas that are left leave";
     case DS_PLACEMENT_HELD:
       return "all replicas that are left push back";
+    case DS_PLACEMENT_EVACUATED:
+      return "all replicas that are left are evacuated";
+    case DS_PLACEMENT_REGION:
+      return "no replica that is left is in an allowed region";
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
   return "no replica is left";
 }
+
+/* Returns why no replica of SET may get REQUEST, whatever their load; null if
+   one may, or if none is known.  */
+const char *
+ds_replica_notices_exclusion (const struct ds_replica_set *set,
+                              const struct ds_placement_request *request)
+{
+  enum ds_placement_obstacle exclusion = ds_placement_exclusion (set, request);
+
+  count_obstacle (exclusion);
+  if (exclusion == DS_PLACEMENT_EVACUATED)
+    return "all replicas are evacuated";
+  return exclusion == DS_PLACEMENT_REGION
+             ? "no replica is in an allowed region"
+             : NULL;
+}
--- a/src/entry/replica_notices.h
+++ b/src/entry/replica_notices.h
@@ -14,5 +14,8 @@
 uint64_t ds_replica_notices_retry_after_ms (uint64_t wait_ms, uint64_t left_ms,
                                             struct ds_str request_id);
 const char *ds_replica_notices_refusal (const struct ds_placement *placement);
+const char *
+ds_replica_notices_exclusion (const struct ds_replica_set *set,
+                              const struct ds_placement_request *request);
 
 #endif
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &daisystep__gossip__departure__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisystep__gossip__evacuation__init
+                     (Daisystep__Gossip__Evacuation         *message)
+{
+  static const Daisystep__Gossip__Evacuation init_value = DAISYSTEP__GOSSIP__DEPARTURE__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__evacuation__get_packed_size
+                     (const Daisystep__Gossip__Evacuation *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__evacuation__pack
+                     (const Daisystep__Gossip__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__evacuation__pack_to_buffer
+                     (const Daisystep__Gossip__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__Evacuation *
+       daisystep__gossip__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__Evacuation *)
+     protobuf_c_message_unpack (&daisystep__gossip__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__evacuation__free_unpacked
+                     (Daisystep__Gossip__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisystep__gossip__summary__init
                      (Daisystep__Gossip__Summary         *message)
 {
@@ -1260,6 +1305,70 @@
   (ProtobufCMessageInit) daisystep__gossip__departure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor daisystep__gossip__evacuation__field_descriptors[3] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Evacuation, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Evacuation, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Evacuation, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__evacuation__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = revision */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange daisystep__gossip__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.Evacuation",
+  "Evacuation",
+  "Daisystep__Gossip__Evacuation",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__Evacuation),
+  3,
+  daisystep__gossip__evacuation__field_descriptors,
+  daisystep__gossip__evacuation__field_indices_by_name,
+  1,  daisystep__gossip__evacuation__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[14] =
 {
   {
@@ -1467,7 +1576,7 @@
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[28] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[30] =
 {
   {
     "host",
@@ -1805,6 +1914,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    30,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Datagram, n_evacuations),
+    offsetof(Daisystep__Gossip__Datagram, evacuations),
+    &daisystep__gossip__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuation_revision",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, evacuation_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -1814,6 +1947,8 @@
   9,   /* field[9] = crashes */
   27,   /* field[27] = departures */
   6,   /* field[6] = draining */
+  29,   /* field[29] = evacuation_revision */
+  28,   /* field[28] = evacuations */
   5,   /* field[5] = gossip_address */
   23,   /* field[23] = hello */
   14,   /* field[14] = holdings */
@@ -1836,10 +1971,11 @@
   11,   /* field[11] = transfers */
   2,   /* field[2] = zone */
 };
-static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
+static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 30, 28 },
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1849,10 +1985,10 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  28,
+  30,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
-  1,  daisystep__gossip__datagram__number_ranges,
+  2,  daisystep__gossip__datagram__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Daisystep__Gossip__PartRead Daisystep__Gossip__PartRead;
 typedef struct Daisystep__Gossip__HostRecord Daisystep__Gossip__HostRecord;
 typedef struct Daisystep__Gossip__Departure Daisystep__Gossip__Departure;
+typedef struct Daisystep__Gossip__Evacuation Daisystep__Gossip__Evacuation;
 typedef struct Daisystep__Gossip__Summary Daisystep__Gossip__Summary;
 typedef struct Daisystep__Gossip__Datagram Daisystep__Gossip__Datagram;
 
@@ -209,6 +210,24 @@
     , 0, 0, 0 }
 
 
+/*
+ * A zone whose replicas get no requests since a revision of the store.
+ */
+struct  Daisystep__Gossip__Evacuation
+{
+  ProtobufCMessage base;
+  char *zone;
+  uint64_t revision;
+  /*
+   * Time since the store last confirmed it to a host.
+   */
+  uint32_t age_ms;
+};
+#define DAISYSTEP__GOSSIP__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * What a relay knows of one zone or, with an empty zone, of the fleet. Hosts
  * and replicas are given by the low 32 bits of their hashes. Only live hosts are
@@ -348,10 +367,16 @@
   Daisystep__Gossip__Suspect **suspects;
   size_t n_departures;
   Daisystep__Gossip__Departure **departures;
+  size_t n_evacuations;
+  Daisystep__Gossip__Evacuation **evacuations;
+  /*
+   * As config_revision, of an evacuation.
+   */
+  uint64_t evacuation_revision;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
@@ -525,6 +550,25 @@
 void   daisystep__gossip__departure__free_unpacked
                      (Daisystep__Gossip__Departure *message,
                       ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__Evacuation methods */
+void   daisystep__gossip__evacuation__init
+                     (Daisystep__Gossip__Evacuation         *message);
+size_t daisystep__gossip__evacuation__get_packed_size
+                     (const Daisystep__Gossip__Evacuation   *message);
+size_t daisystep__gossip__evacuation__pack
+                     (const Daisystep__Gossip__Evacuation   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__evacuation__pack_to_buffer
+                     (const Daisystep__Gossip__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__Evacuation *
+       daisystep__gossip__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__evacuation__free_unpacked
+                     (Daisystep__Gossip__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Daisystep__Gossip__Summary methods */
 void   daisystep__gossip__summary__init
                      (Daisystep__Gossip__Summary         *message);
@@ -592,6 +636,9 @@
 typedef void (*Daisystep__Gossip__Departure_Closure)
                  (const Daisystep__Gossip__Departure *message,
                   void *closure_data);
+typedef void (*Daisystep__Gossip__Evacuation_Closure)
+                 (const Daisystep__Gossip__Evacuation *message,
+                  void *closure_data);
 typedef void (*Daisystep__Gossip__Summary_Closure)
                  (const Daisystep__Gossip__Summary *message,
                   void *closure_data);
@@ -613,6 +660,7 @@
 extern const ProtobufCMessageDescriptor daisystep__gossip__part_read__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__host_record__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__departure__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor;
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -198,7 +198,7 @@
   add_replica ("b3", "ledger", "riedenburg", false);
   first = ds_placement_choose (set, &request, 1000);
   (void)ds_replica_set_record_hold (set, first.replica, 2000, 1000);
-  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1000), 0);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1000), 0);
   for (int i = 0; i < 2; i++)
     {
       next = ds_placement_choose (set, &request, 1000);
@@ -238,15 +238,101 @@
   (void)ds_replica_set_record_hold (set, held[1], 700, 1000);
   ck_assert_int_eq (ds_placement_choose (set, &request, 1100).status,
                     DS_PLACEMENT_ALL_HELD);
-  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1100), 600);
-  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1700), 0);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1100), 600);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1700), 0);
   ck_assert_ptr_eq (ds_placement_choose (set, &request, 1700).replica,
                     held[1]);
   /* Both at once: it is not used when the hold has ended.  */
   (void)ds_replica_set_record_leaving (set, held[1], 1200);
   ck_assert_int_eq (ds_placement_choose (set, &request, 1700).status,
                     DS_PLACEMENT_ALL_HELD);
-  ck_assert_uint_eq (ds_placement_wait_ms (set, request.service, 1700), 1300);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1700), 1300);
+}
+END_TEST
+
+/* Guards against requests to an evacuated zone: while others serve, as a last
+   resort, and by a preference for the replica of a part.  */
+START_TEST (evacuated_zones_get_no_requests)
+{
+  struct ds_evacuations *evacuations;
+  struct ds_placement placement;
+  struct ds_placement_request request = { .service = DS_STR ("ledger"),
+                                          .zone = DS_STR ("kelheim"),
+                                          .drain_ms = 2000 };
+
+  ck_assert_int_eq (ds_evacuations_new (&evacuations, owner), 0);
+  request.evacuations = evacuations;
+  ck_assert_int_eq (ds_placement_exclusion (set, &request),
+                    DS_PLACEMENT_EVACUATED);
+  (void)ds_evacuations_put (evacuations, DS_STR ("kelheim"), 1);
+  ds_evacuations_end_list (evacuations, 1);
+  placement = ds_placement_choose (set, &request, 1000);
+  ck_assert (ds_str_equal (placement.replica->record.id, DS_STR ("b2")));
+  ck_assert_int_eq (placement.obstacle, DS_PLACEMENT_EVACUATED);
+  ck_assert_int_eq (ds_placement_exclusion (set, &request),
+                    DS_PLACEMENT_UNOBSTRUCTED);
+  (void)ds_replica_set_record_hold (set, placement.replica, 700, 1000);
+  ck_assert_uint_eq (ds_placement_wait_ms (set, &request, 1100), 600);
+  (void)ds_evacuations_put (evacuations, DS_STR ("riedenburg"), 2);
+  placement = ds_placement_choose (set, &request, 1000);
+  ck_assert_int_eq (placement.status, DS_PLACEMENT_NO_REPLICA);
+  ck_assert_int_eq (placement.obstacle, DS_PLACEMENT_EVACUATED);
+  (void)ds_evacuations_remove (evacuations, DS_STR ("riedenburg"), 1);
+  for (uint64_t part = 1; part < 40; part++)
+    {
+      request = shared_part_request (part, 1000 + part);
+      request.evacuations = evacuations;
+      placement = ds_placement_choose (set, &request, 1);
+      ck_assert_ptr_nonnull (placement.replica);
+      ck_assert (
+          !ds_str_equal (placement.replica->record.zone, DS_STR ("kelheim")));
+      request.parts[1].id += 1000;
+      ck_assert_ptr_eq (ds_placement_choose (set, &request, 1).replica,
+                        placement.replica);
+    }
+}
+END_TEST
+
+/* Guards against a request that leaves the regions that its route and its
+   workspace allow: also when nothing else is left, and for a zone whose region
+   is unknown.  */
+START_TEST (requests_stay_in_allowed_regions)
+{
+  static struct ds_name_pair pairs[]
+      = { { .key = { "kelheim", 7 }, .value = { "south", 5 } },
+          { .key = { "riedenburg", 10 }, .value = { "north", 5 } } };
+  static struct ds_str north = { "north", 5 };
+  static struct ds_str south = { "south", 5 };
+  const struct ds_name_map zones = { .items = pairs, .count = 2 };
+  const struct ds_allowed_regions route
+      = { .is_set = true, .items = &north, .count = 1 };
+  const struct ds_allowed_regions workspace
+      = { .is_set = true, .items = &south, .count = 1 };
+  struct ds_placement_request request = { .service = DS_STR ("ledger"),
+                                          .zone = DS_STR ("kelheim"),
+                                          .drain_ms = 2000 };
+  struct ds_placement placement;
+
+  add_replica ("b3", "ledger", "unknown", false);
+  request.regions
+      = (struct ds_region_rule){ .zones = &zones, .route = &route };
+  placement = ds_placement_choose (set, &request, 1);
+  ck_assert (ds_str_equal (placement.replica->record.id, DS_STR ("b2")));
+  ck_assert_ptr_null (placement.passed_over);
+  request.tried[request.tried_count++] = placement.replica->hash;
+  placement = ds_placement_choose (set, &request, 1);
+  ck_assert_int_eq (placement.status, DS_PLACEMENT_ALL_TRIED);
+  ck_assert_int_eq (placement.obstacle, DS_PLACEMENT_REGION);
+  request.tried_count = 0;
+  request.regions.workspace = &workspace;
+  ck_assert_int_eq (ds_placement_choose (set, &request, 1).status,
+                    DS_PLACEMENT_NO_REPLICA);
+  ck_assert_int_eq (ds_placement_exclusion (set, &request),
+                    DS_PLACEMENT_REGION);
+  request.regions.route = NULL;
+  request.regions.zones = NULL;
+  ck_assert_int_eq (ds_placement_exclusion (set, &request),
+                    DS_PLACEMENT_REGION);
 }
 END_TEST
 
@@ -420,6 +506,8 @@
   tcase_add_test (test_case, the_shortest_hold_decides_when_all_push_back);
   tcase_add_test (test_case,
                   a_replica_that_leaves_and_pushes_back_is_no_last_resort);
+  tcase_add_test (test_case, evacuated_zones_get_no_requests);
+  tcase_add_test (test_case, requests_stay_in_allowed_regions);
   tcase_add_test (test_case, a_failing_replica_is_avoided);
   tcase_add_test (test_case, tried_replicas_are_left_out);
   tcase_add_test (test_case, a_missing_part_ends_the_cached_prefix);
