Test evacuations and allowed regions with real processes

Cause: the extended gossip.pb-c.c set up an Evacuation as a Departure, so that datagrams with one could not be read; the tests of the core do not see that.

Change: the initial value is that of Evacuation. test_entry_evacuation plays the setting with two hosts: a zone and all zones, the end, a host whose watch response is lost before the store stops, and routes that allow one region. test_fleet_view has the exchange by datagram. The fixture takes further settings, the region of hosts and the zones of replicas.

--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -415,7 +415,7 @@
 void   daisystep__gossip__evacuation__init
                      (Daisystep__Gossip__Evacuation         *message)
 {
-  static const Daisystep__Gossip__Evacuation init_value = DAISYSTEP__GOSSIP__DEPARTURE__INIT;
+  static const Daisystep__Gossip__Evacuation init_value = DAISYSTEP__GOSSIP__EVACUATION__INIT;
   *message = init_value;
 }
 size_t daisystep__gossip__evacuation__get_packed_size
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -16,6 +16,9 @@
 struct test_process *entry_replicas[ENTRY_REPLICAS];
 struct test_process *entry_hosts[ENTRY_HOSTS_MAX];
 long entry_minimum_tokens = 2000;
+const char *entry_further_settings = "";
+const char *entry_region = "r";
+const char *entry_replica_zones[ENTRY_REPLICAS] = { "z", "z" };
 char entry_caller_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
@@ -34,7 +37,9 @@
                  pid / 250 % 24 * 10 + number % 10, port + number / 10 * 10);
 }
 
-static long
+/* Writes the object NAME with SPEC, which it takes over, by METHOD to PATH;
+   returns the status.  */
+long
 entry_put_object (const char *method, const char *path, json_t *spec,
                   const char *name)
 {
@@ -126,10 +131,11 @@
 {
   char id[16];
   char path[64];
-  json_t *spec = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:I}", "service", "pool",
-                            "address", entry_replicas[i]->address, "zone", "z",
-                            "state", state, "slots", 8, "born",
-                            1000 + i + (json_int_t)entry_restarts[i] * 1000);
+  json_t *spec
+      = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:I}", "service", "pool", "address",
+                   entry_replicas[i]->address, "zone", entry_replica_zones[i],
+                   "state", state, "slots", 8, "born",
+                   1000 + i + (json_int_t)entry_restarts[i] * 1000);
 
   (void)sprintf (id, "i-%d", i);
   (void)sprintf (path, exists ? OBJECTS "servers/%s" : OBJECTS "servers", id);
@@ -171,14 +177,15 @@
   entry_format_address (metrics, i, 8084);
   (void)snprintf (
       text, sizeof text,
-      "{\"host\":\"%s\",\"zone\":\"%s\",\"region\":\"r\","
+      "{%s\"host\":\"%s\",\"zone\":\"%s\",\"region\":\"%s\","
       "\"caller_address\":\"%s\",\"readiness_address\":\"%s\","
       "\"directory_address\":\"%s\",\"gossip_address\":\"%s\","
       "\"metrics_address\":\"%s\",\"store_address\":\"%s\",\"grace_s\":8,"
       "\"address_ttl_s\":2,\"retry\":{\"ratio\":0.2,\"slack\":50,"
       "\"window_s\":10},\"budget\":{\"settle_ms\":200,\"hold_ms\":13000,"
       "\"part_percent\":35,\"start_percent\":20,\"minimum_tokens\":%ld}}",
-      name, zone, entry_caller_addresses[i], entry_readiness_addresses[i],
+      entry_further_settings, name, zone, entry_region,
+      entry_caller_addresses[i], entry_readiness_addresses[i],
       entry_directory_addresses[i], gossip, metrics, entry_store->address,
       entry_minimum_tokens);
   file = test_file_write (name, text);
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -33,6 +33,13 @@
 extern struct test_process *entry_hosts[ENTRY_HOSTS_MAX];
 /* "minimum_tokens" of the hosts started from now on.  */
 extern long entry_minimum_tokens;
+/* Further members of the settings of hosts started from now on, each with a
+   comma after it.  */
+extern const char *entry_further_settings;
+/* Regions of the hosts started, and zones of the replicas registered, from now
+   on.  */
+extern const char *entry_region;
+extern const char *entry_replica_zones[ENTRY_REPLICAS];
 extern char entry_caller_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 extern char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 extern char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
@@ -44,6 +51,8 @@
 void entry_add_script (const struct test_process *replica,
                        const char *condition, const char *const *steps);
 void entry_put_config (long prepaid);
+long entry_put_object (const char *method, const char *path, json_t *spec,
+                       const char *name);
 void entry_set_body_limit (long bytes);
 void entry_put_config_with_route (long prepaid, const char *path_prefix);
 void entry_format_address (char *out, int number, int port);
--- /dev/null
+++ b/tests/test_entry_evacuation.c
@@ -0,0 +1,193 @@
+#include "support/entry_site.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOSTS 2
+/* "evacuation_ms" of the users' platform.  */
+#define EVACUATION_MS 5000
+#define REQUESTS 12
+#define EVACUATIONS ENTRY_OBJECTS "evacuations"
+
+static void
+set_up (void)
+{
+  entry_further_settings
+      = "\"evacuation_ms\":5000,\"zones\":{\"east\":\"home\","
+        "\"west\":\"away\"},";
+  entry_replica_zones[0] = "east";
+  entry_replica_zones[1] = "west";
+  entry_start_standins (1000000);
+  for (int i = 0; i < HOSTS; i++)
+    entry_start_host (i, "east");
+  for (int i = 0; i < HOSTS; i++)
+    entry_wait_ready (i);
+}
+
+static void
+tear_down (void)
+{
+  test_processes_clean_up ();
+}
+
+static void
+evacuate (const char *zone)
+{
+  ck_assert_int_eq (
+      entry_put_object ("POST", EVACUATIONS, json_object (), zone), 200);
+}
+
+static void
+end_evacuation (const char *zone)
+{
+  char path[64];
+  struct test_http_call call
+      = { .method = "DELETE", .address = entry_store->address, .path = path };
+
+  (void)snprintf (path, sizeof path, EVACUATIONS "/%s", zone);
+  ck_assert_int_eq (test_http (&call)->status, 200);
+}
+
+static size_t
+count_runs (int replica)
+{
+  json_t *runs
+      = test_get_json (entry_replicas[replica]->address, "/standin/runs");
+  size_t count = json_array_size (runs);
+
+  json_decref (runs);
+  return count;
+}
+
+/* Sends requests to host I; all must get STATUS.  Returns how many of them
+   REPLICA has executed.  */
+static size_t
+send_requests (int i, int replica, long status)
+{
+  static int number;
+  size_t before = count_runs (replica);
+  char id[32];
+
+  for (int k = 0; k < REQUESTS; k++)
+    {
+      (void)snprintf (id, sizeof id, "id-%d", number++);
+      ck_assert_int_eq (entry_request (i, "GET", "/look/1", id, NULL)->status,
+                        status);
+    }
+  return count_runs (replica) - before;
+}
+
+/* Guards against requests to an evacuated zone, against a zone that stays
+   empty after the end, and against callers that wait while all zones are
+   evacuated.  */
+START_TEST (evacuated_zones_get_no_requests_until_the_end)
+{
+  size_t runs = 0;
+
+  evacuate ("east");
+  test_sleep_ms (EVACUATION_MS);
+  for (int i = 0; i < HOSTS; i++)
+    ck_assert_uint_eq (send_requests (i, 0, 200), 0);
+  evacuate ("west");
+  test_sleep_ms (EVACUATION_MS);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      struct test_http_response *response
+          = entry_request (i, "POST", "/stream/1", "refused", "100,24");
+
+      ck_assert_int_eq (response->status, 503);
+      ck_assert_ptr_nonnull (strstr (response->body.data, "evacuated"));
+      ck_assert_ptr_nonnull (strstr (response->body.data, "\"ran\":\"no\""));
+      ck_assert_uint_eq (send_requests (i, 1, 503), 0);
+    }
+  end_evacuation ("east");
+  for (int waited = 0; runs == 0 && waited < ENTRY_WAIT_MS;
+       waited += ENTRY_POLL_MS)
+    {
+      if (entry_request (0, "GET", "/look/1", "again", NULL)->status == 200)
+        runs = count_runs (0);
+      test_sleep_ms (ENTRY_POLL_MS);
+    }
+  ck_assert_uint_gt (runs, 0);
+}
+END_TEST
+
+/* Guards against a host that uses an evacuated zone because it is cut off from
+   the store: the response to its watch is lost, and the store is stopped
+   before the host checks.  */
+START_TEST (a_host_without_the_store_hears_of_an_evacuation_from_another)
+{
+  entry_set_faults (entry_store,
+                    "{\"lose_watches\":1,\"lose_kind\":\"evacuations\"}");
+  evacuate ("east");
+  test_sleep_ms (100);
+  (void)test_process_signal (entry_store, SIGSTOP);
+  test_sleep_ms (EVACUATION_MS);
+  for (int i = 0; i < HOSTS; i++)
+    ck_assert_uint_eq (send_requests (i, 0, 200), 0);
+  (void)test_process_signal (entry_store, SIGCONT);
+}
+END_TEST
+
+/* Writes the configuration again with REGION as the only one that its routes
+   allow.  */
+static void
+limit_regions (const char *region)
+{
+  json_t *object
+      = test_get_json (entry_store->address, ENTRY_OBJECTS "config/main");
+  json_t *spec = json_object_get (object, "spec");
+  json_t *route;
+  size_t i;
+
+  json_array_foreach (json_object_get (spec, "routes"), i, route)
+      json_object_set_new (route, "allowed_regions",
+                           json_pack ("[s]", region));
+  json_object_set_new (spec, "version", json_integer (100));
+  ck_assert_int_eq (entry_put_object ("PUT", ENTRY_OBJECTS "config/main",
+                                      json_incref (spec), "main"),
+                    200);
+  json_decref (object);
+}
+
+/* Guards against a request that leaves its region, also when no replica is
+   left in it and the request is a stream with a budget.  */
+START_TEST (requests_stay_in_their_region)
+{
+  limit_regions ("away");
+  test_sleep_ms (2000);
+  ck_assert_uint_eq (send_requests (0, 0, 200), 0);
+  evacuate ("west");
+  test_sleep_ms (EVACUATION_MS);
+  ck_assert_uint_eq (send_requests (0, 0, 503), 0);
+  ck_assert_int_eq (
+      entry_request (0, "POST", "/stream/1", "refused", "100,24")->status,
+      503);
+  ck_assert_int_eq (entry_count_runs ("refused"), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("entry_evacuation");
+  TCase *test_case = tcase_create ("entry_evacuation");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_set_timeout (test_case, 60);
+  tcase_add_test (test_case, evacuated_zones_get_no_requests_until_the_end);
+  tcase_add_test (
+      test_case, a_host_without_the_store_hears_of_an_evacuation_from_another);
+  tcase_add_test (test_case, requests_stay_in_their_region);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -568,6 +568,73 @@
 }
 END_TEST
 
+static struct ds_evacuation_report evacuation_reported;
+
+static size_t
+list_evacuations (struct ds_evacuation_report *out, void *user_data)
+{
+  (void)user_data;
+  out[0] = (struct ds_evacuation_report){ .zone = DS_STR ("east"),
+                                          .revision = 8,
+                                          .age_ms = 1200 };
+  return 1;
+}
+
+static void
+on_evacuation (const struct ds_evacuation_report *report, struct ds_str sender,
+               void *user_data)
+{
+  (void)sender;
+  (void)user_data;
+  ck_assert (ds_str_equal (report->zone, DS_STR ("west")));
+  evacuation_reported = *report;
+}
+
+/* Guards against evacuations that are not told to other hosts, or wrong ones
+   from them, and against zones without a name that a host may have.  */
+START_TEST (evacuations_are_exchanged)
+{
+  static char zone[] = "west";
+  static char no_zone[] = "no zone";
+  const struct ds_fleet_evacuation_handlers evacuations
+      = { .list = list_evacuations, .on_report = on_evacuation };
+  Daisystep__Gossip__Evacuation message = DAISYSTEP__GOSSIP__EVACUATION__INIT;
+  Daisystep__Gossip__Evacuation unnamed = DAISYSTEP__GOSSIP__EVACUATION__INIT;
+  Daisystep__Gossip__Evacuation *messages[] = { &unnamed, &message };
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__Datagram *received;
+  size_t told = 0;
+
+  message.zone = zone;
+  message.revision = 9;
+  message.age_ms = 400;
+  unnamed.zone = no_zone;
+  init_datagram (&datagram);
+  datagram.evacuations = messages;
+  datagram.n_evacuations = 2;
+  datagram.evacuation_revision = 11;
+  send_datagram (&datagram);
+  ck_assert_uint_eq (evacuation_reported.revision, 0);
+  ds_fleet_view_set_evacuations (view, &evacuations);
+  send_datagram (&datagram);
+  ck_assert_uint_eq (evacuation_reported.revision, 9);
+  ck_assert_uint_eq (evacuation_reported.age_ms, 400);
+  ck_assert_uint_eq (ds_fleet_view_heard_revision (view, DS_STORE_EVACUATIONS),
+                     11);
+  ds_fleet_view_tick (view, 1000);
+  while ((received = receive_datagram ()) != NULL)
+    {
+      for (size_t i = 0; i < received->n_evacuations; i++)
+        if (strcmp (received->evacuations[i]->zone, "east") == 0
+            && received->evacuations[i]->revision == 8
+            && received->evacuations[i]->age_ms == 1200)
+          told++;
+      daisystep__gossip__datagram__free_unpacked (received, NULL);
+    }
+  ck_assert_uint_gt (told, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -588,6 +655,7 @@
                   departures_are_passed_on_as_long_as_they_are_news);
   tcase_add_test (test_case,
                   a_relay_passes_on_a_thousand_parts_in_two_seconds);
+  tcase_add_test (test_case, evacuations_are_exchanged);
   tcase_add_test (test_case, malformed_datagrams_are_ignored);
   tcase_add_test (test_case, an_address_that_cannot_be_used_is_not_offered);
   suite_add_tcase (suite, test_case);
