Lead callers to hosts in the regions that their routes allow

Cause: the address response names hosts by the caller's zone alone, so that the body of a request whose route is limited to another region enters a host outside it.

Change: the name of an address query is read. If routes of that name carry allowed_regions, the response is limited to hosts in regions that all of them allow; if there are none, to hosts of the caller's own region, and to none before any other.

--- a/src/entry/address_service.c
+++ b/src/entry/address_service.c
@@ -1,5 +1,5 @@
 #include "entry/address_service.h"
-#include "core/address_choice.h"
+#include "core/address_regions.h"
 #include "daisystep/metrics.h"
 #include "io/clock.h"
 #include "platform/address_codec.h"
@@ -111,6 +111,8 @@
       return;
     }
   count = list_candidates (service, scratch, &candidates);
+  count = ds_address_limit_regions (candidates, count, *service->config,
+                                    query.name, query.region);
   count = count == 0
               ? 0
               : ds_address_choose (addresses, candidates, count, query.zone,
--- a/src/entry/address_service.h
+++ b/src/entry/address_service.h
@@ -1,15 +1,18 @@
 #ifndef DS_ENTRY_ADDRESS_SERVICE_H
 #define DS_ENTRY_ADDRESS_SERVICE_H
 
+#include "daisystep/routing_config.h"
 #include "entry/caller.h"
 #include "entry/fleet_view.h"
 
 /* State behind readiness, address and metrics responses.  READY: this host
    takes requests and its address may be returned.  TTL_S is how long callers
-   cache addresses.  */
+   cache addresses.  CONFIG points to the configuration in force, null before
+   the first.  */
 struct ds_address_service
 {
   const struct ds_fleet_view *fleet;
+  struct ds_routing_config *const *config;
   struct ds_str zone;
   struct ds_str region;
   struct ds_str caller_address;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -879,6 +879,7 @@
   entry->exchanges.fleet = entry->fleet;
   entry->addresses = (struct ds_address_service){
     .fleet = entry->fleet,
+    .config = &entry->exchanges.config,
     .zone = self.zone,
     .region = self.region,
     .caller_address = self.caller_address,
--- a/tests/test_entry_evacuation.c
+++ b/tests/test_entry_evacuation.c
@@ -22,7 +22,10 @@
   entry_replica_zones[1] = "west";
   entry_start_standins (1000000);
   for (int i = 0; i < HOSTS; i++)
-    entry_start_host (i, "east");
+    {
+      entry_region = i == 0 ? "home" : "away";
+      entry_start_host (i, i == 0 ? "east" : "west");
+    }
   for (int i = 0; i < HOSTS; i++)
     entry_wait_ready (i);
 }
@@ -170,6 +173,45 @@
 }
 END_TEST
 
+/* Returns the addresses that host I names to a caller in the region
+   "home".  */
+static const char *
+resolve (int i)
+{
+  struct test_http_call call
+      = { .address = entry_directory_addresses[i],
+          .path = "/daisystep/resolve?name=d.example&region=home&zone=east" };
+
+  return test_http (&call)->body.data;
+}
+
+/* Guards against callers that enter through a region that the routes of their
+   host name do not allow while one that they allow has hosts, and against
+   callers without any address after that.  */
+START_TEST (callers_are_led_to_allowed_regions)
+{
+  int waited = 0;
+
+  ck_assert_ptr_nonnull (strstr (resolve (0), entry_caller_addresses[0]));
+  limit_regions ("away");
+  for (int i = 0; i < HOSTS; i++)
+    {
+      while (strstr (resolve (i), entry_caller_addresses[0]) != NULL
+             && waited < ENTRY_WAIT_MS)
+        {
+          test_sleep_ms (ENTRY_POLL_MS);
+          waited += ENTRY_POLL_MS;
+        }
+      ck_assert_ptr_null (strstr (resolve (i), entry_caller_addresses[0]));
+      ck_assert_ptr_nonnull (strstr (resolve (i), entry_caller_addresses[1]));
+    }
+  (void)test_process_signal (entry_hosts[1], SIGKILL);
+  test_sleep_ms (EVACUATION_MS);
+  ck_assert_ptr_nonnull (strstr (resolve (0), entry_caller_addresses[0]));
+  ck_assert_ptr_null (strstr (resolve (0), entry_caller_addresses[1]));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -184,6 +226,7 @@
   tcase_add_test (
       test_case, a_host_without_the_store_hears_of_an_evacuation_from_another);
   tcase_add_test (test_case, requests_stay_in_their_region);
+  tcase_add_test (test_case, callers_are_led_to_allowed_regions);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -258,6 +258,7 @@
 
   query.target = DS_STR ("/daisystep/resolve?name=a&region=sicilia&zone=x");
   ck_assert (ds_wire_read_address_query (&read, &query));
+  ck_assert (ds_str_equal (read.name, DS_STR ("a")));
   ck_assert (ds_str_equal (read.zone, DS_STR ("x")));
   ck_assert (ds_str_equal (read.region, DS_STR ("sicilia")));
   query.target = DS_STR ("/daisystep/resolver");
