Count signs of life from when their datagrams arrived

Change: the socket notes arrivals (SO_TIMESTAMPNS); the last sign of a host, the ages in a summary and those of evacuations count from then. A wall clock that is set forward between arrival and reading only makes a datagram count as older.

--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -476,11 +476,11 @@
     }
 }
 
-/* Takes over what MEMBER says of itself; false for a datagram of an earlier
-   incarnation.  */
+/* Takes over what MEMBER said of itself at HEARD_MS; false for a datagram of
+   an earlier incarnation.  */
 static bool
 receive_self (struct ds_fleet_view *view, struct ds_fleet_peer *member,
-              const Daisystep__Gossip__Datagram *datagram, uint64_t now_ms)
+              const Daisystep__Gossip__Datagram *datagram, uint64_t heard_ms)
 {
   if (datagram->incarnation < member->info.incarnation)
     return false;
@@ -493,8 +493,10 @@
       member->info.incarnation = datagram->incarnation;
       ds_fleet_introduce (view, member);
     }
-  member->info.last_seen_ms = now_ms;
-  member->direct_ms = now_ms;
+  if (heard_ms > member->info.last_seen_ms)
+    member->info.last_seen_ms = heard_ms;
+  if (heard_ms > member->direct_ms)
+    member->direct_ms = heard_ms;
   member->info.draining = datagram->draining;
   member->info.ready = datagram->ready;
   member->ledger_reachable = datagram->ledger_near;
@@ -517,21 +519,24 @@
   return true;
 }
 
-/* Handles a datagram of another host.  */
+/* Handles a datagram of another host that arrived AGE_MS ago.  A sign of life
+   counts from then: a host that had been frozen offered callers one that was
+   killed seconds before, since its datagrams still waited in the socket.  */
 void
 ds_fleet_receive (struct ds_fleet_view *view,
-                  const Daisystep__Gossip__Datagram *datagram)
+                  const Daisystep__Gossip__Datagram *datagram, uint64_t age_ms)
 {
   struct ds_socket_address address;
   struct ds_fleet_peer *member;
   uint64_t now_ms = ds_clock_ms ();
+  uint64_t heard_ms = now_ms > age_ms ? now_ms - age_ms : 1;
 
   if (ds_socket_address_parse (&address,
                                ds_str_from_c (datagram->gossip_address))
       != 0)
     return;
   member = ds_fleet_find_or_add (view, ds_str_from_c (datagram->host));
-  if (member == NULL || !receive_self (view, member, datagram, now_ms))
+  if (member == NULL || !receive_self (view, member, datagram, heard_ms))
     return;
   member->address = address;
   ds_fleet_receive_revision (view, DS_STORE_CONFIG, datagram->config_revision);
@@ -545,8 +550,8 @@
   receive_suspects (view, member, datagram, now_ms);
   ds_fleet_receive_departures (view, member, datagram->departures,
                                datagram->n_departures);
-  ds_fleet_receive_evacuations (view, member, datagram);
+  ds_fleet_receive_evacuations (view, member, datagram, age_ms);
   if (datagram->summary != NULL)
-    ds_fleet_receive_summary (view, member, datagram->summary, now_ms);
+    ds_fleet_receive_summary (view, member, datagram->summary, heard_ms);
   ds_fleet_receive_tokens (view, member, datagram);
 }
--- a/src/entry/fleet_evacuations.c
+++ b/src/entry/fleet_evacuations.c
@@ -42,11 +42,12 @@
     }
 }
 
-/* Takes the evacuations that MEMBER reports.  */
+/* Takes the evacuations that MEMBER reported AGE_MS ago.  */
 void
 ds_fleet_receive_evacuations (struct ds_fleet_view *view,
                               const struct ds_fleet_peer *member,
-                              const Daisystep__Gossip__Datagram *datagram)
+                              const Daisystep__Gossip__Datagram *datagram,
+                              uint64_t age_ms)
 {
   if (view->evacuations.on_report == NULL)
     return;
@@ -55,7 +56,7 @@
       struct ds_evacuation_report report = {
         .zone = ds_str_from_c (datagram->evacuations[i]->zone),
         .revision = datagram->evacuations[i]->revision,
-        .age_ms = datagram->evacuations[i]->age_ms,
+        .age_ms = datagram->evacuations[i]->age_ms + age_ms,
       };
 
       if (!ds_name_is_valid (report.zone))
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -644,12 +644,13 @@
     }
 }
 
-/* Handles the summary of a zone or of the fleet from the relay SENDER.  */
+/* Handles the summary of a zone or of the fleet that has arrived from the
+   relay SENDER at HEARD_MS.  */
 void
 ds_fleet_receive_summary (struct ds_fleet_view *view,
                           struct ds_fleet_peer *sender,
                           const Daisystep__Gossip__Summary *summary,
-                          uint64_t now_ms)
+                          uint64_t heard_ms)
 {
   struct ds_str zone = ds_str_from_c (summary->zone);
 
@@ -659,22 +660,23 @@
   receive_records (view, summary);
   if (summary->n_ready_hosts == summary->n_ready_ages)
     receive_hosts (view, summary->ready_hosts, summary->ready_ages,
-                   summary->n_ready_hosts, true, now_ms);
+                   summary->n_ready_hosts, true, heard_ms);
   if (summary->n_other_hosts == summary->n_other_ages)
     receive_hosts (view, summary->other_hosts, summary->other_ages,
-                   summary->n_other_hosts, false, now_ms);
+                   summary->n_other_hosts, false, heard_ms);
   receive_conditions (view, summary);
   ds_fleet_receive_departures (view, sender, summary->departures,
                                summary->n_departures);
-  ds_fleet_record_parts (view, summary->reads, summary->n_reads, now_ms);
+  ds_fleet_record_parts (view, summary->reads, summary->n_reads,
+                         ds_clock_ms ());
   if (zone.length > 0)
     {
-      receive_zone_loads (view, summary, now_ms);
+      receive_zone_loads (view, summary, heard_ms);
       return;
     }
   /* A relay adds up the loads itself.  */
   if (view->relay_rank >= 0)
     return;
-  view->summary_ms = now_ms;
+  view->summary_ms = heard_ms;
   receive_fleet_loads (view, summary);
 }
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -1,6 +1,7 @@
 #include "base/decision_log.h"
 #include "entry/fleet_view_internal.h"
 #include "io/clock.h"
+#include "io/datagram.h"
 
 #include <errno.h>
 #include <string.h>
@@ -99,7 +100,9 @@
   (void)flags;
   for (int i = 0; i < DS_GOSSIP_FANOUT; i++)
     {
-      ssize_t count = recv (view->fd, bytes, sizeof bytes, MSG_DONTWAIT);
+      uint64_t age_ms;
+      ssize_t count
+          = ds_datagram_receive (view->fd, bytes, sizeof bytes, &age_ms);
       Daisystep__Gossip__Datagram *datagram;
 
       if (count < 0)
@@ -108,7 +111,7 @@
           = daisystep__gossip__datagram__unpack (NULL, (size_t)count, bytes);
       if (datagram == NULL)
         continue;
-      ds_fleet_receive (view, datagram);
+      ds_fleet_receive (view, datagram, age_ms);
       daisystep__gossip__datagram__free_unpacked (datagram, NULL);
     }
 }
@@ -172,6 +175,7 @@
       return ds_error_set (error, DS_EIO, "open gossip socket", "", "%s",
                            strerror (failure));
     }
+  ds_datagram_enable_ages (view->fd);
   view->watch
       = tevent_add_fd (ev, view, view->fd, TEVENT_FD_READ, on_readable, view);
   *out = view;
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -208,7 +208,8 @@
 void ds_fleet_send (struct ds_fleet_view *view, struct ds_fleet_peer *member,
                     Daisystep__Gossip__Datagram *datagram, TALLOC_CTX *owner);
 void ds_fleet_receive (struct ds_fleet_view *view,
-                       const Daisystep__Gossip__Datagram *datagram);
+                       const Daisystep__Gossip__Datagram *datagram,
+                       uint64_t age_ms);
 void ds_fleet_receive_revision (struct ds_fleet_view *view,
                                 enum ds_store_subject subject,
                                 uint64_t revision);
@@ -220,17 +221,17 @@
 void ds_fleet_fill_evacuations (const struct ds_fleet_view *view,
                                 TALLOC_CTX *owner,
                                 Daisystep__Gossip__Datagram *datagram);
-void
-ds_fleet_receive_evacuations (struct ds_fleet_view *view,
-                              const struct ds_fleet_peer *member,
-                              const Daisystep__Gossip__Datagram *datagram);
+void ds_fleet_receive_evacuations (struct ds_fleet_view *view,
+                                   const struct ds_fleet_peer *member,
+                                   const Daisystep__Gossip__Datagram *datagram,
+                                   uint64_t age_ms);
 
 /* fleet_relay.c */
 void ds_fleet_relay_tick (struct ds_fleet_view *view, uint64_t now_ms);
 void ds_fleet_receive_summary (struct ds_fleet_view *view,
                                struct ds_fleet_peer *sender,
                                const Daisystep__Gossip__Summary *summary,
-                               uint64_t now_ms);
+                               uint64_t heard_ms);
 void ds_fleet_introduce (struct ds_fleet_view *view,
                          struct ds_fleet_peer *member);
 
