--- a/tests/test_entry_evacuation.c
+++ b/tests/test_entry_evacuation.c
@@ -15,14 +15,18 @@
 #define EVACUATIONS ENTRY_OBJECTS "evacuations"
 
 static void
-set_up (void)
+set_settings (void)
 {
   entry_further_settings
       = "\"evacuation_ms\":5000,\"zones\":{\"east\":\"home\","
         "\"west\":\"away\"},";
   entry_replica_zones[0] = "east";
   entry_replica_zones[1] = "west";
-  entry_start_standins (1000000);
+}
+
+static void
+start_hosts (void)
+{
   for (int i = 0; i < HOSTS; i++)
     {
       entry_region = i == 0 ? "home" : "away";
@@ -32,6 +36,23 @@
     entry_wait_ready (i);
 }
 
+static void
+set_up (void)
+{
+  set_settings ();
+  entry_start_standins (1000000);
+  start_hosts ();
+}
+
+/* With replicas that send what a script says.  */
+static void
+set_up_scripted (void)
+{
+  set_settings ();
+  entry_start_scripted_standins (1000000);
+  start_hosts ();
+}
+
 static void
 tear_down (void)
 {
@@ -120,19 +141,20 @@
 }
 END_TEST
 
-/* Returns how many of COUNT hosts count a zone as evacuated.  */
+/* Returns how many of COUNT hosts count ZONES zones as evacuated.  */
 static int
-count_informed (int count)
+count_informed (int count, int zones)
 {
   char address[ENTRY_ADDRESS_BYTES];
+  char line[64];
   struct test_http_call call = { .address = address, .path = "/metrics" };
   int informed = 0;
 
+  (void)snprintf (line, sizeof line, "daisystep_evacuations %d\n", zones);
   for (int i = 0; i < count; i++)
     {
       entry_format_address (address, i, 8084);
-      if (strstr (test_http (&call)->body.data, "daisystep_evacuations 1\n")
-          != NULL)
+      if (strstr (test_http (&call)->body.data, line) != NULL)
         informed++;
     }
   return informed;
@@ -156,17 +178,66 @@
                   _i == 0 ? 1 : count - 2);
   entry_set_faults (entry_store, faults);
   evacuate ("east");
-  while (count_informed (count) == 0 && waited++ < ENTRY_WAIT_MS)
+  while (count_informed (count, 1) == 0 && waited++ < ENTRY_WAIT_MS)
     test_sleep_ms (1);
   (void)test_process_signal (entry_store, SIGSTOP);
   test_sleep_ms (EVACUATION_MS);
-  ck_assert_int_eq (count_informed (count), count);
+  ck_assert_int_eq (count_informed (count, 1), count);
   for (int i = 0; i < count; i++)
     ck_assert_uint_eq (send_requests (i, 0, 200), 0);
   (void)test_process_signal (entry_store, SIGCONT);
 }
 END_TEST
 
+#define STREAM_START                                                          \
+  "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"            \
+  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define EVENT(n) "id: " #n "\ndata: piece " #n "\n\n"
+
+/* Guards against a stream that an evacuation cuts off, and against one that is
+   resumed in an evacuated zone after its replica has broken it off.  */
+START_TEST (running_streams_continue_but_are_not_resumed)
+{
+  static const char *const headers[]
+      = { "Host: d.example", "Authorization: Bearer key-1",
+          "Deadline-Ms: 6000", "Request-Id: long", NULL };
+  struct test_http_call call = { .method = "POST",
+                                 .address = entry_caller_addresses[0],
+                                 .path = "/stream/1",
+                                 .headers = headers,
+                                 .body = "hello" };
+  bool broken = _i != 0;
+  struct test_http_task *task;
+  struct test_http_response *response;
+  int waited = 0;
+
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    {
+      if (broken)
+        entry_add_response (entry_replicas[i], "send", STREAM_START, "chunk",
+                            EVENT (1), "wait_ms", "3000", "close", "", NULL);
+      else
+        entry_add_response (entry_replicas[i], "send", STREAM_START, "chunk",
+                            EVENT (1), "wait_ms", "3000", "chunk", EVENT (2),
+                            "send", "0\r\n\r\n", NULL);
+    }
+  task = test_http_start (&call);
+  while (entry_count_runs ("long") == 0 && waited++ < ENTRY_WAIT_MS)
+    test_sleep_ms (1);
+  evacuate ("east");
+  evacuate ("west");
+  for (waited = 0; count_informed (HOSTS, 2) < HOSTS && waited < ENTRY_WAIT_MS;
+       waited += ENTRY_POLL_MS)
+    test_sleep_ms (ENTRY_POLL_MS);
+  ck_assert_int_lt (waited, 2000);
+  response = test_http_join (task);
+  ck_assert_int_eq (response->status, 200);
+  ck_assert (broken == (response->code != 0));
+  ck_assert (broken == (strstr (response->body.data, EVENT (2)) == NULL));
+  ck_assert_int_eq (entry_count_runs ("long"), 1);
+}
+END_TEST
+
 /* Writes the configuration again with REGION as the only one that its routes
    allow.  */
 static void
@@ -175,12 +246,11 @@
   json_t *object
       = test_get_json (entry_store->address, ENTRY_OBJECTS "config/main");
   json_t *spec = json_object_get (object, "spec");
-  json_t *route;
-  size_t i;
+  json_t *routes = json_object_get (spec, "routes");
 
-  json_array_foreach (json_object_get (spec, "routes"), i, route)
-      json_object_set_new (route, "allowed_regions",
-                           json_pack ("[s]", region));
+  for (size_t i = 0; i < json_array_size (routes); i++)
+    json_object_set_new (json_array_get (routes, i), "allowed_regions",
+                         json_pack ("[s]", region));
   json_object_set_new (spec, "version", json_integer (100));
   ck_assert_int_eq (entry_put_object ("PUT", ENTRY_OBJECTS "config/main",
                                       json_incref (spec), "main"),
@@ -249,6 +319,7 @@
 {
   Suite *suite = suite_create ("entry_evacuation");
   TCase *test_case = tcase_create ("entry_evacuation");
+  TCase *scripted = tcase_create ("scripted");
   SRunner *runner;
   int failed;
 
@@ -261,6 +332,11 @@
   tcase_add_test (test_case, requests_stay_in_their_region);
   tcase_add_test (test_case, callers_are_led_to_allowed_regions);
   suite_add_tcase (suite, test_case);
+  tcase_add_checked_fixture (scripted, set_up_scripted, tear_down);
+  tcase_set_timeout (scripted, 60);
+  tcase_add_loop_test (scripted, running_streams_continue_but_are_not_resumed,
+                       0, 2);
+  suite_add_tcase (suite, scripted);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
--- a/tests/test_entry_gone.c
+++ b/tests/test_entry_gone.c
@@ -11,6 +11,7 @@
 #define GONE_MS 6000
 /* Responses of all hosts that are checked after that.  */
 #define ROUNDS 10
+#define ROUND_MS 200
 
 /* Hosts that send to all others, and hosts that use relays.  */
 static const int sizes[] = { 3, 28 };
@@ -73,7 +74,7 @@
         if (i != victim)
           ck_assert_msg (!names_host (i, victim),
                          "host %d names host %d, round %d", i, victim, round);
-      test_sleep_ms (ENTRY_POLL_MS * 10);
+      test_sleep_ms (ROUND_MS);
     }
 }
 
