--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -1,6 +1,8 @@
 #ifndef DS_CORE_PLACEMENT_H
 #define DS_CORE_PLACEMENT_H
 
+#include "core/evacuation.h"
+#include "core/region_rule.h"
 #include "core/replica_set.h"
 
 /* A part of a prompt, identified by the hash of its id.  */
@@ -15,7 +17,8 @@
 #define DS_PROMPT_PARTS_MAX 16
 
 /* The request to place.  PARTS are in the order of the prompt; the last one is
-   private to the request or its session.  */
+   private to the request or its session.  EVACUATIONS is null if evacuations
+   are not watched.  */
 struct ds_placement_request
 {
   struct ds_str service;
@@ -30,6 +33,8 @@
   const struct ds_cold_limit *cold_limit; /* null: no replica is cold */
   struct ds_cold_rule cold_rule;          /* of SERVICE */
   unsigned urgency;                       /* 0 is the most urgent */
+  const struct ds_evacuations *evacuations;
+  struct ds_region_rule regions;
 };
 
 /* DS_PLACEMENT_OK, or why there is no replica.  */
@@ -47,9 +52,11 @@
 enum ds_placement_obstacle
 {
   DS_PLACEMENT_UNOBSTRUCTED,
-  DS_PLACEMENT_LEAVING, /* it said that it leaves */
-  DS_PLACEMENT_HELD,    /* it said that it wants no requests for a while */
-  DS_PLACEMENT_COLD     /* it is cold and takes none from this host now */
+  DS_PLACEMENT_LEAVING,   /* it said that it leaves */
+  DS_PLACEMENT_HELD,      /* it said that it wants no requests for a while */
+  DS_PLACEMENT_EVACUATED, /* its zone is evacuated */
+  DS_PLACEMENT_REGION,    /* its region is not allowed */
+  DS_PLACEMENT_COLD       /* it is cold and takes none from this host now */
 };
 
 /* EXPECTED_MS is the estimated time to the first event, UNCACHED_TOKENS the
@@ -69,6 +76,9 @@
 struct ds_placement ds_placement_choose (const struct ds_replica_set *set,
                                          const struct ds_placement_request *r,
                                          uint64_t now_ms);
+enum ds_placement_obstacle
+ds_placement_exclusion (const struct ds_replica_set *set,
+                        const struct ds_placement_request *request);
 uint64_t ds_placement_wait_ms (const struct ds_replica_set *set,
                                const struct ds_placement_request *request,
                                uint64_t now_ms);
--- a/src/entry/cold_starts.c
+++ b/src/entry/cold_starts.c
@@ -34,6 +34,7 @@
   uint64_t check_ms;  /* the watch is not ended early before */
   bool doubts;        /* about replicas, since the last response */
   uint64_t settle_ms; /* the registration is not written as settled before */
+  uint64_t evacuation_ended_ms; /* of the last evacuation noted */
 };
 
 static int
@@ -228,6 +229,31 @@
   starts->replica_watcher = replica_watcher;
 }
 
+/* Counts the replicas of zones whose evacuation has ended since the last call
+   as cold: they may have become cold in the meantime, and their registrations
+   say so only later.  */
+void
+ds_cold_starts_note_evacuations (struct ds_cold_starts *starts,
+                                 const struct ds_evacuations *evacuations,
+                                 uint64_t now_ms)
+{
+  uint64_t newest_ms = starts->evacuation_ended_ms;
+
+  for (size_t i = 0; i < ds_replica_set_count (starts->replicas); i++)
+    {
+      struct ds_replica *replica = ds_replica_set_at (starts->replicas, i);
+      uint64_t ended_ms
+          = ds_evacuations_ended_ms (evacuations, replica->record.zone);
+
+      if (ended_ms <= starts->evacuation_ended_ms)
+        continue;
+      ds_cold_state_forget (&replica->cold, now_ms);
+      if (ended_ms > newest_ms)
+        newest_ms = ended_ms;
+    }
+  starts->evacuation_ended_ms = newest_ms;
+}
+
 /* Asks the store whether the replicas in doubt are still the same.  */
 static void
 check_doubts (struct ds_cold_starts *starts, uint64_t now_ms)
--- a/src/entry/cold_starts.h
+++ b/src/entry/cold_starts.h
@@ -2,6 +2,7 @@
 #define DS_ENTRY_COLD_STARTS_H
 
 #include "base/decision_log.h"
+#include "core/evacuation.h"
 #include "core/placement.h"
 #include "daisystep/routing_config.h"
 #include "entry/entry_settings.h"
@@ -21,6 +22,9 @@
                                     bool settled, uint64_t now_ms);
 void ds_cold_starts_set_watcher (struct ds_cold_starts *starts,
                                  struct ds_store_watcher *replica_watcher);
+void ds_cold_starts_note_evacuations (struct ds_cold_starts *starts,
+                                      const struct ds_evacuations *evacuations,
+                                      uint64_t now_ms);
 bool ds_cold_starts_tick (struct ds_cold_starts *starts,
                           const struct ds_routing_config *config,
                           uint64_t now_ms);
