Release the tokens of a large grant over time; reclaim them by a fleet time

Cause: what the home of a budget holds for an outage of the store stays granted when it ends, since nothing proves that it was not used.

Change: an account of a ledger page may record that tokens of a writer become usable linearly over a span (grant_release). The holder keeps them locked and releases them by its monotonic clock, by the slower schedule while the outcome of an update is unknown. A page's next writer takes off what a writer that has ended cannot have released. Nothing uses it yet; pages without the member are read and written as before.

--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -20,6 +20,11 @@
 /* A host other than the home transfers its surplus when its free tokens exceed
    this many times its cushion.  */
 #define TRANSFER_ABOVE 2.0
+/* Usable tokens below this fraction of the locked ones are refilled at once.
+   An update makes at least an eighth of all usable.  */
+#define UNLOCK_BELOW 0.05
+/* Time in which the size of the largest request is forgotten.  */
+#define LARGEST_TTL_S 15
 
 static uint64_t
 min_u64 (uint64_t a, uint64_t b)
@@ -27,6 +32,13 @@
   return a < b ? a : b;
 }
 
+/* Tokens of ALLOTMENT that no request has, usable or not.  */
+static uint64_t
+held_tokens (const struct ds_allotment *allotment)
+{
+  return allotment->free + allotment->lock.locked;
+}
+
 /* Sets LIMIT if VERSION is newer than the present one.  A lower limit suspends
    reservations until the ledger has been updated.  */
 void
@@ -77,6 +89,9 @@
   if (weight > 1)
     weight = 1;
   allotment->demand_since_tick = 0;
+  allotment->largest
+      -= (uint64_t)((double)allotment->largest
+                    * (seconds < LARGEST_TTL_S ? seconds / LARGEST_TTL_S : 1));
   /* Before the first request there is nothing to average.  */
   if (rate <= 0 && allotment->demand_weight <= 0)
     return;
@@ -98,8 +113,9 @@
                      const struct ds_allotment_policy *policy)
 {
   double fleet_demand = allotment->demand + allotment->peer_demand;
-  double remaining = (double)(allotment->ledger_ungranted + allotment->free
-                              + allotment->peer_free);
+  double remaining
+      = (double)(allotment->ledger_ungranted + held_tokens (allotment)
+                 + allotment->peer_free);
   double target;
 
   if (allotment->home != DS_HOME_SELF)
@@ -128,6 +144,9 @@
 ds_allotment_needs_update (const struct ds_allotment *allotment,
                            const struct ds_allotment_policy *policy)
 {
+  /* Locked tokens cannot be transferred to the home.  */
+  if (allotment->suspended && allotment->lock.locked > 0)
+    return true;
   if (allotment->home == DS_HOME_GIVER)
     return allotment->home_timed_out
            && allotment->waiting_tokens + allotment->peer_requested
@@ -141,8 +160,10 @@
     return true;
   if (!allotment->known)
     return allotment->limit > 0;
+  if ((double)allotment->free < UNLOCK_BELOW * (double)allotment->lock.locked)
+    return true;
   return allotment->ledger_ungranted > 0
-         && (double)allotment->free
+         && (double)held_tokens (allotment)
                 < REFILL_BELOW
                       * (double)ds_allotment_target (allotment, policy);
 }
@@ -161,6 +182,8 @@
   uint64_t fraction = (uint64_t)(GIVE_FRACTION * (double)spare);
   uint64_t given;
 
+  if (needed > allotment->largest)
+    allotment->largest = needed;
   if (spare < needed)
     {
       if (now_ms - allotment->peer_request_ms > PEER_REQUEST_TTL_MS)
@@ -218,7 +241,7 @@
   allotment->spent = 0;
   allotment->free -= transfer->tokens;
   /* With nothing left here, the home accounts for the lowered limit.  */
-  if (allotment->free == 0)
+  if (held_tokens (allotment) == 0)
     allotment->suspended = false;
   return transfer->tokens > 0 || transfer->spent > 0;
 }
@@ -233,9 +256,9 @@
               const struct ds_allotment_policy *policy, uint64_t needed)
 {
   uint64_t target = UNMET_DRAW_FACTOR * needed;
-  uint64_t most
-      = (uint64_t)(policy->max_fraction
-                   * (double)(allotment->ledger_ungranted + allotment->free));
+  uint64_t most = (uint64_t)(policy->max_fraction
+                             * (double)(allotment->ledger_ungranted
+                                        + held_tokens (allotment)));
 
   if (target > most)
     target = most;
@@ -253,6 +276,7 @@
       = ds_ledger_page_find_or_add (page, allotment->workspace);
   struct ds_allotment_update *update = &allotment->update;
   uint64_t needed = allotment->waiting_tokens + allotment->peer_requested;
+  uint64_t held = held_tokens (allotment);
   uint64_t target;
   uint64_t committed;
 
@@ -275,19 +299,23 @@
     target = allotment->demand_is_requested
                  ? unmet_target (allotment, policy, needed)
                  : needed;
-  if (allotment->free < target)
-    update->drawn
-        = min_u64 (target - allotment->free, allotment->ledger_ungranted);
+  if (held < target)
+    update->drawn = min_u64 (target - held, allotment->ledger_ungranted);
   else if (closing
            || (allotment->home == DS_HOME_SELF
-               && (double)allotment->free > RETURN_ABOVE * (double)target
-                                                + (double)policy->minimum))
-    update->returned = allotment->free - target;
-  /* With a lowered limit, free tokens above it are returned.  */
+               && (double)held > RETURN_ABOVE * (double)target
+                                     + (double)policy->minimum))
+    update->returned = held - target;
+  /* With a lowered limit, unused tokens above it are returned.  */
   committed = account->settled + account->granted;
-  if (committed > account->limit && update->returned < allotment->free)
-    update->returned = min_u64 (allotment->free, committed - account->limit);
-  allotment->free -= update->returned;
+  if (committed > account->limit && update->returned < held)
+    update->returned = min_u64 (held, committed - account->limit);
+  allotment->lock.proposed = allotment->lock.confirmed;
+  allotment->lock.drawn = 0;
+  allotment->lock.returned
+      = update->returned - min_u64 (update->returned, allotment->free);
+  allotment->lock.locked -= allotment->lock.returned;
+  allotment->free -= update->returned - allotment->lock.returned;
   account->granted += update->drawn;
   account->granted -= min_u64 (update->returned, account->granted);
   return 0;
@@ -302,7 +330,11 @@
 
   if (!update->in_flight)
     return;
-  allotment->free += update->drawn;
+  allotment->free += update->drawn - allotment->lock.drawn;
+  allotment->lock = (struct ds_grant_lock){
+    .locked = allotment->lock.locked + allotment->lock.drawn,
+    .confirmed = allotment->lock.proposed,
+  };
   if (update->drawn > 0)
     allotment->lacking_since_ms = 0;
   if (allotment->home == DS_HOME_GIVER && allotment->waiting_tokens == 0)
@@ -318,7 +350,11 @@
 ds_allotment_withdraw (struct ds_allotment *allotment)
 {
   allotment->spent += allotment->update.settled;
-  allotment->free += allotment->update.returned;
+  allotment->free += allotment->update.returned - allotment->lock.returned;
+  allotment->lock = (struct ds_grant_lock){
+    .locked = allotment->lock.locked + allotment->lock.returned,
+    .confirmed = allotment->lock.confirmed,
+  };
   allotment->update = (struct ds_allotment_update){ .in_flight = false };
 }
 
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -1,6 +1,7 @@
 #ifndef DS_CORE_ALLOTMENT_H
 #define DS_CORE_ALLOTMENT_H
 
+#include "core/grant_release.h"
 #include "daisystep/error.h"
 #include "daisystep/str.h"
 
@@ -66,8 +67,9 @@
 };
 
 /* The part of one workspace's prepaid budget that this host holds, in tokens.
-   FREE can be reserved, RESERVED belongs to running requests, SPENT has been
-   used and is not in the ledger yet.  */
+   FREE can be reserved, LOCK holds what cannot be reserved yet, RESERVED
+   belongs to running requests, SPENT has been used and is not in the ledger
+   yet.  */
 struct ds_allotment
 {
   struct ds_str workspace;
@@ -78,6 +80,8 @@
   uint64_t reserved;
   uint64_t spent;
   struct ds_allotment_update update;
+  struct ds_grant_lock lock;
+  uint64_t largest;     /* size of a request, seen lately */
   double demand;        /* tokens/s, from the upper bounds of requests */
   double demand_sum;    /* of weighted rates; demand times demand_weight */
   double demand_weight; /* sum of the weights in demand_sum, up to 1 */
--- a/src/core/ledger_page.c
+++ b/src/core/ledger_page.c
@@ -17,6 +17,32 @@
   return 0;
 }
 
+/* Reads the member "releases" of an account, which pages of an earlier version
+   do not have: arrays of tokens, start and span by writer.  */
+static int
+read_releases (struct ds_ledger_page *page, struct ds_str workspace,
+               json_t *releases)
+{
+  const char *writer;
+  json_t *value;
+
+  json_object_foreach (releases, writer, value)
+  {
+    struct ds_release_schedule schedule;
+
+    if (read_count (&schedule.tokens, json_array_get (value, 0)) != 0
+        || read_count (&schedule.start_ms, json_array_get (value, 1)) != 0
+        || read_count (&schedule.span_ms, json_array_get (value, 2)) != 0
+        || schedule.span_ms > UINT32_MAX)
+      return DS_EPROTOCOL;
+    if (ds_ledger_page_set_release (page, workspace, ds_str_from_c (writer),
+                                    &schedule)
+        != 0)
+      return DS_ENOMEM;
+  }
+  return 0;
+}
+
 static int
 read_account (struct ds_ledger_page *page, const char *workspace,
               const json_t *value)
@@ -34,7 +60,8 @@
       || read_count (&account->granted, json_object_get (value, "granted"))
              != 0)
     return DS_EPROTOCOL;
-  return 0;
+  return read_releases (page, account->workspace,
+                        json_object_get (value, "releases"));
 }
 
 /* The index of the page with WORKSPACE's account.  */
@@ -106,6 +133,38 @@
                                       json_integer ((json_int_t)value));
 }
 
+/* Adds the releases of WORKSPACE to its ACCOUNT; without any, the format is
+   that of earlier versions.  */
+static void
+set_releases (json_t *account, const struct ds_ledger_page *page,
+              struct ds_str workspace)
+{
+  json_t *releases = NULL;
+
+  for (size_t i = 0; i < page->release_count; i++)
+    {
+      const struct ds_ledger_release *release = &page->releases[i];
+      json_t *value;
+
+      if (!ds_str_equal (release->workspace, workspace))
+        continue;
+      if (releases == NULL)
+        {
+          releases = json_object ();
+          (void)json_object_set_new (account, "releases", releases);
+        }
+      value = json_array ();
+      (void)json_array_append_new (
+          value, json_integer ((json_int_t)release->schedule.tokens));
+      (void)json_array_append_new (
+          value, json_integer ((json_int_t)release->schedule.start_ms));
+      (void)json_array_append_new (
+          value, json_integer ((json_int_t)release->schedule.span_ms));
+      (void)json_object_setn_new_nocheck (releases, release->writer.data,
+                                          release->writer.length, value);
+    }
+}
+
 /* Encodes PAGE for ds_ledger_page_decode; the caller owns the result.  */
 json_t *
 ds_ledger_page_encode (const struct ds_ledger_page *page)
@@ -123,6 +182,7 @@
       set_count (value, DS_STR ("version"), account->version);
       set_count (value, DS_STR ("settled"), account->settled);
       set_count (value, DS_STR ("granted"), account->granted);
+      set_releases (value, page, account->workspace);
       (void)json_object_setn_new_nocheck (accounts, account->workspace.data,
                                           account->workspace.length, value);
     }
@@ -192,6 +252,44 @@
       page->writers[i - 1] = page->writers[--page->writer_count];
 }
 
+/* Sets the release of WRITER's tokens of WORKSPACE; removes it if SCHEDULE has
+   no tokens.  */
+int
+ds_ledger_page_set_release (struct ds_ledger_page *page,
+                            struct ds_str workspace, struct ds_str writer,
+                            const struct ds_release_schedule *schedule)
+{
+  struct ds_ledger_release *grown;
+  size_t at = 0;
+
+  while (at < page->release_count
+         && (!ds_str_equal (page->releases[at].workspace, workspace)
+             || !ds_str_equal (page->releases[at].writer, writer)))
+    at++;
+  if (schedule->tokens == 0)
+    {
+      if (at < page->release_count)
+        page->releases[at] = page->releases[--page->release_count];
+      return 0;
+    }
+  if (at < page->release_count)
+    {
+      page->releases[at].schedule = *schedule;
+      return 0;
+    }
+  grown = talloc_realloc (page, page->releases, struct ds_ledger_release,
+                          (unsigned)page->release_count + 1);
+  if (grown == NULL)
+    return DS_ENOMEM;
+  page->releases = grown;
+  grown[page->release_count++] = (struct ds_ledger_release){
+    .workspace = ds_str_copy (page, workspace),
+    .writer = ds_str_copy (page, writer),
+    .schedule = *schedule,
+  };
+  return 0;
+}
+
 /* The account of WORKSPACE, or null.  */
 const struct ds_ledger_account *
 ds_ledger_page_find (const struct ds_ledger_page *page,
--- a/src/core/ledger_page.h
+++ b/src/core/ledger_page.h
@@ -29,12 +29,24 @@
   uint64_t number;
 };
 
+/* Of what WORKSPACE has granted, the tokens that WRITER holds and that become
+   usable over time.  START_MS of the schedule is a wall-clock time that is not
+   later than the true start.  Stored as member "releases" of the account.  */
+struct ds_ledger_release
+{
+  struct ds_str workspace;
+  struct ds_str writer;
+  struct ds_release_schedule schedule;
+};
+
 struct ds_ledger_page
 {
   struct ds_ledger_account *accounts;
   size_t account_count;
   struct ds_ledger_writer *writers;
   size_t writer_count;
+  struct ds_ledger_release *releases;
+  size_t release_count;
 };
 
 uint32_t ds_ledger_page_index (struct ds_str workspace);
@@ -44,6 +56,9 @@
 const struct ds_ledger_account *
 ds_ledger_page_find (const struct ds_ledger_page *page,
                      struct ds_str workspace);
+int ds_ledger_page_set_release (struct ds_ledger_page *page,
+                                struct ds_str workspace, struct ds_str writer,
+                                const struct ds_release_schedule *schedule);
 uint64_t ds_ledger_account_ungranted (const struct ds_ledger_account *account);
 
 #endif
--- a/src/io/clock.h
+++ b/src/io/clock.h
@@ -14,4 +14,14 @@
   return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
 }
 
+/* Milliseconds of the wall clock, which may be set.  */
+static inline uint64_t
+ds_clock_wall_ms (void)
+{
+  struct timespec now;
+
+  (void)clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
 #endif
