Record in the ledger when tokens of homes become usable, and reclaim the rest

Change: the setting budget.release (absent: off) makes homes lock what is beyond the demand until the next update. Datagrams carry the sender's wall clock and its median (members 35 and 36); a later incarnation in a datagram, or the own process, proves the end of an earlier one. A planned stop returns locked tokens with an update of the ledger. What entry.c told other hosts of its tokens is in token_holdings.c now.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -99,6 +99,10 @@
               "region." },
   [DS_METRIC_TOKENS_BILLED]
   = { .name = "tokens_billed_total", .help = "Tokens in bills of this host." },
+  [DS_METRIC_TOKENS_RECLAIMED]
+  = { .name = "tokens_reclaimed_total",
+      .help = "Tokens that ended processes held and this host returned to "
+              "their budgets." },
   [DS_METRIC_TOKENS_RELAYED] = { .name = "tokens_relayed_total",
                                  .help = "Stream chunks relayed to callers." },
   [DS_METRIC_COST_ABOVE_RESERVATION]
--- a/src/entry/budget_manager.c
+++ b/src/entry/budget_manager.c
@@ -98,6 +98,7 @@
 is_exhausted (const struct ds_allotment *allotment, uint64_t now_ms)
 {
   return allotment->known && allotment->ledger_ungranted == 0
+         && allotment->lock.locked == 0
          && now_ms - allotment->ledger_observed_ms < EXHAUSTED_CACHE_MS;
 }
 
@@ -123,8 +124,10 @@
       if (ds_allotment_needs_update (allotment, &manager->options.policy)
           && (allotment->suspended || !is_exhausted (allotment, now_ms)))
         return true;
-      if (manager->closing && !ds_allotment_has_source (allotment)
-          && (allotment->spent > 0 || allotment->free > 0))
+      if (manager->closing
+          && (allotment->lock.locked > 0
+              || (!ds_allotment_has_source (allotment)
+                  && (allotment->spent > 0 || allotment->free > 0))))
         return true;
     }
   return ds_ledger_client_is_unresolved (page->client);
@@ -144,7 +147,8 @@
         continue;
       target = ds_allotment_target (allotment, &manager->options.policy);
       if (allotment->spent > 0
-          || allotment->free > 2 * target + manager->options.policy.minimum)
+          || allotment->free + allotment->lock.locked
+                 > 2 * target + manager->options.policy.minimum)
         return true;
     }
   return false;
@@ -195,6 +199,23 @@
   manager->options.peers.on_store_timeout (manager->options.peers.user_data);
 }
 
+static struct ds_release_moment
+release_moment (void *user_data)
+{
+  const struct ds_budget_manager *manager = user_data;
+
+  return manager->options.peers.release_moment (
+      manager->options.peers.user_data);
+}
+
+static struct ds_writer_ends
+writer_ends (void *user_data)
+{
+  const struct ds_budget_manager *manager = user_data;
+
+  return manager->options.peers.writer_ends (manager->options.peers.user_data);
+}
+
 static struct managed_page *
 add_page (struct ds_budget_manager *manager, uint32_t index)
 {
@@ -202,7 +223,10 @@
     .store = manager->options.store,
     .writer = manager->options.writer,
     .policy = &manager->options.policy,
+    .release = &manager->options.release,
     .index = index,
+    .release_moment = release_moment,
+    .writer_ends = writer_ends,
     .on_response = on_response,
     .on_timeout = on_timeout,
     .user_data = manager,
@@ -328,13 +352,15 @@
   return 0;
 }
 
-/* Sets the policy and SETTLE_MS for later updates.  */
+/* Sets the policies and SETTLE_MS for later updates.  */
 void
 ds_budget_manager_set_policy (struct ds_budget_manager *manager,
                               const struct ds_allotment_policy *policy,
+                              const struct ds_release_policy *release,
                               uint32_t settle_ms)
 {
   manager->options.policy = *policy;
+  manager->options.release = *release;
   manager->options.settle_ms = settle_ms;
 }
 
@@ -430,6 +456,8 @@
 {
   update_homes (manager);
   tick_demand (manager, now_ms);
+  for (size_t i = 0; i < manager->count; i++)
+    ds_allotment_release (manager->allotments[i], now_ms);
   process_pending (manager);
   transfer_to_homes (manager, now_ms);
   for (size_t i = 0; i < manager->page_count; i++)
@@ -468,7 +496,8 @@
     if (!ds_ledger_client_is_idle (manager->pages[i].client))
       return false;
   for (size_t i = 0; i < manager->count; i++)
-    if (manager->allotments[i]->free > 0 || manager->allotments[i]->spent > 0)
+    if (manager->allotments[i]->free > 0 || manager->allotments[i]->spent > 0
+        || manager->allotments[i]->lock.locked > 0)
       return false;
   return true;
 }
@@ -632,6 +661,7 @@
       struct ds_allotment *allotment = reservation->allotment;
       enum ds_budget_outcome outcome;
 
+      ds_allotment_release (allotment, now_ms);
       if (ds_allotment_reserve (allotment, reservation->tokens))
         {
           complete_reservation (reservation, DS_BUDGET_GRANTED);
@@ -717,6 +747,8 @@
   if (allotment == NULL || page == NULL)
     return DS_BUDGET_UNAVAILABLE;
   allotment->demand_since_tick += tokens;
+  if (tokens > allotment->largest)
+    allotment->largest = tokens;
   if (ds_allotment_reserve (allotment, tokens))
     {
       update_if_urgent (manager, page, now_ms);
--- a/src/entry/budget_manager.h
+++ b/src/entry/budget_manager.h
@@ -18,6 +18,7 @@
    and use to the home of a page; false when it cannot be queued.  PEER_STATE
    returns their reports.  PENDING counts unacknowledged transfers.
    UNMET returns what the peers need at once and have not got from this host.
+   RELEASE_MOMENT and WRITER_ENDS are as for a ledger client.
    ON_TOKENS reports that tokens have arrived, ON_STORE_TIMEOUT a call without
    response.  */
 struct ds_budget_peers
@@ -32,6 +33,8 @@
                                              void *user_data);
   size_t (*pending) (void *user_data);
   uint64_t (*unmet) (struct ds_str workspace, void *user_data);
+  struct ds_release_moment (*release_moment) (void *user_data);
+  struct ds_writer_ends (*writer_ends) (void *user_data);
   void (*on_tokens) (void *user_data);
   void (*on_store_timeout) (void *user_data);
   void *user_data;
@@ -46,6 +49,7 @@
   struct ds_store_client *store;
   struct ds_str writer;
   struct ds_allotment_policy policy;
+  struct ds_release_policy release;
   uint32_t settle_ms;
   struct ds_budget_peers peers;
 };
@@ -56,6 +60,7 @@
                                   const struct ds_routing_config *config);
 void ds_budget_manager_set_policy (struct ds_budget_manager *manager,
                                    const struct ds_allotment_policy *policy,
+                                   const struct ds_release_policy *release,
                                    uint32_t settle_ms);
 void ds_budget_manager_tick (struct ds_budget_manager *manager,
                              uint64_t now_ms);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -17,7 +17,9 @@
 #include "entry/replica_log.h"
 #include "entry/store_subjects.h"
 #include "entry/store_watcher.h"
+#include "entry/token_holdings.h"
 #include "entry/unreadable_entry.h"
+#include "entry/writer_ends.h"
 #include "io/clock.h"
 #include "io/event_context.h"
 #include "io/tcp.h"
@@ -500,6 +502,39 @@
   return ds_fleet_view_home (entry->fleet, page);
 }
 
+static struct ds_release_moment
+release_moment (void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  return ds_fleet_view_release_moment (entry->fleet);
+}
+
+static struct ds_writer_ends
+writer_ends (void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  return ds_fleet_view_writer_ends (entry->fleet);
+}
+
+static size_t
+list_holdings (struct ds_token_holding *out, void *user_data)
+{
+  const struct ds_entry *entry = user_data;
+
+  return ds_token_holdings_list (entry->budgets, out);
+}
+
+static struct ds_token_holding
+get_holding (struct ds_str workspace, void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  return ds_token_holdings_get (entry->budgets, entry->fleet, entry->store,
+                                workspace);
+}
+
 static struct ds_budget_peer_state
 get_peer_state (uint32_t page, struct ds_str workspace, void *user_data)
 {
@@ -540,82 +575,6 @@
   ds_store_subjects_probe (&entry->subjects);
 }
 
-static int
-compare_holdings (const void *a, const void *b)
-{
-  const struct ds_token_holding *left = a;
-  const struct ds_token_holding *right = b;
-
-  if (left->ledger_known != right->ledger_known)
-    return left->ledger_known ? -1 : 1;
-  return left->tokens < right->tokens   ? 1
-         : left->tokens > right->tokens ? -1
-                                        : 0;
-}
-
-/* Lists the holdings of this host: first budgets of which it is the home, then
-   the largest shares.  */
-static size_t
-list_holdings (struct ds_token_holding *out, void *user_data)
-{
-  const struct ds_entry *entry = user_data;
-  size_t count = ds_budget_manager_count (entry->budgets);
-  struct ds_token_holding *all
-      = talloc_array (NULL, struct ds_token_holding, (unsigned)count + 1);
-  size_t used = 0;
-
-  for (size_t i = 0; i < count && all != NULL; i++)
-    {
-      const struct ds_allotment *a = ds_budget_manager_at (entry->budgets, i);
-
-      if (a->free > 0 || a->demand >= 1
-          || (a->home == DS_HOME_SELF && a->known))
-        all[used++] = (struct ds_token_holding){
-          .workspace = ds_fleet_workspace_hash (a->workspace),
-          .tokens = a->suspended ? 0 : a->free,
-          .demand = (uint64_t)a->demand,
-          .ledger_known = a->home == DS_HOME_SELF && a->known,
-          .ledger_ungranted = a->ledger_ungranted,
-          .ledger_settled = a->ledger_settled,
-        };
-    }
-  if (used > DS_HOLDINGS_MAX)
-    {
-      qsort (all, used, sizeof all[0], compare_holdings);
-      used = DS_HOLDINGS_MAX;
-    }
-  if (used > 0)
-    memcpy (out, all, used * sizeof all[0]);
-  talloc_free (all);
-  return used;
-}
-
-/* Returns what this host holds of WORKSPACE and knows of its ledger.  */
-static struct ds_token_holding
-get_holding (struct ds_str workspace, void *user_data)
-{
-  struct ds_entry *entry = user_data;
-  const struct ds_allotment *a
-      = ds_budget_manager_find (entry->budgets, workspace);
-  struct ds_token_holding holding
-      = { .workspace = ds_fleet_workspace_hash (workspace) };
-
-  if (a == NULL)
-    return holding;
-  holding.tokens = a->suspended ? 0 : a->free;
-  holding.demand = (uint64_t)a->demand;
-  holding.ledger_known = a->known;
-  holding.ledger_ungranted = a->ledger_ungranted;
-  holding.ledger_settled = a->ledger_settled;
-  holding.ledger_away
-      = !ds_store_client_is_reachable (entry->store)
-        && (a->home != DS_HOME_GIVER
-            || !get_peer_state (ds_ledger_page_index (workspace), workspace,
-                                user_data)
-                    .home_ledger_reachable);
-  return holding;
-}
-
 static void
 count_hosts (struct ds_entry *entry, uint64_t now_ms)
 {
@@ -645,11 +604,21 @@
   };
 }
 
+static struct ds_release_policy
+make_release_policy (const struct ds_budget_settings *budget)
+{
+  return (struct ds_release_policy){
+    .span_ms = budget->release.span_ms,
+    .usable_ms = budget->release.usable_ms,
+  };
+}
+
 static void
 apply_settings (struct ds_entry *entry)
 {
   struct ds_entry_settings *loaded;
   struct ds_allotment_policy policy;
+  struct ds_release_policy release;
   struct ds_error error = DS_ERROR_NONE;
   struct ds_decision_line line;
 
@@ -665,7 +634,8 @@
   entry->addresses.ttl_s = loaded->address_ttl_s;
   entry->settings->budget = loaded->budget;
   policy = make_policy (&loaded->budget);
-  ds_budget_manager_set_policy (entry->budgets, &policy,
+  release = make_release_policy (&loaded->budget);
+  ds_budget_manager_set_policy (entry->budgets, &policy, &release,
                                 (uint32_t)loaded->budget.settle_ms);
   ds_entry_settings_free (loaded);
   line = ds_decision_line_begin ("reload", DS_STR_EMPTY);
@@ -900,6 +870,7 @@
     .writer = ds_str_from_c (entry->writer),
     .settle_ms = (uint32_t)settings->budget.settle_ms,
     .policy = make_policy (&settings->budget),
+    .release = make_release_policy (&settings->budget),
     .peers = {
       .home = page_home,
       .request_tokens = request_tokens,
@@ -907,6 +878,8 @@
       .peer_state = get_peer_state,
       .pending = pending_transfers,
       .unmet = unmet_tokens,
+      .release_moment = release_moment,
+      .writer_ends = writer_ends,
       .on_tokens = on_tokens,
       .on_store_timeout = probe_store,
       .user_data = entry,
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -42,6 +42,11 @@
   REAL (struct ds_retry_settings, window_s, 1, 3600),
 };
 
+static const struct ds_field release_fields[] = {
+  NUMBER (struct ds_release_settings, span_ms, 0, 600000, 0),
+  NUMBER (struct ds_release_settings, usable_ms, 0, 600000, 2400),
+};
+
 static const struct ds_field budget_fields[] = {
   NUMBER (struct ds_budget_settings, settle_ms, 50, 60000, 2000),
   NUMBER (struct ds_budget_settings, hold_ms, 100, 600000, 12000),
@@ -49,6 +54,13 @@
   NUMBER (struct ds_budget_settings, start_percent, 0, 100, 8),
   NUMBER (struct ds_budget_settings, minimum_tokens, 0, 10000000, 20000),
   NUMBER (struct ds_budget_settings, cushion_ms, 0, 60000, 1000),
+  {
+      .name = "release",
+      .type = DS_FIELD_OBJECT,
+      .offset = offsetof (struct ds_budget_settings, release),
+      .members = release_fields,
+      .member_count = COUNT (release_fields),
+  },
 };
 
 static const struct ds_field settings_fields[] = {
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -11,6 +11,14 @@
   double window_s;
 };
 
+/* How the home of a budget makes tokens usable that it holds for an outage of
+   the store; with SPAN_MS 0, all at once.  */
+struct ds_release_settings
+{
+  uint64_t span_ms;
+  uint64_t usable_ms;
+};
+
 /* Share of a prepaid budget that a host holds.  */
 struct ds_budget_settings
 {
@@ -20,6 +28,7 @@
   uint64_t start_percent;
   uint64_t minimum_tokens;
   uint64_t cushion_ms;
+  struct ds_release_settings release;
 };
 
 /* Settings of an entry host.  The strings belong to the settings.  */
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -10,6 +10,9 @@
    datagram.  Each of the two relays of a zone sends it to each host once.  */
 #define PART_SENDS_WITH_RELAYS ((size_t)2)
 
+/* A datagram that waited longer says a time that is past.  */
+#define CLOCK_AGE_MAX_MS 500
+
 static char *
 c_string (TALLOC_CTX *owner, struct ds_str text)
 {
@@ -34,6 +37,9 @@
   datagram->sequence = ++view->sequence;
   datagram->ledger_near = view->ledger_reachable;
   datagram->strained = view->strained;
+  datagram->wall_ms = ds_clock_wall_ms ();
+  datagram->median_wall_ms
+      = ds_fleet_clock_report (&view->clock, ds_clock_ms ());
   datagram->config_revision = view->store_revisions[DS_STORE_CONFIG];
   datagram->replica_revision = view->store_revisions[DS_STORE_REPLICAS];
   datagram->evacuation_revision = view->store_revisions[DS_STORE_EVACUATIONS];
@@ -491,6 +497,9 @@
       if (member->info.incarnation > 0)
         TALLOC_FREE (member->link);
       member->info.incarnation = datagram->incarnation;
+      /* Not HEARD_MS, which depends on the wall clock: an end of the previous
+         incarnation may be taken too late, never too early.  */
+      member->incarnation_ms = ds_clock_ms ();
       ds_fleet_introduce (view, member);
     }
   if (heard_ms > member->info.last_seen_ms)
@@ -539,6 +548,10 @@
   if (member == NULL || !receive_self (view, member, datagram, heard_ms))
     return;
   member->address = address;
+  ds_fleet_clock_observe (&view->clock, ds_clock_wall_ms (), now_ms);
+  if (age_ms < CLOCK_AGE_MAX_MS)
+    ds_fleet_clock_receive (&view->clock, member->short_id, datagram->wall_ms,
+                            datagram->median_wall_ms, now_ms);
   ds_fleet_receive_revision (view, DS_STORE_CONFIG, datagram->config_revision);
   ds_fleet_receive_revision (view, DS_STORE_REPLICAS,
                              datagram->replica_revision);
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -319,6 +319,7 @@
 ds_fleet_view_tick (struct ds_fleet_view *view, uint64_t now_ms)
 {
   update_timeouts (view);
+  ds_fleet_clock_observe (&view->clock, ds_clock_wall_ms (), now_ms);
   if (ds_gossip_uses_relays (view->count))
     {
       ds_fleet_relay_tick (view, now_ms);
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -2,6 +2,7 @@
 #define DS_ENTRY_FLEET_VIEW_INTERNAL_H
 
 #include "core/budget_home.h"
+#include "core/fleet_clock.h"
 #include "core/gossip_pace.h"
 #include "core/ledger_page.h"
 #include "entry/fleet_view.h"
@@ -81,6 +82,7 @@
   uint32_t short_id;                /* low bits of the hash of its name */
   uint64_t relay_weight;
   uint64_t added_ms;
+  uint64_t incarnation_ms;   /* time of the first of its incarnation */
   uint64_t direct_ms;        /* time of its last datagram; 0 for never */
   uint64_t summary;          /* number of the one that updated it last */
   uint64_t suspect_until_ms; /* not chosen as a relay before */
@@ -168,6 +170,7 @@
   uint64_t started_ms;
   size_t next_target;
   int fd;
+  struct ds_fleet_clock clock;
   struct ds_ledger_access ledger; /* of this host */
   bool ledger_reachable;
   bool homes_need_ledger;
--- a/src/entry/ledger_client.c
+++ b/src/entry/ledger_client.c
@@ -47,6 +47,8 @@
   json_t *update_spec; /* the page that the current update writes */
   bool unresolved;     /* the update was sent and may have been applied */
   uint64_t number;     /* of the newest update */
+  uint64_t reclaimed;  /* tokens, in the page as last decoded */
+  uint64_t returned;   /* tokens of ended writers, by the newest update */
   uint64_t not_before_ms;
   uint64_t updated_ms;
   uint64_t called_ms; /* start of the current call */
@@ -67,19 +69,29 @@
                               revision, reason);
 }
 
-/* Decodes the page as last read, or creates an empty one if none exists.  */
+/* Decodes the page as last read, or creates an empty one if none exists.  What
+   writers that have ended have not released is part of what is left: the next
+   update returns it.  */
 static int
 decode_page (struct ds_ledger_page **out, struct ds_ledger_client *client)
 {
   struct ds_error error = DS_ERROR_NONE;
+  struct ds_writer_ends ends;
   int status;
 
+  client->reclaimed = 0;
   if (client->page == NULL)
     return ds_ledger_page_new (out, client);
   status = ds_ledger_page_decode (out, client, client->page, &error);
   if (status != 0)
-    report_unreadable (client, client->revision, error.message);
-  return status;
+    {
+      report_unreadable (client, client->revision, error.message);
+      return status;
+    }
+  ends = client->options.writer_ends (client->options.user_data);
+  client->reclaimed
+      = ds_ledger_page_reclaim (*out, client->options.writer, &ends);
+  return 0;
 }
 
 /* Applies the object in a response; false when it is invalid.  */
@@ -113,6 +125,7 @@
 {
   for (size_t i = 0; i < client->count; i++)
     ds_allotment_confirm (client->allotments[i]);
+  ds_metric_add (DS_METRIC_TOKENS_RECLAIMED, (int64_t)client->returned);
   client->unresolved = false;
 }
 
@@ -172,6 +185,7 @@
   ds_decision_line_add_number (&line, "status", result->status);
   ds_decision_line_add_number (&line, "number", (int64_t)client->number);
   ds_decision_line_add_number (&line, "revision", (int64_t)client->revision);
+  ds_decision_line_add_number (&line, "reclaimed", (int64_t)client->returned);
   ds_decision_line_end (&line);
 }
 
@@ -301,15 +315,24 @@
 static bool
 build_update (struct ds_ledger_client *client, bool closing)
 {
+  struct ds_release_moment moment
+      = client->options.release_moment (client->options.user_data);
   struct ds_ledger_page *page;
   int status = decode_page (&page, client);
 
   if (status != 0)
     return false;
   client->number++;
+  client->returned = client->reclaimed;
   for (size_t i = 0; i < client->count && status == 0; i++)
-    status = ds_allotment_apply (client->allotments[i], page,
-                                 client->options.policy, closing);
+    {
+      status = ds_allotment_apply (client->allotments[i], page,
+                                   client->options.policy, closing);
+      if (status == 0)
+        status = ds_allotment_lock (client->allotments[i], page,
+                                    client->options.writer,
+                                    client->options.release, &moment, closing);
+    }
   ds_ledger_page_remove_old_writers (page, client->options.writer);
   if (status == 0)
     status = ds_ledger_page_set_update_number (page, client->options.writer,
--- a/src/entry/ledger_client.h
+++ b/src/entry/ledger_client.h
@@ -7,14 +7,18 @@
 struct ds_ledger_client;
 
 /* INDEX is the page's number, WRITER this incarnation of the host.
-   ON_RESPONSE is called after each call; if that had no response, ON_TIMEOUT
-   is called first.  */
+   RELEASE_MOMENT and WRITER_ENDS return the time and what is known of other
+   writers.  ON_RESPONSE is called after each call; if that had no response,
+   ON_TIMEOUT is called first.  */
 struct ds_ledger_client_options
 {
   struct ds_store_client *store;
   struct ds_str writer;
   const struct ds_allotment_policy *policy;
+  const struct ds_release_policy *release;
   uint32_t index;
+  struct ds_release_moment (*release_moment) (void *user_data);
+  struct ds_writer_ends (*writer_ends) (void *user_data);
   void (*on_response) (void *user_data);
   void (*on_timeout) (void *user_data);
   void *user_data;
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -1576,7 +1576,7 @@
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[30] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[32] =
 {
   {
     "host",
@@ -1938,6 +1938,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wall_ms",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "median_wall_ms",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, median_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -1957,6 +1981,7 @@
   21,   /* field[21] = leaving */
   16,   /* field[16] = ledger_near */
   8,   /* field[8] = loads */
+  31,   /* field[31] = median_wall_ms */
   17,   /* field[17] = partial */
   15,   /* field[15] = reads */
   13,   /* field[13] = ready */
@@ -1969,13 +1994,15 @@
   22,   /* field[22] = to_incarnation */
   12,   /* field[12] = transfer_acks */
   11,   /* field[11] = transfers */
+  30,   /* field[30] = wall_ms */
   2,   /* field[2] = zone */
 };
-static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[2 + 1] =
+static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 30, 28 },
-  { 0, 30 }
+  { 35, 30 },
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1985,10 +2012,10 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  30,
+  32,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
-  2,  daisystep__gossip__datagram__number_ranges,
+  3,  daisystep__gossip__datagram__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -373,10 +373,16 @@
    * As config_revision, of an evacuation.
    */
   uint64_t evacuation_revision;
+  /*
+   * The sender's wall clock in milliseconds, and the median of those that it
+   * receives; 0 if they are few.
+   */
+  uint64_t wall_ms;
+  uint64_t median_wall_ms;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -19,6 +19,7 @@
 const char *entry_further_settings = "";
 const char *entry_region = "r";
 const char *entry_replica_zones[ENTRY_REPLICAS] = { "z", "z" };
+long entry_release_span_ms;
 char entry_caller_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
@@ -205,11 +206,12 @@
       "\"metrics_address\":\"%s\",\"store_address\":\"%s\",\"grace_s\":8,"
       "\"address_ttl_s\":2,\"retry\":{\"ratio\":0.2,\"slack\":50,"
       "\"window_s\":10},\"budget\":{\"settle_ms\":200,\"hold_ms\":13000,"
-      "\"part_percent\":35,\"start_percent\":20,\"minimum_tokens\":%ld}}",
+      "\"part_percent\":35,\"start_percent\":20,\"minimum_tokens\":%ld,"
+      "\"release\":{\"span_ms\":%ld}}}",
       entry_further_settings, name, zone, entry_region,
       entry_caller_addresses[i], entry_readiness_addresses[i],
       entry_directory_addresses[i], gossip, metrics, entry_store->address,
-      entry_minimum_tokens);
+      entry_minimum_tokens, entry_release_span_ms);
   file = test_file_write (name, text);
   arguments[2] = file;
   ck_assert_int_eq (test_process_start (&entry_hosts[i], name,
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -40,6 +40,8 @@
    on.  */
 extern const char *entry_region;
 extern const char *entry_replica_zones[ENTRY_REPLICAS];
+/* "release.span_ms" of the hosts started from now on; 0 for off.  */
+extern long entry_release_span_ms;
 extern char entry_caller_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 extern char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 extern char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
--- a/tests/test_entry_budget.c
+++ b/tests/test_entry_budget.c
@@ -14,14 +14,17 @@
 #define REQUESTS_PER_ROUND 3
 /* Time between requests, in which a home is chosen and draws tokens.  */
 #define PAUSE_MS 500
+/* "release.span_ms" of the users' sites.  */
+#define RELEASE_SPAN_MS 13000
 /* "recovery_s" of the users' platform.  */
 #define RECOVERY_MS 12000
 
 static int serial;
 
 static void
-set_up (void)
+start_site (long release_span_ms)
 {
+  entry_release_span_ms = release_span_ms;
   /* As much as the whole budget, like in the settings of the users' sites.  */
   entry_minimum_tokens = PREPAID;
   entry_start_standins (PREPAID);
@@ -31,6 +34,12 @@
     entry_wait_ready (i);
 }
 
+static void
+set_up (void)
+{
+  start_site (RELEASE_SPAN_MS);
+}
+
 static void
 tear_down (void)
 {
@@ -122,6 +131,23 @@
 }
 END_TEST
 
+/* Guards against a reserve that is lost with its holder although most of it
+   cannot have been used.  */
+START_TEST (release_over_time_leaves_more_after_deaths)
+{
+  int released = serve_in_spite_of_deaths ();
+  int at_once;
+
+  test_processes_clean_up ();
+  start_site (0);
+  at_once = serve_in_spite_of_deaths ();
+  printf ("served %d of %ld with release over time, %d without\n", released,
+          PREPAID / REQUEST_TOKENS, at_once);
+  ck_assert_int_le (released * REQUEST_TOKENS, PREPAID);
+  ck_assert_int_gt (released, at_once);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -135,6 +161,7 @@
   tcase_add_test (test_case, a_small_budget_outlives_the_death_of_all_hosts);
   tcase_add_test (test_case,
                   two_deaths_of_all_hosts_leave_half_of_a_small_budget);
+  tcase_add_test (test_case, release_over_time_leaves_more_after_deaths);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
