Serve waiting reservations by priority and size; refuse at once what nobody has

Cause: reservations waited in the order of arrival, so a large prompt kept urgent small requests of its workspace waiting, and requests waited for tokens that neither the hosts nor the ledger had.

One that exceeds what hosts and ledger hold is refused at once. Without the setting nothing changes. A test with real processes covers the locked tokens of hosts that stop.

--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -65,6 +65,19 @@
   return true;
 }
 
+/* Whether the hosts and the ledger together have TOKENS, as far as known.
+   Tokens of running requests are not counted: they are few, and may be
+   used.  */
+bool
+ds_allotment_may_cover (const struct ds_allotment *allotment, uint64_t tokens)
+{
+  return !allotment->known
+         || held_tokens (allotment) + allotment->peer_free
+                    + allotment->ledger_ungranted + allotment->update.drawn
+                    + allotment->update.returned
+                >= tokens;
+}
+
 /* Ends a reservation: at most RESERVED tokens are spent, the others are free
    again.  */
 void
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -100,6 +100,7 @@
   uint64_t lacking_since_ms;   /* of a giver: it could not meet a request */
   bool known;                  /* the ledger has been read */
   bool home_timed_out; /* the home has not served a waiting request in time */
+  bool is_kept;        /* free tokens are kept for an aged reservation */
   bool suspended; /* the limit was lowered: no reservation until the ledger
                    has been updated */
 };
@@ -123,6 +124,8 @@
 void ds_allotment_set_limit (struct ds_allotment *allotment, uint64_t limit,
                              uint64_t version);
 bool ds_allotment_reserve (struct ds_allotment *allotment, uint64_t tokens);
+bool ds_allotment_may_cover (const struct ds_allotment *allotment,
+                             uint64_t tokens);
 void ds_allotment_settle (struct ds_allotment *allotment, uint64_t reserved,
                           uint64_t used);
 void ds_allotment_tick (struct ds_allotment *allotment, double seconds);
--- a/src/entry/budget_manager.c
+++ b/src/entry/budget_manager.c
@@ -1,5 +1,6 @@
 #include "entry/budget_manager.h"
 #include "core/ledger_page.h"
+#include "core/reservation_order.h"
 #include "daisystep/metrics.h"
 #include "entry/ledger_client.h"
 #include "io/clock.h"
@@ -43,6 +44,7 @@
   struct ds_allotment *allotment;
   struct ds_budget_pending_reservation *next;
   uint64_t tokens;
+  uint64_t rank;
   uint64_t expires_ms;
   uint64_t queued_ms;
   ds_budget_reserve_done_fn *on_done;
@@ -64,8 +66,7 @@
   size_t page_count;
   struct ds_allotment **allotments;
   size_t count;
-  struct ds_budget_pending_reservation
-      *pending_reservations;   /* oldest first */
+  struct ds_budget_pending_reservation *pending_reservations; /* by rank */
   struct ds_timer *wait_timer; /* runs while reservations wait */
   uint64_t last_tick_ms;
   uint64_t last_failure_ms; /* when a call last failed; 0 after a success */
@@ -83,6 +84,14 @@
   return NULL;
 }
 
+/* Whether reservations wait in an order other than that of arrival, and are
+   refused at once when there are not enough tokens.  */
+static bool
+is_ordered (const struct ds_budget_manager *manager)
+{
+  return manager->options.release.span_ms > 0;
+}
+
 static struct managed_page *
 find_page (struct ds_budget_manager *manager, struct ds_str workspace)
 {
@@ -582,6 +591,8 @@
   reservation->allotment->waiting_tokens -= reservation->tokens;
   if (reservation->allotment->waiting_tokens == 0)
     reservation->allotment->home_timed_out = false;
+  /* Until the next look at those that wait.  */
+  reservation->allotment->is_kept = false;
 }
 
 /* Decides a reservation that this host's share does not cover.  One that
@@ -605,6 +616,10 @@
     return DS_BUDGET_EXHAUSTED;
   peer_state = peers->peer_state (ds_ledger_page_index (allotment->workspace),
                                   allotment->workspace, peers->user_data);
+  if (is_ordered (manager) && !peer_state.demand_is_requested
+      && now_ms - allotment->ledger_observed_ms < EXHAUSTED_CACHE_MS
+      && !ds_allotment_may_cover (allotment, tokens))
+    return DS_BUDGET_UNAVAILABLE;
   if (ds_allotment_has_source (allotment)
       && waited_ms < (peer_state.demand_is_requested
                           ? HOME_TIMEOUT_WITH_GIVERS_MS
@@ -646,15 +661,18 @@
   on_done (outcome, user_data);
 }
 
-/* Completes the pending reservations that can be decided, oldest first.  One
-   that cannot be decided does not delay those of other workspaces.  */
+/* Completes the pending reservations that can be decided, by rank.  One that
+   cannot be decided delays those of its workspace only if it is aged.  */
 static void
 process_pending (struct ds_budget_manager *manager)
 {
   uint64_t now_ms = ds_clock_ms ();
-  struct ds_budget_pending_reservation *reservation
-      = manager->pending_reservations;
+  struct ds_budget_pending_reservation *reservation;
 
+  for (reservation = manager->pending_reservations; reservation != NULL;
+       reservation = reservation->next)
+    reservation->allotment->is_kept = false;
+  reservation = manager->pending_reservations;
   while (reservation != NULL)
     {
       struct ds_budget_pending_reservation *next = reservation->next;
@@ -662,7 +680,8 @@
       enum ds_budget_outcome outcome;
 
       ds_allotment_release (allotment, now_ms);
-      if (ds_allotment_reserve (allotment, reservation->tokens))
+      if (!allotment->is_kept
+          && ds_allotment_reserve (allotment, reservation->tokens))
         {
           complete_reservation (reservation, DS_BUDGET_GRANTED);
           /* The callback may have added or removed reservations.  */
@@ -680,6 +699,9 @@
           reservation = manager->pending_reservations;
           continue;
         }
+      if (is_ordered (manager)
+          && ds_reservation_is_aged (reservation->queued_ms, now_ms))
+        allotment->is_kept = true;
       reservation = next;
     }
 }
@@ -710,8 +732,9 @@
   if (added == NULL)
     return NULL;
   *added = *values;
-  while (*at != NULL)
+  while (*at != NULL && (*at)->rank <= added->rank)
     at = &(*at)->next;
+  added->next = *at;
   *at = added;
   if (manager->wait_timer == NULL)
     manager->wait_timer
@@ -720,13 +743,14 @@
   return added;
 }
 
-/* Reserves TOKENS of WORKSPACE for a request.  With DS_BUDGET_WAITING, ON_DONE
+/* Reserves TOKENS of WORKSPACE for a request; those with the lowest URGENCY go
+   first.  With DS_BUDGET_WAITING, ON_DONE
    gets the outcome at EXPIRES_MS at the latest, and *RESERVATION is valid
    until then.  */
 enum ds_budget_outcome
 ds_budget_reserve (struct ds_budget_manager *manager,
                    struct ds_budget_pending_reservation **reservation,
-                   struct ds_str workspace, uint64_t tokens,
+                   struct ds_str workspace, uint64_t tokens, uint32_t urgency,
                    uint64_t expires_ms, ds_budget_reserve_done_fn *on_done,
                    void *user_data)
 {
@@ -736,6 +760,9 @@
     .manager = manager,
     .allotment = allotment,
     .tokens = tokens,
+    .rank = is_ordered (manager)
+                ? ds_reservation_rank (now_ms, urgency, tokens)
+                : now_ms,
     .expires_ms = expires_ms,
     .queued_ms = now_ms,
     .on_done = on_done,
@@ -749,7 +776,7 @@
   allotment->demand_since_tick += tokens;
   if (tokens > allotment->largest)
     allotment->largest = tokens;
-  if (ds_allotment_reserve (allotment, tokens))
+  if (!allotment->is_kept && ds_allotment_reserve (allotment, tokens))
     {
       update_if_urgent (manager, page, now_ms);
       return DS_BUDGET_GRANTED;
--- a/src/entry/budget_manager.h
+++ b/src/entry/budget_manager.h
@@ -77,7 +77,7 @@
 enum ds_budget_outcome
 ds_budget_reserve (struct ds_budget_manager *manager,
                    struct ds_budget_pending_reservation **reservation,
-                   struct ds_str workspace, uint64_t tokens,
+                   struct ds_str workspace, uint64_t tokens, uint32_t urgency,
                    uint64_t expires_ms, ds_budget_reserve_done_fn *on_done,
                    void *user_data);
 void ds_budget_cancel_reservation (
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -1099,8 +1099,8 @@
     wait_ms = TOKEN_WAIT_MAX_MS;
   x->reserved = x->request.prompt_tokens + x->request.output_tokens;
   outcome = ds_budget_reserve (x->context->budgets, &x->pending_reservation,
-                               x->workspace, x->reserved, now_ms + wait_ms,
-                               on_reservation, x);
+                               x->workspace, x->reserved, engine_priority (x),
+                               now_ms + wait_ms, on_reservation, x);
   if (outcome != DS_BUDGET_GRANTED)
     ds_token_log (x->context->budgets, x->request.id, x->workspace,
                   x->reserved, outcome);
--- a/tests/test_entry_budget.c
+++ b/tests/test_entry_budget.c
@@ -148,6 +148,33 @@
 }
 END_TEST
 
+/* Guards against a planned stop that takes locked tokens along: they can be
+   sent to no other host.  */
+START_TEST (a_planned_stop_returns_all_tokens)
+{
+  json_t *page;
+  json_t *account;
+
+  serve (REQUESTS_PER_ROUND);
+  page = test_get_json (entry_store->address, entry_ledger_path ());
+  ck_assert_ptr_nonnull (test_json_at (page, "spec/accounts/north/releases"));
+  json_decref (page);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      ck_assert_int_eq (test_process_signal (entry_hosts[i], SIGTERM), 0);
+      ck_assert (test_process_wait (entry_hosts[i], ENTRY_WAIT_MS));
+    }
+  page = test_get_json (entry_store->address, entry_ledger_path ());
+  account = test_json_at (page, "spec/accounts/north");
+  ck_assert_int_eq (json_integer_value (json_object_get (account, "granted")),
+                    0);
+  ck_assert_ptr_null (json_object_get (account, "releases"));
+  ck_assert_int_eq (entry_settled_tokens (),
+                    REQUESTS_PER_ROUND * REQUEST_TOKENS);
+  json_decref (page);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -162,6 +189,7 @@
   tcase_add_test (test_case,
                   two_deaths_of_all_hosts_leave_half_of_a_small_budget);
   tcase_add_test (test_case, release_over_time_leaves_more_after_deaths);
+  tcase_add_test (test_case, a_planned_stop_returns_all_tokens);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
