Keep usable tokens usable while an update of the ledger is in flight

Cause: an update that returned tokens took the usable ones first, and what it unlocked became usable at the next tick, up to 200 ms later. The first requests of a workspace waited 120 ms for their home, and one more host wrote the page.

Change: locked tokens are returned first, and a response releases at once.

--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -325,8 +325,9 @@
     update->returned = min_u64 (held, committed - account->limit);
   allotment->lock.proposed = allotment->lock.confirmed;
   allotment->lock.drawn = 0;
+  /* Usable tokens stay usable while the update is in flight.  */
   allotment->lock.returned
-      = update->returned - min_u64 (update->returned, allotment->free);
+      = min_u64 (update->returned, allotment->lock.locked);
   allotment->lock.locked -= allotment->lock.returned;
   allotment->free -= update->returned - allotment->lock.returned;
   account->granted += update->drawn;
--- a/src/entry/budget_manager.c
+++ b/src/entry/budget_manager.c
@@ -185,12 +185,20 @@
   manager->options.peers.on_tokens (manager->options.peers.user_data);
 }
 
+static void
+release_all (struct ds_budget_manager *manager, uint64_t now_ms)
+{
+  for (size_t i = 0; i < manager->count; i++)
+    ds_allotment_release (manager->allotments[i], now_ms);
+}
+
 static void
 on_response (void *user_data)
 {
   struct ds_budget_manager *manager = user_data;
   uint64_t now_ms = ds_clock_ms ();
 
+  release_all (manager, now_ms);
   manager->last_failure_ms = 0;
   for (size_t i = 0; i < manager->page_count; i++)
     if (!ds_ledger_client_is_reachable (manager->pages[i].client, now_ms))
@@ -465,8 +473,7 @@
 {
   update_homes (manager);
   tick_demand (manager, now_ms);
-  for (size_t i = 0; i < manager->count; i++)
-    ds_allotment_release (manager->allotments[i], now_ms);
+  release_all (manager, now_ms);
   process_pending (manager);
   transfer_to_homes (manager, now_ms);
   for (size_t i = 0; i < manager->page_count; i++)
@@ -545,6 +552,7 @@
 
   if (allotment == NULL || page == NULL)
     return 0;
+  ds_allotment_release (allotment, now_ms);
   given = ds_allotment_give (allotment, tokens, needed, now_ms);
   if (given == 0 && allotment->demand_is_requested)
     allotment->peer_requested
