--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -97,6 +97,25 @@
   = { .name = "requests_out_of_region_total",
       .help = "Requests refused because no upstream is in an allowed "
               "region." },
+  [DS_METRIC_HOST_UTILISATION]
+  = { .name = "host_utilisation_percent",
+      .help = "Use of the scarcest resource of this host.",
+      .type = GAUGE },
+  [DS_METRIC_HOST_LOAD_LEVEL]
+  = { .name = "host_load_level",
+      .help = "Eighths of its callers that this host gives up.",
+      .type = GAUGE },
+  [DS_METRIC_HEAVY_CALLERS]
+  = { .name = "heavy_callers",
+      .help = "Known callers that use much of a host, once for each host.",
+      .type = GAUGE },
+  [DS_METRIC_CONNECTIONS_SHED]
+  = { .name = "connections_shed_total",
+      .help = "Connections closed after a response because of load." },
+  [DS_METRIC_ADDRESSES_SPREAD]
+  = { .name = "addresses_spread_total",
+      .help = "Address answers that differ from the usual ones because of "
+              "load." },
   [DS_METRIC_TOKENS_BILLED]
   = { .name = "tokens_billed_total", .help = "Tokens in bills of this host." },
   [DS_METRIC_TOKENS_RECLAIMED]
--- a/src/core/address_choice.c
+++ b/src/core/address_choice.c
@@ -1,9 +1,25 @@
 #include "core/address_choice.h"
 #include "core/budget_home.h"
+#include "core/host_load.h"
+
+#include <talloc.h>
 
 /* With fewer hosts in the zone of the caller, the loss of one would leave
    callers without an address until their next lookup.  */
 #define ZONE_HOSTS_MIN 2
+/* Seeds of the hashes that decide whether a host that gives up callers is
+   offered to one, and how the number of hosts of other zones is rounded: both
+   must be independent of the scores.  */
+#define OFFER_SEED 0x6f66666572ULL
+#define ROUND_SEED 0x726f756e64ULL
+#define PERCENT 100
+/* Part of a host that heavy callers may use together: before another one is
+   led there, and before one that is there has to leave.  The gap keeps a
+   caller whose load varies at its host.  */
+#define HEAVY_SHARE_PERCENT 70
+#define HEAVY_SHARE_LEAVE_PERCENT 90
+/* Thousandths of a core in one unit of capacity.  */
+#define LOAD_PER_CAPACITY 10
 
 enum scope
 {
@@ -95,3 +111,247 @@
     }
   return found;
 }
+
+/* A number from 0 up to 1 that depends on CALLER and TEXT.  */
+static double
+fraction_of (struct ds_str text, uint64_t caller, uint64_t seed)
+{
+  return (double)(ds_str_hash (text, caller ^ seed) >> 11) / (1ULL << 53);
+}
+
+/* Whether the host at ADDRESS, which gives up callers at LEVEL, is offered to
+   CALLER.  The callers of a level are among those of each lower one.  */
+bool
+ds_address_is_offered (struct ds_str address, uint64_t caller, uint32_t level)
+{
+  return fraction_of (address, caller, OFFER_SEED) * DS_LOAD_LEVELS
+         < DS_LOAD_LEVELS - (double)level;
+}
+
+/* The level that the hosts of ZONE with at least half of its capacity have
+   reached: 0 as long as some hosts of the zone can take what others give
+   up.  */
+static uint32_t
+level_of_zone (const struct ds_address_candidate *candidates, size_t count,
+               struct ds_str zone)
+{
+  uint64_t capacities[DS_LOAD_LEVELS] = { 0 };
+  uint64_t total = 0;
+  uint64_t sum = 0;
+  uint32_t level;
+
+  for (size_t i = 0; i < count; i++)
+    if (ds_str_equal (candidates[i].zone, zone)
+        && candidates[i].level < DS_LOAD_LEVELS)
+      {
+        capacities[candidates[i].level] += candidates[i].machine_capacity;
+        total += candidates[i].machine_capacity;
+      }
+  for (level = 0; level < DS_LOAD_LEVELS - 1; level++)
+    {
+      sum += capacities[level];
+      if (2 * sum >= total)
+        break;
+    }
+  return level;
+}
+
+static bool
+contains (const struct ds_str *addresses, size_t count, struct ds_str address)
+{
+  for (size_t i = 0; i < count; i++)
+    if (ds_str_equal (addresses[i], address))
+      return true;
+  return false;
+}
+
+/* Appends hosts of other zones than ZONE that give up no callers to the FOUND
+   addresses in OUT, those of the region first; up to MOST.  Returns their
+   number.  */
+static size_t
+choose_elsewhere (struct ds_str *out, size_t found,
+                  const struct ds_address_candidate *candidates, size_t count,
+                  struct ds_str zone, struct ds_str region, uint64_t caller,
+                  size_t most)
+{
+  struct ds_address_candidate *others;
+  size_t used = 0;
+  size_t added = 0;
+
+  if (most == 0)
+    return 0;
+  others = talloc_array (NULL, struct ds_address_candidate,
+                         (unsigned)count + 1);
+  for (size_t i = 0; i < count && others != NULL; i++)
+    if (!ds_str_equal (candidates[i].zone, zone) && candidates[i].level == 0
+        && !contains (out, found, candidates[i].address)
+        && level_of_zone (candidates, count, candidates[i].zone) == 0)
+      others[used++] = candidates[i];
+  if (others != NULL)
+    added = choose_best (out + found, others, used, SAME_REGION, zone, region,
+                         caller, most);
+  if (added == 0 && others != NULL)
+    added = choose_best (out + found, others, used, ANY_REGION, zone, region,
+                         caller, most);
+  talloc_free (others);
+  return added;
+}
+
+/* Number of hosts of other zones beside OWN of the caller's, whose zone has
+   LEVEL.  Callers use each host alike, so the part is that of the callers that
+   the hosts of the zone give up; rounded by CALLER, so that it is right on
+   average.  */
+static size_t
+elsewhere_count (size_t own, uint32_t level, struct ds_str zone,
+                 uint64_t caller)
+{
+  double wanted
+      = (double)own * level / (double)(DS_LOAD_LEVELS - level)
+        + fraction_of (zone, caller, ROUND_SEED);
+  size_t count = (size_t)wanted;
+
+  if (own + count < ZONE_HOSTS_MIN)
+    count = ZONE_HOSTS_MIN - own;
+  return own + count > DS_ADDRESSES_MAX ? DS_ADDRESSES_MAX - own : count;
+}
+
+/* A host with what heavy callers do there.  */
+struct heavy_place
+{
+  const struct ds_address_candidate *candidate;
+  enum scope scope;
+  bool has_room;
+  bool is_current; /* the caller is there now */
+  double score;
+};
+
+static enum scope
+scope_of (const struct ds_address_candidate *candidate, struct ds_str zone,
+          struct ds_str region)
+{
+  if (ds_str_equal (candidate->zone, zone))
+    return SAME_ZONE;
+  return ds_str_equal (candidate->region, region) ? SAME_REGION : ANY_REGION;
+}
+
+static bool
+is_better_place (const struct heavy_place *a, const struct heavy_place *b)
+{
+  if (a->has_room != b->has_room)
+    return a->has_room;
+  if (a->scope != b->scope)
+    return a->scope < b->scope;
+  if (a->is_current != b->is_current)
+    return a->is_current;
+  return a->score > b->score;
+}
+
+/* Writes the hosts for the heavy CALLER with LOAD to OUT: those that can carry
+   it alone, since it uses one at a time, or else the strongest.  */
+static size_t
+choose_for_heavy (struct ds_str *out,
+                  const struct ds_address_candidate *candidates, size_t count,
+                  struct ds_str zone, struct ds_str region, uint64_t caller,
+                  const struct ds_heavy_callers *heavy, uint32_t load,
+                  uint64_t now_ms)
+{
+  struct heavy_place best[ZONE_HOSTS_MIN];
+  uint32_t strongest = 0;
+  size_t found = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (candidates[i].machine_capacity > strongest)
+      strongest = candidates[i].machine_capacity;
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct ds_address_candidate *candidate = &candidates[i];
+      uint32_t capacity = candidate->machine_capacity * LOAD_PER_CAPACITY;
+      struct heavy_place place = {
+        .candidate = candidate,
+        .scope = scope_of (candidate, zone, region),
+        .is_current
+        = ds_heavy_callers_is_at (heavy, candidate->id, caller, now_ms),
+        .score = ds_capacity_score (ds_str_hash (candidate->address, caller),
+                                    candidate->machine_capacity),
+      };
+      uint64_t sum = (uint64_t)load
+                     + ds_heavy_callers_host_load (heavy, candidate->id,
+                                                   caller, now_ms);
+      size_t at;
+
+      if (!ds_heavy_fits (load, capacity)
+          && candidate->machine_capacity < strongest)
+        continue;
+      place.has_room
+          = sum * PERCENT
+                <= (uint64_t)capacity
+                       * (place.is_current ? HEAVY_SHARE_LEAVE_PERCENT
+                                           : HEAVY_SHARE_PERCENT)
+            && (place.is_current || candidate->level < DS_LOAD_LEVELS / 2);
+      if (found == ZONE_HOSTS_MIN
+          && !is_better_place (&place, &best[found - 1]))
+        continue;
+      if (found < ZONE_HOSTS_MIN)
+        found++;
+      for (at = found - 1; at > 0 && is_better_place (&place, &best[at - 1]);
+           at--)
+        best[at] = best[at - 1];
+      best[at] = place;
+    }
+  for (size_t i = 0; i < found; i++)
+    out[i] = best[i].candidate->address;
+  return found;
+}
+
+/* Whether CALLER with LOAD, a heavy one, is too much for a host of CHOSEN.  */
+static bool
+is_too_heavy (const struct ds_address_candidate *candidates, size_t count,
+              const struct ds_str *chosen, size_t chosen_count, uint32_t load)
+{
+  for (size_t i = 0; i < count && load > 0; i++)
+      if (contains (chosen, chosen_count, candidates[i].address)
+          && !ds_heavy_fits (load, candidates[i].machine_capacity
+                                       * LOAD_PER_CAPACITY))
+        return true;
+  return false;
+}
+
+/* As ds_address_choose, for a fleet whose hosts report their levels and heavy
+   callers.  The result is the same while there are none.
+
+   Loads: one caller that sends more to one host of its zone than this carries,
+   and a zone whose hosts together get more than they carry while others are
+   idle.  A host that gives up callers is left out for part of them.  Once
+   hosts with half of the zone's capacity do so, hosts of other zones are
+   added in proportion.  The choice depends only on what the hosts report, with
+   hysteresis, so it changes only when they change their levels.  */
+size_t
+ds_address_spread (struct ds_str *out,
+                   const struct ds_address_candidate *candidates, size_t count,
+                   struct ds_str zone, struct ds_str region, uint64_t caller,
+                   const struct ds_heavy_callers *heavy, uint64_t now_ms)
+{
+  struct ds_str usual[DS_ADDRESSES_MAX];
+  size_t usual_count
+      = ds_address_choose (usual, candidates, count, zone, region, caller);
+  uint32_t load = ds_heavy_callers_load (heavy, caller);
+  size_t found = 0;
+
+  if (is_too_heavy (candidates, count, usual, usual_count, load))
+    return choose_for_heavy (out, candidates, count, zone, region, caller,
+                             heavy, load, now_ms);
+  for (size_t i = 0; i < usual_count; i++)
+    for (size_t k = 0; k < count; k++)
+      if (ds_str_equal (usual[i], candidates[k].address)
+          && ds_address_is_offered (usual[i], caller, candidates[k].level))
+        out[found++] = usual[i];
+  found += choose_elsewhere (
+      out, found, candidates, count, zone, region, caller,
+      elsewhere_count (found, level_of_zone (candidates, count, zone), zone,
+                       caller));
+  if (found > 0)
+    return found;
+  for (size_t i = 0; i < usual_count; i++)
+    out[i] = usual[i];
+  return usual_count;
+}
--- a/src/entry/address_service.c
+++ b/src/entry/address_service.c
@@ -70,6 +70,9 @@
       .region = service->region,
       .address = service->caller_address,
       .capacity = offered_capacity (service->capacity, service->strained),
+      .machine_capacity = service->capacity,
+      .id = ds_fleet_view_id (service->fleet),
+      .level = service->level,
     };
   for (size_t i = 0; i < members; i++)
     {
@@ -83,11 +86,42 @@
           .region = member->region,
           .address = member->caller_address,
           .capacity = offered_capacity (member->capacity, member->strained),
+          .machine_capacity = member->capacity,
+          .id = member->id,
+          .level = member->load_level,
         };
     }
   return count;
 }
 
+/* Chooses addresses for CALLER; COUNT candidates, at least one.  */
+static size_t
+choose_addresses (const struct ds_address_service *service,
+                  struct ds_str *out,
+                  const struct ds_address_candidate *candidates, size_t count,
+                  const struct ds_address_query *query, uint64_t caller)
+{
+  struct ds_str usual[DS_ADDRESSES_MAX];
+  size_t usual_count = ds_address_choose (usual, candidates, count,
+                                          query->zone, query->region, caller);
+  size_t found;
+  bool differs;
+
+  if (service->heavy == NULL)
+    {
+      memcpy (out, usual, usual_count * sizeof usual[0]);
+      return usual_count;
+    }
+  found = ds_address_spread (out, candidates, count, query->zone,
+                             query->region, caller, service->heavy,
+                             ds_clock_ms ());
+  differs = found != usual_count;
+  for (size_t i = 0; i < found && !differs; i++)
+    differs = !ds_str_equal (out[i], usual[i]);
+  ds_metric_add (DS_METRIC_ADDRESSES_SPREAD, differs ? 1 : 0);
+  return found;
+}
+
 /* Responds to an address query with addresses for the caller.  */
 void
 ds_address_service_addresses (struct ds_caller *caller,
@@ -115,8 +149,8 @@
                                     query.name, query.region);
   count = count == 0
               ? 0
-              : ds_address_choose (addresses, candidates, count, query.zone,
-                                   query.region, ds_caller_origin (caller));
+              : choose_addresses (service, addresses, candidates, count,
+                                  &query, ds_caller_origin (caller));
   if (count == 0)
     {
       send_response (caller, head, 503,
--- a/src/entry/address_service.h
+++ b/src/entry/address_service.h
@@ -8,7 +8,8 @@
 /* State behind readiness, address and metrics responses.  READY: this host
    takes requests and its address may be returned.  TTL_S is how long callers
    cache addresses.  CONFIG points to the configuration in force, null before
-   the first.  */
+   the first.  HEAVY: the heavy callers of the fleet, null if callers are not
+   spread by load.  */
 struct ds_address_service
 {
   const struct ds_fleet_view *fleet;
@@ -18,6 +19,8 @@
   struct ds_str caller_address;
   uint32_t capacity;
   bool strained;
+  uint32_t level; /* at which this host gives up callers */
+  const struct ds_heavy_callers *heavy;
   double ttl_s;
   bool ready;
 };
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -1,5 +1,6 @@
 #include "entry/caller.h"
 #include "daisystep/metrics.h"
+#include "entry/host_monitor.h"
 #include "io/clock.h"
 #include "io/tcp.h"
 #include "io/timer.h"
@@ -69,6 +70,7 @@
   size_t head_memory; /* counted */
   struct ds_byte_buffer pipelined;
   void *request_data;
+  uint64_t origin; /* as counted by the monitor; 0 before */
   bool request_complete;
   bool responding;
   bool close_after_response; /* close the connection after this response */
@@ -399,12 +401,32 @@
   ds_tcp_set_read_size (caller->tcp, IDLE_READ_BYTES);
 }
 
+/* Counts the request and has the connection closed after the response if the
+   caller should go to another host.  */
+static void
+count_request (struct ds_caller *caller)
+{
+  struct ds_host_monitor *monitor = caller->group->monitor;
+
+  if (monitor == NULL)
+    return;
+  if (caller->origin == 0)
+    caller->origin = ds_caller_origin (caller);
+  if (!ds_host_monitor_sheds (monitor, caller->origin,
+                              (size_t)caller->body_received)
+      || caller->close_after_response)
+    return;
+  caller->close_after_response = true;
+  ds_metric_add (DS_METRIC_CONNECTIONS_SHED, 1);
+}
+
 static void
 begin_request (struct ds_caller *caller)
 {
   caller->request_complete = false;
   if (!caller->head.keep_alive || caller->group->shedding)
     caller->close_after_response = true;
+  count_request (caller);
   start_response (caller);
   caller->group->handlers.on_request (caller, &caller->head, body_of (caller),
                                       caller->group->handlers.user_data);
@@ -419,6 +441,7 @@
   drop_body (caller);
   set_paused (caller, false);
   caller->close_after_response = true;
+  count_request (caller);
   start_response (caller);
   ds_tcp_set_read_size (caller->tcp, BODY_READ_BYTES);
   caller->group->handlers.on_unread (caller, &caller->head,
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -8,6 +8,7 @@
 #include <tevent.h>
 
 struct ds_caller;
+struct ds_host_monitor;
 
 /* Handlers of a listener.  ON_REQUEST is called with a complete request; HEAD
    and BODY are valid until the response is finished.  ON_DISCONNECT reports
@@ -33,7 +34,8 @@
 
 /* Shared by all connections of a listener.  LIMITS may change at any time;
    with CLOSING, each connection closes after its response, with SHEDDING after
-   that to a request that arrives meanwhile.  CONNECTIONS counts
+   that to a request that arrives meanwhile.  MONITOR, if not null, counts the
+   requests of each caller and may have its connections closed.  CONNECTIONS counts
    open connections, RESPONDING those with a request in progress.  MEMORY is
    shared by all groups of the host; ADMIT_EVENT is the group's own.  */
 struct ds_caller_group
@@ -43,6 +45,7 @@
   struct ds_caller_limits limits;
   struct ds_host_memory *memory;
   struct tevent_immediate *admit_event;
+  struct ds_host_monitor *monitor;
   bool closing;
   bool shedding;
   size_t connections;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -13,6 +13,7 @@
 #include "entry/evacuation_watch.h"
 #include "entry/exchange.h"
 #include "entry/fleet_view.h"
+#include "entry/host_monitor.h"
 #include "entry/registration.h"
 #include "entry/replica_log.h"
 #include "entry/store_subjects.h"
@@ -74,10 +75,6 @@
 #define MAPPED_BLOCK_BYTES 1048576
 #define HEAP_TRIM_BYTES 2097152
 
-/* A link that is as strong as one core.  */
-#define LINK_MBPS_PER_CORE 200
-#define PERCENT 100
-
 struct ds_entry
 {
   struct tevent_context *ev;
@@ -107,8 +104,8 @@
   struct ds_caller_group directory;
   struct ds_caller_group metrics;
   struct ds_tcp_listener *caller_listener;
+  struct ds_host_monitor monitor;
 
-  uint64_t next_tick_ms;     /* when the next tick is due */
   uint64_t store_checked_ms; /* because other hosts have lost the store */
   uint64_t trouble_since_ms; /* since when it may be out; or 0 */
   uint64_t outage_ms;        /* when it was last seen out; 0 for never */
@@ -686,37 +683,6 @@
     entry->stopped = true;
 }
 
-/* Leads callers away while this host is short of processor or link.  */
-static void
-update_strain (struct ds_entry *entry, uint64_t now_ms)
-{
-  struct ds_host_strain *strain = &entry->exchanges.strain;
-  bool strained;
-  struct ds_decision_line line;
-
-  if (entry->next_tick_ms > 0)
-    ds_host_strain_record_tick (
-        strain,
-        now_ms > entry->next_tick_ms ? now_ms - entry->next_tick_ms : 0,
-        now_ms);
-  entry->next_tick_ms = now_ms + DS_GOSSIP_INTERVAL_MS;
-  strained = ds_host_strain_is_strained (strain, now_ms);
-  if (strained == entry->callers.shedding)
-    return;
-  entry->callers.shedding = strained;
-  entry->addresses.strained = strained;
-  ds_fleet_view_set_strained (entry->fleet, strained);
-  ds_store_client_set_slow_link (entry->store, strained);
-  line = ds_decision_line_begin (strained ? "host_strained" : "host_relieved",
-                                 DS_STR_EMPTY);
-  ds_decision_line_add_number (&line, "connect_ms",
-                               (int64_t)strain->connect_ms);
-  ds_decision_line_add_number (&line, "late_ticks", strain->late_in_a_row);
-  ds_decision_line_add_number (&line, "answering",
-                               (int64_t)entry->callers.responding);
-  ds_decision_line_end (&line);
-}
-
 static void
 on_tick (void *user_data)
 {
@@ -724,7 +690,7 @@
   uint64_t now_ms = ds_clock_ms ();
 
   (void)ds_timer_add (entry->ev, entry, DS_GOSSIP_INTERVAL_MS, on_tick, entry);
-  update_strain (entry, now_ms);
+  ds_host_monitor_tick (&entry->monitor, now_ms);
   ds_replica_set_remove_expired (entry->replicas, now_ms);
   ds_connection_pool_close_expired (entry->exchanges.pool, now_ms);
   count_hosts (entry, now_ms);
@@ -793,17 +759,6 @@
   apply_settings (user_data);
 }
 
-/* Returns the part that this host can take in the work for the fleet: of a
-   core in percent, but no more than its link carries.  */
-static uint32_t
-capacity_of (const struct ds_entry_settings *settings)
-{
-  double cores = settings->cpu_share * settings->cpu_cores;
-  double links = settings->link_mbps / LINK_MBPS_PER_CORE;
-
-  return (uint32_t)(PERCENT * (cores < links ? cores : links));
-}
-
 static struct ds_fleet_self
 make_self (const struct ds_entry *entry)
 {
@@ -816,7 +771,7 @@
     .region = settings->region,
     .caller_address = settings->caller_address,
     .gossip_address = settings->gossip_address,
-    .capacity = capacity_of (settings),
+    .capacity = ds_host_capacity (settings),
   };
 }
 
@@ -1025,6 +980,15 @@
   ds_host_memory_init (&entry->exchanges.memory,
                        (uint64_t)(settings->memory_mb * BYTES_PER_MB));
   entry->callers = make_caller_group (entry);
+  entry->monitor = (struct ds_host_monitor){
+    .settings = settings,
+    .strain = &entry->exchanges.strain,
+    .fleet = entry->fleet,
+    .store = entry->store,
+    .callers = &entry->callers,
+    .addresses = &entry->addresses,
+  };
+  ds_host_monitor_start (&entry->monitor);
   entry->readiness = make_group (entry, ds_address_service_readiness);
   entry->directory = make_group (entry, ds_address_service_addresses);
   entry->metrics = make_group (entry, ds_address_service_metrics);
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -88,6 +88,11 @@
   OPTIONAL_REAL (struct ds_entry_settings, cpu_share, 0, 1000, 1),
   OPTIONAL_REAL (struct ds_entry_settings, cpu_cores, 0, 1000, 1),
   OPTIONAL_REAL (struct ds_entry_settings, link_mbps, 0, 1000000, 1000),
+  {
+      .name = "spread_callers",
+      .type = DS_FIELD_BOOL,
+      .offset = offsetof (struct ds_entry_settings, spread_callers),
+  },
   /* The default suits the smallest supported machine.  */
   OPTIONAL_REAL (struct ds_entry_settings, memory_mb, 32, 1048576, 88),
   OPTIONAL_REAL (struct ds_entry_settings, evacuation_ms, 100, 600000, 0),
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -57,6 +57,7 @@
   double memory_mb;         /* MiB; limit of the process */
   double evacuation_ms;     /* 0: evacuations are not watched */
   struct ds_name_map zones; /* regions by zone; may be empty */
+  bool spread_callers;
   struct ds_retry_settings retry;
   struct ds_budget_settings budget;
 };
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -40,6 +40,7 @@
   datagram->wall_ms = ds_clock_wall_ms ();
   datagram->median_wall_ms
       = ds_fleet_clock_report (&view->clock, ds_clock_ms ());
+  ds_fleet_fill_load (view, owner, datagram);
   datagram->config_revision = view->store_revisions[DS_STORE_CONFIG];
   datagram->replica_revision = view->store_revisions[DS_STORE_REPLICAS];
   datagram->evacuation_revision = view->store_revisions[DS_STORE_EVACUATIONS];
@@ -557,6 +558,7 @@
                              datagram->replica_revision);
   ds_fleet_receive_revision (view, DS_STORE_EVACUATIONS,
                              datagram->evacuation_revision);
+  ds_fleet_receive_load (view, member, datagram, heard_ms);
   if (!datagram->partial)
     receive_loads (member, datagram);
   ds_fleet_record_parts (view, datagram->reads, datagram->n_reads, now_ms);
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -200,6 +200,9 @@
   if (info->ready && !info->draining)
     {
       summary->ready_ages[summary->n_ready_ages++] = age;
+      summary->ready_loads[summary->n_ready_hosts] = ds_fleet_pack_load (info);
+      if (summary->ready_loads[summary->n_ready_hosts] > 0)
+        summary->n_ready_loads = 1;
       summary->ready_hosts[summary->n_ready_hosts++] = id;
     }
   else
@@ -226,6 +229,8 @@
     .ready = view->ready,
     .draining = view->draining,
     .strained = view->strained,
+    .load_percent = view->load_percent,
+    .load_level = view->load_level,
   };
 
   summary->ready_hosts = talloc_array (owner, uint32_t, most);
@@ -234,9 +239,11 @@
   summary->other_ages = talloc_array (owner, uint32_t, most);
   summary->cut_hosts = talloc_array (owner, uint32_t, most);
   summary->strained_hosts = talloc_array (owner, uint32_t, most);
+  summary->ready_loads = talloc_array (owner, uint32_t, most);
   if (summary->ready_hosts == NULL || summary->ready_ages == NULL
       || summary->other_hosts == NULL || summary->other_ages == NULL
-      || summary->cut_hosts == NULL || summary->strained_hosts == NULL)
+      || summary->cut_hosts == NULL || summary->strained_hosts == NULL
+      || summary->ready_loads == NULL)
     return;
   list_host (summary, view->short_id, &self, view->ledger_reachable, now_ms);
   for (size_t i = 0; i < view->count; i++)
@@ -248,6 +255,8 @@
         list_host (summary, member->short_id, &member->info,
                    member->ledger_reachable, now_ms);
     }
+  if (summary->n_ready_loads > 0)
+    summary->n_ready_loads = summary->n_ready_hosts;
 }
 
 static void
@@ -403,6 +412,7 @@
   fill_records (view, owner, summary, fleet, now_ms);
   ds_fleet_fill_suspects (view, owner, datagram);
   ds_fleet_fill_evacuations (view, owner, datagram);
+  ds_fleet_fill_summary_heavy (view, owner, summary, fleet, now_ms);
   summary->departures
       = ds_fleet_take_departures (view, owner, &summary->n_departures);
   datagram->summary = summary;
@@ -491,11 +501,12 @@
   talloc_free (scratch);
 }
 
-/* Takes over the state of the hosts in IDS of which the summary has a later
+/* Takes over the state of the hosts in IDS, with LOADS if not null, of which the summary has a later
    sign of life than this host.  */
 static void
 receive_hosts (struct ds_fleet_view *view, const uint32_t *ids,
-               const uint32_t *ages, size_t count, bool ready, uint64_t now_ms)
+               const uint32_t *ages, const uint32_t *loads, size_t count,
+               bool ready, uint64_t now_ms)
 {
   for (size_t i = 0; i < count; i++)
     {
@@ -510,6 +521,7 @@
       member->info.ready = ready;
       member->info.draining = member->info.draining && !ready;
       member->info.strained = false;
+      ds_fleet_unpack_load (&member->info, loads != NULL ? loads[i] : 0);
       member->ledger_reachable = true;
       member->summary = view->summaries;
     }
@@ -660,11 +672,15 @@
   receive_records (view, summary);
   if (summary->n_ready_hosts == summary->n_ready_ages)
     receive_hosts (view, summary->ready_hosts, summary->ready_ages,
+                   summary->n_ready_loads == summary->n_ready_hosts
+                       ? summary->ready_loads
+                       : NULL,
                    summary->n_ready_hosts, true, heard_ms);
   if (summary->n_other_hosts == summary->n_other_ages)
-    receive_hosts (view, summary->other_hosts, summary->other_ages,
+    receive_hosts (view, summary->other_hosts, summary->other_ages, NULL,
                    summary->n_other_hosts, false, heard_ms);
   receive_conditions (view, summary);
+  ds_fleet_receive_summary_heavy (view, summary, heard_ms);
   ds_fleet_receive_departures (view, sender, summary->departures,
                                summary->n_departures);
   ds_fleet_record_parts (view, summary->reads, summary->n_reads,
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -56,6 +56,7 @@
   member->info.capacity = CAPACITY_DEFAULT;
   member->info.timeout_ms = ds_gossip_timeout_ms (view->count);
   member->short_id = (uint32_t)ds_str_hash (host, HOST_SEED);
+  member->info.id = member->short_id;
   member->relay_weight = ds_str_hash (host, RELAY_SEED);
   member->added_ms = ds_clock_ms ();
   /* Until it reports otherwise.  */
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -4,6 +4,7 @@
 #include "core/allotment.h"
 #include "core/crash_suspects.h"
 #include "core/evacuation.h"
+#include "core/heavy_callers.h"
 #include "core/replica_set.h"
 #include "core/watch_pace.h"
 #include "daisystep/error.h"
@@ -37,6 +38,9 @@
   bool draining;
   bool ready;
   bool strained; /* should get fewer callers */
+  uint32_t id;   /* short id */
+  uint32_t load_percent;
+  uint32_t load_level; /* at which it gives up callers */
 };
 
 /* What the store says of a host.  Strings may be empty except HOST.  */
@@ -136,6 +140,11 @@
 void ds_fleet_view_set_state (struct ds_fleet_view *view, bool ready,
                               bool draining);
 void ds_fleet_view_set_strained (struct ds_fleet_view *view, bool strained);
+void ds_fleet_view_share_loads (struct ds_fleet_view *view,
+                                struct ds_heavy_callers *heavy);
+void ds_fleet_view_set_load (struct ds_fleet_view *view, uint32_t percent,
+                             uint32_t level);
+uint32_t ds_fleet_view_id (const struct ds_fleet_view *view);
 void ds_fleet_view_set_ledger_reachable (struct ds_fleet_view *view,
                                          bool reachable);
 bool ds_fleet_view_others_lost_ledger (const struct ds_fleet_view *view);
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -178,6 +178,9 @@
   bool ready;
   bool draining;
   bool eligible;
+  uint32_t load_percent; /* of this host */
+  uint32_t load_level;
+  struct ds_heavy_callers *heavy; /* null: loads are not shared */
 };
 
 /* fleet_view.c */
@@ -228,6 +231,23 @@
                                    const struct ds_fleet_peer *member,
                                    const Daisystep__Gossip__Datagram *datagram,
                                    uint64_t age_ms);
+/* fleet_loads.c */
+void ds_fleet_fill_load (const struct ds_fleet_view *view, TALLOC_CTX *owner,
+                         Daisystep__Gossip__Datagram *datagram);
+void ds_fleet_receive_load (struct ds_fleet_view *view,
+                            struct ds_fleet_peer *member,
+                            const Daisystep__Gossip__Datagram *datagram,
+                            uint64_t now_ms);
+void ds_fleet_fill_summary_heavy (const struct ds_fleet_view *view,
+                                  TALLOC_CTX *owner,
+                                  Daisystep__Gossip__Summary *summary,
+                                  bool fleet, uint64_t now_ms);
+void
+ds_fleet_receive_summary_heavy (struct ds_fleet_view *view,
+                                const Daisystep__Gossip__Summary *summary,
+                                uint64_t now_ms);
+uint32_t ds_fleet_pack_load (const struct ds_fleet_member *info);
+void ds_fleet_unpack_load (struct ds_fleet_member *info, uint32_t packed);
 
 /* fleet_relay.c */
 void ds_fleet_relay_tick (struct ds_fleet_view *view, uint64_t now_ms);
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -47,6 +48,23 @@
   int fd;
 };
 
+/* Bytes sent and received by all streams of the process.  */
+static _Atomic uint64_t all_bytes;
+
+static void
+count_bytes (size_t count)
+{
+  atomic_fetch_add_explicit (&all_bytes, count, memory_order_relaxed);
+}
+
+/* Returns the bytes that all streams of the process have sent and received.
+   Thread-safe.  */
+uint64_t
+ds_tcp_all_bytes (void)
+{
+  return atomic_load_explicit (&all_bytes, memory_order_relaxed);
+}
+
 static void
 update_fd_event (struct ds_tcp *tcp)
 {
@@ -142,6 +160,7 @@
     }
   *sent = (size_t)count;
   tcp->sent += (uint64_t)count;
+  count_bytes ((size_t)count);
   return *sent == bytes.length;
 }
 
@@ -204,10 +223,14 @@
                          : DS_TCP_END_RESET);
   else if (count == 0)
     end_stream (tcp, DS_TCP_END_CLOSED);
-  else if (tcp->handlers.on_bytes != NULL)
-    tcp->handlers.on_bytes (
-        (struct ds_str){ .data = bytes, .length = (size_t)count },
-        tcp->handlers.user_data);
+  else
+    {
+      count_bytes ((size_t)count);
+      if (tcp->handlers.on_bytes != NULL)
+        tcp->handlers.on_bytes (
+            (struct ds_str){ .data = bytes, .length = (size_t)count },
+            tcp->handlers.user_data);
+    }
 }
 
 static void
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -60,6 +60,7 @@
 int ds_tcp_write_shared (struct ds_tcp *tcp, TALLOC_CTX *holder,
                          struct ds_str bytes);
 size_t ds_tcp_unsent_bytes (const struct ds_tcp *tcp);
+uint64_t ds_tcp_all_bytes (void);
 uint64_t ds_tcp_sent_bytes (const struct ds_tcp *tcp);
 bool ds_tcp_is_connected (const struct ds_tcp *tcp);
 bool ds_tcp_is_paused (const struct ds_tcp *tcp);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -457,6 +457,96 @@
   assert(message->base.descriptor == &daisystep__gossip__evacuation__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisystep__gossip__heavy_caller__init
+                     (Daisystep__Gossip__HeavyCaller         *message)
+{
+  static const Daisystep__Gossip__HeavyCaller init_value = DAISYSTEP__GOSSIP__HEAVY_CALLER__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__heavy_caller__get_packed_size
+                     (const Daisystep__Gossip__HeavyCaller *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__heavy_caller__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__heavy_caller__pack
+                     (const Daisystep__Gossip__HeavyCaller *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__heavy_caller__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__heavy_caller__pack_to_buffer
+                     (const Daisystep__Gossip__HeavyCaller *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__heavy_caller__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__HeavyCaller *
+       daisystep__gossip__heavy_caller__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__HeavyCaller *)
+     protobuf_c_message_unpack (&daisystep__gossip__heavy_caller__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__heavy_caller__free_unpacked
+                     (Daisystep__Gossip__HeavyCaller *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__heavy_caller__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   daisystep__gossip__host_load__init
+                     (Daisystep__Gossip__HostLoad         *message)
+{
+  static const Daisystep__Gossip__HostLoad init_value = DAISYSTEP__GOSSIP__HOST_LOAD__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__host_load__get_packed_size
+                     (const Daisystep__Gossip__HostLoad *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__host_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__host_load__pack
+                     (const Daisystep__Gossip__HostLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__host_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__host_load__pack_to_buffer
+                     (const Daisystep__Gossip__HostLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__host_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__HostLoad *
+       daisystep__gossip__host_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__HostLoad *)
+     protobuf_c_message_unpack (&daisystep__gossip__host_load__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__host_load__free_unpacked
+                     (Daisystep__Gossip__HostLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__host_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisystep__gossip__summary__init
                      (Daisystep__Gossip__Summary         *message)
 {
@@ -1369,7 +1459,135 @@
   (ProtobufCMessageInit) daisystep__gossip__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[14] =
+static const ProtobufCFieldDescriptor daisystep__gossip__heavy_caller__field_descriptors[3] =
+{
+  {
+    "origin",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HeavyCaller, origin),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HeavyCaller, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HeavyCaller, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__heavy_caller__field_indices_by_name[] = {
+  1,   /* field[1] = host */
+  2,   /* field[2] = load */
+  0,   /* field[0] = origin */
+};
+static const ProtobufCIntRange daisystep__gossip__heavy_caller__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__heavy_caller__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.HeavyCaller",
+  "HeavyCaller",
+  "Daisystep__Gossip__HeavyCaller",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__HeavyCaller),
+  3,
+  daisystep__gossip__heavy_caller__field_descriptors,
+  daisystep__gossip__heavy_caller__field_indices_by_name,
+  1,  daisystep__gossip__heavy_caller__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__heavy_caller__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisystep__gossip__host_load__field_descriptors[3] =
+{
+  {
+    "percent",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HostLoad, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__HostLoad, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heavy_callers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__HostLoad, n_heavy_callers),
+    offsetof(Daisystep__Gossip__HostLoad, heavy_callers),
+    &daisystep__gossip__heavy_caller__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__host_load__field_indices_by_name[] = {
+  2,   /* field[2] = heavy_callers */
+  1,   /* field[1] = level */
+  0,   /* field[0] = percent */
+};
+static const ProtobufCIntRange daisystep__gossip__host_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__host_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.HostLoad",
+  "HostLoad",
+  "Daisystep__Gossip__HostLoad",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__HostLoad),
+  3,
+  daisystep__gossip__host_load__field_descriptors,
+  daisystep__gossip__host_load__field_indices_by_name,
+  1,  daisystep__gossip__host_load__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__host_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[16] =
 {
   {
     "zone",
@@ -1539,10 +1757,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ready_loads",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Daisystep__Gossip__Summary, n_ready_loads),
+    offsetof(Daisystep__Gossip__Summary, ready_loads),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heavy_callers",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Summary, n_heavy_callers),
+    offsetof(Daisystep__Gossip__Summary, heavy_callers),
+    &daisystep__gossip__heavy_caller__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__summary__field_indices_by_name[] = {
   8,   /* field[8] = cut_hosts */
   13,   /* field[13] = departures */
+  15,   /* field[15] = heavy_callers */
   10,   /* field[10] = leaving */
   12,   /* field[12] = other_ages */
   2,   /* field[2] = other_hosts */
@@ -1550,16 +1793,18 @@
   6,   /* field[6] = reads */
   11,   /* field[11] = ready_ages */
   1,   /* field[1] = ready_hosts */
+  14,   /* field[14] = ready_loads */
   7,   /* field[7] = records */
   3,   /* field[3] = replicas */
   4,   /* field[4] = running */
   9,   /* field[9] = strained_hosts */
   0,   /* field[0] = zone */
 };
-static const ProtobufCIntRange daisystep__gossip__summary__number_ranges[1 + 1] =
+static const ProtobufCIntRange daisystep__gossip__summary__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 18, 14 },
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor =
 {
@@ -1569,14 +1814,14 @@
   "Daisystep__Gossip__Summary",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Summary),
-  14,
+  16,
   daisystep__gossip__summary__field_descriptors,
   daisystep__gossip__summary__field_indices_by_name,
-  1,  daisystep__gossip__summary__number_ranges,
+  2,  daisystep__gossip__summary__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[32] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[33] =
 {
   {
     "host",
@@ -1962,6 +2207,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, load),
+    &daisystep__gossip__host_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -1980,6 +2237,7 @@
   1,   /* field[1] = incarnation */
   21,   /* field[21] = leaving */
   16,   /* field[16] = ledger_near */
+  32,   /* field[32] = load */
   8,   /* field[8] = loads */
   31,   /* field[31] = median_wall_ms */
   17,   /* field[17] = partial */
@@ -1997,12 +2255,13 @@
   30,   /* field[30] = wall_ms */
   2,   /* field[2] = zone */
 };
-static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[3 + 1] =
+static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 30, 28 },
   { 35, 30 },
-  { 0, 32 }
+  { 39, 32 },
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -2012,10 +2271,10 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  32,
+  33,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
-  3,  daisystep__gossip__datagram__number_ranges,
+  4,  daisystep__gossip__datagram__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -25,6 +25,8 @@
 typedef struct Daisystep__Gossip__HostRecord Daisystep__Gossip__HostRecord;
 typedef struct Daisystep__Gossip__Departure Daisystep__Gossip__Departure;
 typedef struct Daisystep__Gossip__Evacuation Daisystep__Gossip__Evacuation;
+typedef struct Daisystep__Gossip__HeavyCaller Daisystep__Gossip__HeavyCaller;
+typedef struct Daisystep__Gossip__HostLoad Daisystep__Gossip__HostLoad;
 typedef struct Daisystep__Gossip__Summary Daisystep__Gossip__Summary;
 typedef struct Daisystep__Gossip__Datagram Daisystep__Gossip__Datagram;
 
@@ -228,6 +230,39 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * A caller, by the hash of its IP address, that uses much of a host, given by
+ * the low 32 bits of its hash. The load is in thousandths of a core.
+ */
+struct  Daisystep__Gossip__HeavyCaller
+{
+  ProtobufCMessage base;
+  uint64_t origin;
+  uint32_t host;
+  uint32_t load;
+};
+#define DAISYSTEP__GOSSIP__HEAVY_CALLER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__heavy_caller__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * How much of the sender is used, the level at which it gives up callers, and
+ * the heavy callers that it serves.
+ */
+struct  Daisystep__Gossip__HostLoad
+{
+  ProtobufCMessage base;
+  uint32_t percent;
+  uint32_t level;
+  size_t n_heavy_callers;
+  Daisystep__Gossip__HeavyCaller **heavy_callers;
+};
+#define DAISYSTEP__GOSSIP__HOST_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__host_load__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /*
  * What a relay knows of one zone or, with an empty zone, of the fleet. Hosts
  * and replicas are given by the low 32 bits of their hashes. Only live hosts are
@@ -282,10 +317,19 @@
   uint32_t *other_ages;
   size_t n_departures;
   Daisystep__Gossip__Departure **departures;
+  /*
+   * Loads of the ready hosts, at the same positions: the level at which a host
+   * gives up callers, plus eight times its utilisation in units of 10 %. Absent
+   * if all are 0.
+   */
+  size_t n_ready_loads;
+  uint32_t *ready_loads;
+  size_t n_heavy_callers;
+  Daisystep__Gossip__HeavyCaller **heavy_callers;
 };
 #define DAISYSTEP__GOSSIP__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__summary__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Daisystep__Gossip__Datagram
@@ -379,10 +423,14 @@
    */
   uint64_t wall_ms;
   uint64_t median_wall_ms;
+  /*
+   * Absent if the sender does not measure its load.
+   */
+  Daisystep__Gossip__HostLoad *load;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, NULL }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
@@ -575,6 +623,44 @@
 void   daisystep__gossip__evacuation__free_unpacked
                      (Daisystep__Gossip__Evacuation *message,
                       ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__HeavyCaller methods */
+void   daisystep__gossip__heavy_caller__init
+                     (Daisystep__Gossip__HeavyCaller         *message);
+size_t daisystep__gossip__heavy_caller__get_packed_size
+                     (const Daisystep__Gossip__HeavyCaller   *message);
+size_t daisystep__gossip__heavy_caller__pack
+                     (const Daisystep__Gossip__HeavyCaller   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__heavy_caller__pack_to_buffer
+                     (const Daisystep__Gossip__HeavyCaller   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__HeavyCaller *
+       daisystep__gossip__heavy_caller__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__heavy_caller__free_unpacked
+                     (Daisystep__Gossip__HeavyCaller *message,
+                      ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__HostLoad methods */
+void   daisystep__gossip__host_load__init
+                     (Daisystep__Gossip__HostLoad         *message);
+size_t daisystep__gossip__host_load__get_packed_size
+                     (const Daisystep__Gossip__HostLoad   *message);
+size_t daisystep__gossip__host_load__pack
+                     (const Daisystep__Gossip__HostLoad   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__host_load__pack_to_buffer
+                     (const Daisystep__Gossip__HostLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__HostLoad *
+       daisystep__gossip__host_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__host_load__free_unpacked
+                     (Daisystep__Gossip__HostLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Daisystep__Gossip__Summary methods */
 void   daisystep__gossip__summary__init
                      (Daisystep__Gossip__Summary         *message);
@@ -645,6 +731,12 @@
 typedef void (*Daisystep__Gossip__Evacuation_Closure)
                  (const Daisystep__Gossip__Evacuation *message,
                   void *closure_data);
+typedef void (*Daisystep__Gossip__HeavyCaller_Closure)
+                 (const Daisystep__Gossip__HeavyCaller *message,
+                  void *closure_data);
+typedef void (*Daisystep__Gossip__HostLoad_Closure)
+                 (const Daisystep__Gossip__HostLoad *message,
+                  void *closure_data);
 typedef void (*Daisystep__Gossip__Summary_Closure)
                  (const Daisystep__Gossip__Summary *message,
                   void *closure_data);
@@ -667,6 +759,8 @@
 extern const ProtobufCMessageDescriptor daisystep__gossip__host_record__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__departure__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__evacuation__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__heavy_caller__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__host_load__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor;
 
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -145,10 +145,22 @@
 START_TEST (callers_get_the_hosts_of_their_zone)
 {
   const struct ds_address_candidate hosts[] = {
-    { DS_STR ("k"), DS_STR ("r"), DS_STR ("1"), 25 },
-    { DS_STR ("k"), DS_STR ("r"), DS_STR ("2"), 25 },
-    { DS_STR ("b"), DS_STR ("r"), DS_STR ("3"), 25 },
-    { DS_STR ("x"), DS_STR ("q"), DS_STR ("4"), 25 },
+    { .zone = DS_STR ("k"),
+      .region = DS_STR ("r"),
+      .address = DS_STR ("1"),
+      .capacity = 25 },
+    { .zone = DS_STR ("k"),
+      .region = DS_STR ("r"),
+      .address = DS_STR ("2"),
+      .capacity = 25 },
+    { .zone = DS_STR ("b"),
+      .region = DS_STR ("r"),
+      .address = DS_STR ("3"),
+      .capacity = 25 },
+    { .zone = DS_STR ("x"),
+      .region = DS_STR ("q"),
+      .address = DS_STR ("4"),
+      .capacity = 25 },
   };
   struct ds_str out[DS_ADDRESSES_MAX];
 
