--- a/src/core/address_choice.c
+++ b/src/core/address_choice.c
@@ -1,5 +1,6 @@
 #include "core/address_choice.h"
 #include "core/budget_home.h"
+#include "core/heavy_choice.h"
 #include "core/host_load.h"
 
 #include <talloc.h>
@@ -12,14 +13,6 @@
    must be independent of the scores.  */
 #define OFFER_SEED 0x6f66666572ULL
 #define ROUND_SEED 0x726f756e64ULL
-#define PERCENT 100
-/* Part of a host that heavy callers may use together: before another one is
-   led there, and before one that is there has to leave.  The gap keeps a
-   caller whose load varies at its host.  */
-#define HEAVY_SHARE_PERCENT 70
-#define HEAVY_SHARE_LEAVE_PERCENT 90
-/* Thousandths of a core in one unit of capacity.  */
-#define LOAD_PER_CAPACITY 10
 
 enum scope
 {
@@ -165,14 +158,27 @@
   return false;
 }
 
-/* Appends hosts of other zones than ZONE that give up no callers to the FOUND
+/* Whether CANDIDATE is offered to CALLER of another zone: a host that gives up
+   callers of its own zone gives up some more of the others.  All or nothing
+   would move the callers of a whole zone back and forth.  */
+static bool
+is_offered_elsewhere (const struct ds_address_candidate *candidate,
+                      uint64_t caller)
+{
+  uint32_t level = candidate->level > 0 ? candidate->level + 1 : 0;
+
+  return level < DS_LOAD_LEVELS
+         && ds_address_is_offered (candidate->address, caller, level);
+}
+
+/* Appends hosts of other zones than ZONE, which has LEVEL, to the FOUND
    addresses in OUT, those of the region first; up to MOST.  Returns their
    number.  */
 static size_t
 choose_elsewhere (struct ds_str *out, size_t found,
                   const struct ds_address_candidate *candidates, size_t count,
                   struct ds_str zone, struct ds_str region, uint64_t caller,
-                  size_t most)
+                  uint32_t level, size_t most)
 {
   struct ds_address_candidate *others;
   size_t used = 0;
@@ -183,9 +189,10 @@
   others = talloc_array (NULL, struct ds_address_candidate,
                          (unsigned)count + 1);
   for (size_t i = 0; i < count && others != NULL; i++)
-    if (!ds_str_equal (candidates[i].zone, zone) && candidates[i].level == 0
+    if (!ds_str_equal (candidates[i].zone, zone)
+        && is_offered_elsewhere (&candidates[i], caller)
         && !contains (out, found, candidates[i].address)
-        && level_of_zone (candidates, count, candidates[i].zone) == 0)
+        && level_of_zone (candidates, count, candidates[i].zone) <= level)
       others[used++] = candidates[i];
   if (others != NULL)
     added = choose_best (out + found, others, used, SAME_REGION, zone, region,
@@ -215,94 +222,6 @@
   return own + count > DS_ADDRESSES_MAX ? DS_ADDRESSES_MAX - own : count;
 }
 
-/* A host with what heavy callers do there.  */
-struct heavy_place
-{
-  const struct ds_address_candidate *candidate;
-  enum scope scope;
-  bool has_room;
-  bool is_current; /* the caller is there now */
-  double score;
-};
-
-static enum scope
-scope_of (const struct ds_address_candidate *candidate, struct ds_str zone,
-          struct ds_str region)
-{
-  if (ds_str_equal (candidate->zone, zone))
-    return SAME_ZONE;
-  return ds_str_equal (candidate->region, region) ? SAME_REGION : ANY_REGION;
-}
-
-static bool
-is_better_place (const struct heavy_place *a, const struct heavy_place *b)
-{
-  if (a->has_room != b->has_room)
-    return a->has_room;
-  if (a->scope != b->scope)
-    return a->scope < b->scope;
-  if (a->is_current != b->is_current)
-    return a->is_current;
-  return a->score > b->score;
-}
-
-/* Writes the hosts for the heavy CALLER with LOAD to OUT: those that can carry
-   it alone, since it uses one at a time, or else the strongest.  */
-static size_t
-choose_for_heavy (struct ds_str *out,
-                  const struct ds_address_candidate *candidates, size_t count,
-                  struct ds_str zone, struct ds_str region, uint64_t caller,
-                  const struct ds_heavy_callers *heavy, uint32_t load,
-                  uint64_t now_ms)
-{
-  struct heavy_place best[ZONE_HOSTS_MIN];
-  uint32_t strongest = 0;
-  size_t found = 0;
-
-  for (size_t i = 0; i < count; i++)
-    if (candidates[i].machine_capacity > strongest)
-      strongest = candidates[i].machine_capacity;
-  for (size_t i = 0; i < count; i++)
-    {
-      const struct ds_address_candidate *candidate = &candidates[i];
-      uint32_t capacity = candidate->machine_capacity * LOAD_PER_CAPACITY;
-      struct heavy_place place = {
-        .candidate = candidate,
-        .scope = scope_of (candidate, zone, region),
-        .is_current
-        = ds_heavy_callers_is_at (heavy, candidate->id, caller, now_ms),
-        .score = ds_capacity_score (ds_str_hash (candidate->address, caller),
-                                    candidate->machine_capacity),
-      };
-      uint64_t sum = (uint64_t)load
-                     + ds_heavy_callers_host_load (heavy, candidate->id,
-                                                   caller, now_ms);
-      size_t at;
-
-      if (!ds_heavy_fits (load, capacity)
-          && candidate->machine_capacity < strongest)
-        continue;
-      place.has_room
-          = sum * PERCENT
-                <= (uint64_t)capacity
-                       * (place.is_current ? HEAVY_SHARE_LEAVE_PERCENT
-                                           : HEAVY_SHARE_PERCENT)
-            && (place.is_current || candidate->level < DS_LOAD_LEVELS / 2);
-      if (found == ZONE_HOSTS_MIN
-          && !is_better_place (&place, &best[found - 1]))
-        continue;
-      if (found < ZONE_HOSTS_MIN)
-        found++;
-      for (at = found - 1; at > 0 && is_better_place (&place, &best[at - 1]);
-           at--)
-        best[at] = best[at - 1];
-      best[at] = place;
-    }
-  for (size_t i = 0; i < found; i++)
-    out[i] = best[i].candidate->address;
-  return found;
-}
-
 /* Whether CALLER with LOAD, a heavy one, is too much for a host of CHOSEN.  */
 static bool
 is_too_heavy (const struct ds_address_candidate *candidates, size_t count,
@@ -311,7 +230,7 @@
   for (size_t i = 0; i < count && load > 0; i++)
       if (contains (chosen, chosen_count, candidates[i].address)
           && !ds_heavy_fits (load, candidates[i].machine_capacity
-                                       * LOAD_PER_CAPACITY))
+                                       * DS_LOAD_PER_CAPACITY))
         return true;
   return false;
 }
@@ -336,19 +255,20 @@
       = ds_address_choose (usual, candidates, count, zone, region, caller);
   uint32_t load = ds_heavy_callers_load (heavy, caller);
   size_t found = 0;
+  uint32_t level;
 
   if (is_too_heavy (candidates, count, usual, usual_count, load))
-    return choose_for_heavy (out, candidates, count, zone, region, caller,
-                             heavy, load, now_ms);
+    return ds_heavy_choose (out, candidates, count, zone, region, caller,
+                            heavy, now_ms);
   for (size_t i = 0; i < usual_count; i++)
     for (size_t k = 0; k < count; k++)
       if (ds_str_equal (usual[i], candidates[k].address)
           && ds_address_is_offered (usual[i], caller, candidates[k].level))
         out[found++] = usual[i];
-  found += choose_elsewhere (
-      out, found, candidates, count, zone, region, caller,
-      elsewhere_count (found, level_of_zone (candidates, count, zone), zone,
-                       caller));
+  level = level_of_zone (candidates, count, zone);
+  found += choose_elsewhere (out, found, candidates, count, zone, region,
+                             caller, level,
+                             elsewhere_count (found, level, zone, caller));
   if (found > 0)
     return found;
   for (size_t i = 0; i < usual_count; i++)
--- a/src/core/heavy_callers.c
+++ b/src/core/heavy_callers.c
@@ -6,7 +6,7 @@
    processor time.  */
 #define REQUEST_BYTES 4096
 /* Time constant of the counts; as that of the utilisation.  */
-#define SMOOTHING_MS 1000.0
+#define SMOOTHING_MS 500.0
 /* Weight below which a caller is no longer counted.  */
 #define WEIGHT_MIN 64
 /* A caller that uses this part of the capacity of a host that has to give up
@@ -185,28 +185,6 @@
   return false;
 }
 
-/* What heavy callers other than ORIGIN put on HOST.  If ORIGIN is there too,
-   only those with a lower hash count: when they are too many together, the
-   others stay.  */
-uint32_t
-ds_heavy_callers_host_load (const struct ds_heavy_callers *heavy,
-                            uint32_t host, uint64_t origin, uint64_t now_ms)
-{
-  bool is_there = ds_heavy_callers_is_at (heavy, host, origin, now_ms);
-  uint32_t load = 0;
-
-  for (size_t i = 0; i < heavy->count; i++)
-    {
-      const struct ds_heavy_caller *caller = &heavy->callers[i];
-
-      if (caller->host == host && caller->origin != origin
-          && (!is_there || caller->origin < origin)
-          && ds_heavy_caller_is_recent (caller, DS_HEAVY_FLEET, now_ms))
-        load += caller->load;
-    }
-  return load;
-}
-
 /* What heavy callers put on HOST that it cannot carry: they leave it.  */
 uint32_t
 ds_heavy_callers_misplaced (const struct ds_heavy_callers *heavy,
--- a/src/core/heavy_callers.h
+++ b/src/core/heavy_callers.h
@@ -7,6 +7,9 @@
 
 /* Callers whose requests a host counts.  */
 #define DS_CALLER_USES_MAX 64
+/* Thousandths of a core, the unit of loads, in one unit of the capacity that
+   hosts report.  */
+#define DS_LOAD_PER_CAPACITY 10
 /* Heavy callers that the hosts share.  */
 #define DS_HEAVY_CALLERS_MAX 32
 
@@ -69,9 +72,6 @@
                                 enum ds_heavy_source source, uint64_t now_ms);
 uint32_t ds_heavy_callers_load (const struct ds_heavy_callers *heavy,
                                 uint64_t origin);
-uint32_t ds_heavy_callers_host_load (const struct ds_heavy_callers *heavy,
-                                     uint32_t host, uint64_t origin,
-                                     uint64_t now_ms);
 bool ds_heavy_callers_is_at (const struct ds_heavy_callers *heavy,
                              uint32_t host, uint64_t origin, uint64_t now_ms);
 bool ds_heavy_fits (uint32_t load, uint32_t capacity);
--- a/src/core/host_load.c
+++ b/src/core/host_load.c
@@ -2,9 +2,9 @@
 
 #define PERCENT 100
 #define BITS_PER_BYTE 8
-/* Time constant of the average: several ticks, so that one burst does not
-   count as load, and less than an address lifetime.  */
-#define SMOOTHING_MS 1000.0
+/* Time constant of the average: some ticks, so that one burst does not count as
+   load, and less than an address lifetime.  */
+#define SMOOTHING_MS 500.0
 /* Utilisation above which a host gives up callers.  Above it, queues at the
    link or the processor grow with each burst.  */
 #define HIGH_PERCENT 85
@@ -13,6 +13,13 @@
 /* A host takes callers back if it expects less than this with them.  Well
    below HIGH_PERCENT, so that they do not push it over the limit again.  */
 #define RETURN_PERCENT 65
+/* A host that uses this much is full: what it would get is unknown, and counts
+   as FULL_COUNTS_PERCENT.  */
+#define FULL_PERCENT 95
+#define FULL_COUNTS_PERCENT 150
+/* Time above the limit before the first decision, in which the average comes
+   close to the load.  */
+#define SETTLE_MS 600
 /* Address lifetimes between two changes of the level.  */
 #define LIFETIMES_PER_CHANGE 2
 
@@ -88,9 +95,17 @@
   double offered = DS_LOAD_LEVELS - load->level;
   uint32_t level = load->level;
 
+  if (!ds_host_load_is_over (percent))
+    load->over_ms = 0;
+  else if (load->over_ms == 0)
+    load->over_ms = now_ms;
   if (load->level_ms > 0
       && now_ms - load->level_ms < LIFETIMES_PER_CHANGE * lifetime_ms)
     return false;
+  if (load->over_ms > 0 && now_ms - load->over_ms < SETTLE_MS)
+    return false;
+  if (percent >= FULL_PERCENT && percent < FULL_COUNTS_PERCENT)
+    percent = FULL_COUNTS_PERCENT;
   if (ds_host_load_is_over (percent))
     {
       level = DS_LOAD_LEVELS - (uint32_t)(offered * TARGET_PERCENT / percent);
--- a/src/core/host_load.h
+++ b/src/core/host_load.h
@@ -36,6 +36,7 @@
   double connections;   /* percent */
   double memory;        /* percent */
   uint32_t level;
+  uint64_t over_ms;  /* since when it has to give up callers; 0: it has not */
   uint64_t level_ms; /* time of its last change; 0 for never */
 };
 
--- a/src/entry/host_monitor.c
+++ b/src/entry/host_monitor.c
@@ -11,8 +11,6 @@
 /* A link that is as strong as one core.  */
 #define LINK_MBPS_PER_CORE 200
 #define PERCENT 100
-/* Thousandths of a core in one unit of capacity.  */
-#define LOAD_PER_CAPACITY 10
 /* Sockets for one caller: its connection and one to a replica.  */
 #define SOCKETS_PER_CALLER 2
 /* Utilisation of a host that shows signs of strain, whatever it measures: its
@@ -153,7 +151,7 @@
 lasting_percent (const struct ds_host_monitor *monitor, double percent,
                  uint64_t now_ms)
 {
-  uint32_t capacity = monitor->addresses->capacity * LOAD_PER_CAPACITY;
+  uint32_t capacity = monitor->addresses->capacity * DS_LOAD_PER_CAPACITY;
   uint32_t leaving
       = is_strongest (monitor) || capacity == 0
             ? 0
@@ -199,7 +197,7 @@
     .connections = monitor->connections_max,
   };
   const struct ds_host_usage usage = current_usage (monitor);
-  double capacity = monitor->addresses->capacity * LOAD_PER_CAPACITY;
+  double capacity = monitor->addresses->capacity * DS_LOAD_PER_CAPACITY;
   double percent;
   struct ds_heavy_tick tick = {
     .host = ds_fleet_view_id (monitor->fleet),
@@ -251,7 +249,7 @@
                        size_t body_bytes)
 {
   uint32_t load = ds_heavy_callers_load (&monitor->heavy, origin);
-  uint32_t capacity = monitor->addresses->capacity * LOAD_PER_CAPACITY;
+  uint32_t capacity = monitor->addresses->capacity * DS_LOAD_PER_CAPACITY;
 
   ds_heavy_callers_record (&monitor->heavy, origin, body_bytes);
   if (load > 0 && !ds_heavy_fits (load, capacity))
