--- a/src/core/host_load.c
+++ b/src/core/host_load.c
@@ -16,7 +16,7 @@
 /* A host that uses this much is full: what it would get is unknown, and counts
    as FULL_COUNTS_PERCENT.  */
 #define FULL_PERCENT 95
-#define FULL_COUNTS_PERCENT 150
+#define FULL_COUNTS_PERCENT 200
 /* Time above the limit before the first decision, in which the average comes
    close to the load.  */
 #define SETTLE_MS 600
@@ -79,6 +79,16 @@
   return percent > HIGH_PERCENT;
 }
 
+/* The utilisation in percent that callers would cause if the host could carry
+   it: what exceeds its capacity cannot be measured.  */
+double
+ds_host_load_demand (double percent)
+{
+  return percent >= FULL_PERCENT && percent < FULL_COUNTS_PERCENT
+             ? FULL_COUNTS_PERCENT
+             : percent;
+}
+
 /* Decides how many callers this host gives up, with a utilisation of PERCENT
    and addresses that callers use for LIFETIME_MS.  True if the level has
    changed.
@@ -104,8 +114,7 @@
     return false;
   if (load->over_ms > 0 && now_ms - load->over_ms < SETTLE_MS)
     return false;
-  if (percent >= FULL_PERCENT && percent < FULL_COUNTS_PERCENT)
-    percent = FULL_COUNTS_PERCENT;
+  percent = ds_host_load_demand (percent);
   if (ds_host_load_is_over (percent))
     {
       level = DS_LOAD_LEVELS - (uint32_t)(offered * TARGET_PERCENT / percent);
--- a/src/core/host_load.h
+++ b/src/core/host_load.h
@@ -44,6 +44,7 @@
                            const struct ds_host_limits *limits,
                            const struct ds_host_usage *usage, uint64_t now_ms);
 double ds_host_load_percent (const struct ds_host_load *load);
+double ds_host_load_demand (double percent);
 bool ds_host_load_is_over (double percent);
 bool ds_host_load_update_level (struct ds_host_load *load, double percent,
                                 uint64_t lifetime_ms, uint64_t now_ms);
--- a/src/entry/host_monitor.c
+++ b/src/entry/host_monitor.c
@@ -211,7 +211,7 @@
   percent = ds_host_load_percent (&monitor->load);
   if (monitor->callers->shedding && percent < STRAINED_PERCENT)
     percent = STRAINED_PERCENT;
-  tick.used = percent * capacity / PERCENT;
+  tick.used = ds_host_load_demand (percent) * capacity / PERCENT;
   tick.over = ds_host_load_is_over (percent);
   look_at_others (monitor, now_ms);
   if (ds_heavy_callers_tick (&monitor->heavy, &tick) > 0)
--- a/tests/test_caller_spread.c
+++ b/tests/test_caller_spread.c
@@ -257,7 +257,7 @@
   usage = (struct ds_host_usage){ .bytes = host->bytes };
   ds_host_load_measure (&host->load, &limits, &usage, now_ms);
   percent = ds_host_load_percent (&host->load);
-  heavy.used = percent * capacity / 100;
+  heavy.used = ds_host_load_demand (percent) * capacity / 100;
   heavy.over = ds_host_load_is_over (percent);
   (void)ds_heavy_callers_tick (&host->heavy, &heavy);
   if (host->capacity < STRONG)
