--- a/src/core/heavy_choice.c
+++ b/src/core/heavy_choice.c
@@ -34,6 +34,7 @@
 {
   size_t index;
   bool has_room;
+  uint64_t charge; /* by others, in percent */
   bool same_zone;
   bool same_region;
   bool is_current; /* the caller is there now */
@@ -59,6 +60,8 @@
 {
   if (a->has_room != b->has_room)
     return a->has_room;
+  if (!a->has_room && a->charge != b->charge)
+    return a->charge < b->charge;
   if (a->same_zone != b->same_zone)
     return a->same_zone;
   if (a->same_region != b->same_region)
@@ -93,6 +96,8 @@
 
       if (!fits (choice, i, load))
         continue;
+      place.charge
+          = choice->charges[i] * PERCENT / (capacity_at (choice, i) + 1);
       place.has_room = (choice->charges[i] + load) * PERCENT
                            <= capacity_at (choice, i) * share
                        && (place.is_current || candidate->level < FULL_LEVEL);
