--- a/src/core/address_choice.c
+++ b/src/core/address_choice.c
@@ -186,8 +186,8 @@
 
   if (most == 0)
     return 0;
-  others = talloc_array (NULL, struct ds_address_candidate,
-                         (unsigned)count + 1);
+  others
+      = talloc_array (NULL, struct ds_address_candidate, (unsigned)count + 1);
   for (size_t i = 0; i < count && others != NULL; i++)
     if (!ds_str_equal (candidates[i].zone, zone)
         && is_offered_elsewhere (&candidates[i], caller)
@@ -212,9 +212,8 @@
 elsewhere_count (size_t own, uint32_t level, struct ds_str zone,
                  uint64_t caller)
 {
-  double wanted
-      = (double)own * level / (double)(DS_LOAD_LEVELS - level)
-        + fraction_of (zone, caller, ROUND_SEED);
+  double wanted = (double)own * level / (double)(DS_LOAD_LEVELS - level)
+                  + fraction_of (zone, caller, ROUND_SEED);
   size_t count = (size_t)wanted;
 
   if (own + count < ZONE_HOSTS_MIN)
@@ -228,10 +227,10 @@
               const struct ds_str *chosen, size_t chosen_count, uint32_t load)
 {
   for (size_t i = 0; i < count && load > 0; i++)
-      if (contains (chosen, chosen_count, candidates[i].address)
-          && !ds_heavy_fits (load, candidates[i].machine_capacity
-                                       * DS_LOAD_PER_CAPACITY))
-        return true;
+    if (contains (chosen, chosen_count, candidates[i].address)
+        && !ds_heavy_fits (load, candidates[i].machine_capacity
+                                     * DS_LOAD_PER_CAPACITY))
+      return true;
   return false;
 }
 
--- a/src/core/heavy_callers.c
+++ b/src/core/heavy_callers.c
@@ -22,8 +22,8 @@
 #define RECENT_MS 2000
 
 /* Counts a request of ORIGIN with a body of BYTES.  A caller that is not
-   counted yet takes the place of the one with the least weight, and its weight,
-   so that the sum stays right.  */
+   counted yet takes the place of the one with the least weight, and its
+   weight, so that the sum stays right.  */
 void
 ds_heavy_callers_record (struct ds_heavy_callers *heavy, uint64_t origin,
                          uint64_t bytes)
@@ -124,8 +124,8 @@
    before.
 
    Load: one caller sends 50 requests of 13 KB a second to a host with a link
-   of 10 Mbit/s.  Its share of the bytes, and with them of the used capacity, is
-   its load.  A caller is found only at a host that has to give up callers;
+   of 10 Mbit/s.  Its share of the bytes, and with them of the used capacity,
+   is its load.  A caller is found only at a host that has to give up callers;
    other hosts go on measuring those that have been found.  */
 size_t
 ds_heavy_callers_tick (struct ds_heavy_callers *heavy,
--- a/src/core/heavy_callers.h
+++ b/src/core/heavy_callers.h
@@ -37,7 +37,7 @@
   uint64_t origin;
   uint32_t host; /* short id */
   uint32_t load;
-  uint64_t raised_ms;                   /* time of LOAD */
+  uint64_t raised_ms;                  /* time of LOAD */
   uint64_t heard_ms[DS_HEAVY_SOURCES]; /* 0 for never */
 };
 
--- a/src/core/host_load.c
+++ b/src/core/host_load.c
@@ -2,8 +2,8 @@
 
 #define PERCENT 100
 #define BITS_PER_BYTE 8
-/* Time constant of the average: some ticks, so that one burst does not count as
-   load, and less than an address lifetime.  */
+/* Time constant of the average: some ticks, so that one burst does not count
+   as load, and less than an address lifetime.  */
 #define SMOOTHING_MS 500.0
 /* Utilisation above which a host gives up callers.  Above it, queues at the
    link or the processor grow with each burst.  */
@@ -52,10 +52,10 @@
             PERCENT * (double)(usage->bytes - load->last.bytes) * BITS_PER_BYTE
                 / 1000 / elapsed_ms / limits->link_mbps,
             weight);
-  load->connections
-      = limits->connections > 0 ? PERCENT * (double)usage->connections
-                                      / (double)limits->connections
-                                : 0;
+  load->connections = limits->connections > 0
+                          ? PERCENT * (double)usage->connections
+                                / (double)limits->connections
+                          : 0;
   load->memory = usage->memory_percent;
   load->last = *usage;
   load->measured_ms = now_ms;
--- a/src/entry/address_service.c
+++ b/src/entry/address_service.c
@@ -96,8 +96,7 @@
 
 /* Chooses addresses for CALLER; COUNT candidates, at least one.  */
 static size_t
-choose_addresses (const struct ds_address_service *service,
-                  struct ds_str *out,
+choose_addresses (const struct ds_address_service *service, struct ds_str *out,
                   const struct ds_address_candidate *candidates, size_t count,
                   const struct ds_address_query *query, uint64_t caller)
 {
@@ -112,9 +111,9 @@
       memcpy (out, usual, usual_count * sizeof usual[0]);
       return usual_count;
     }
-  found = ds_address_spread (out, candidates, count, query->zone,
-                             query->region, caller, service->heavy,
-                             ds_clock_ms ());
+  found
+      = ds_address_spread (out, candidates, count, query->zone, query->region,
+                           caller, service->heavy, ds_clock_ms ());
   differs = found != usual_count;
   for (size_t i = 0; i < found && !differs; i++)
     differs = !ds_str_equal (out[i], usual[i]);
@@ -147,10 +146,9 @@
   count = list_candidates (service, scratch, &candidates);
   count = ds_address_limit_regions (candidates, count, *service->config,
                                     query.name, query.region);
-  count = count == 0
-              ? 0
-              : choose_addresses (service, addresses, candidates, count,
-                                  &query, ds_caller_origin (caller));
+  count = count == 0 ? 0
+                     : choose_addresses (service, addresses, candidates, count,
+                                         &query, ds_caller_origin (caller));
   if (count == 0)
     {
       send_response (caller, head, 503,
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -35,9 +35,9 @@
 /* Shared by all connections of a listener.  LIMITS may change at any time;
    with CLOSING, each connection closes after its response, with SHEDDING after
    that to a request that arrives meanwhile.  MONITOR, if not null, counts the
-   requests of each caller and may have its connections closed.  CONNECTIONS counts
-   open connections, RESPONDING those with a request in progress.  MEMORY is
-   shared by all groups of the host; ADMIT_EVENT is the group's own.  */
+   requests of each caller and may have its connections closed.  CONNECTIONS
+   counts open connections, RESPONDING those with a request in progress. MEMORY
+   is shared by all groups of the host; ADMIT_EVENT is the group's own.  */
 struct ds_caller_group
 {
   struct tevent_context *ev;
--- a/src/entry/fleet_loads.c
+++ b/src/entry/fleet_loads.c
@@ -106,10 +106,9 @@
   if (load == NULL || view->heavy == NULL)
     return;
   for (size_t i = 0; i < load->n_heavy_callers; i++)
-    (void)ds_heavy_callers_report (view->heavy, load->heavy_callers[i]->origin,
-                                   member->short_id,
-                                   load->heavy_callers[i]->load,
-                                   DS_HEAVY_DIRECT, now_ms);
+    (void)ds_heavy_callers_report (
+        view->heavy, load->heavy_callers[i]->origin, member->short_id,
+        load->heavy_callers[i]->load, DS_HEAVY_DIRECT, now_ms);
 }
 
 /* Adds the heavy callers of the zone, or of the FLEET, to SUMMARY.  */
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -501,8 +501,8 @@
   talloc_free (scratch);
 }
 
-/* Takes over the state of the hosts in IDS, with LOADS if not null, of which the summary has a later
-   sign of life than this host.  */
+/* Takes over the state of the hosts in IDS, with LOADS if not null, of which
+   the summary has a later sign of life than this host.  */
 static void
 receive_hosts (struct ds_fleet_view *view, const uint32_t *ids,
                const uint32_t *ages, const uint32_t *loads, size_t count,
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -242,10 +242,9 @@
                                   TALLOC_CTX *owner,
                                   Daisystep__Gossip__Summary *summary,
                                   bool fleet, uint64_t now_ms);
-void
-ds_fleet_receive_summary_heavy (struct ds_fleet_view *view,
-                                const Daisystep__Gossip__Summary *summary,
-                                uint64_t now_ms);
+void ds_fleet_receive_summary_heavy (struct ds_fleet_view *view,
+                                     const Daisystep__Gossip__Summary *summary,
+                                     uint64_t now_ms);
 uint32_t ds_fleet_pack_load (const struct ds_fleet_member *info);
 void ds_fleet_unpack_load (struct ds_fleet_member *info, uint32_t packed);
 
--- a/src/entry/host_monitor.c
+++ b/src/entry/host_monitor.c
@@ -145,7 +145,7 @@
   return monitor->addresses->capacity >= monitor->strongest;
 }
 
-/* The utilisation in percent without heavy callers that leave this host.  Other
+/* The utilisation in percent without heavy callers that leave this host. Other
    callers need not leave because of them.  */
 static double
 lasting_percent (const struct ds_host_monitor *monitor, double percent,
@@ -217,14 +217,14 @@
   if (ds_heavy_callers_tick (&monitor->heavy, &tick) > 0)
     log_load (monitor, "heavy_caller", percent);
   percent = lasting_percent (monitor, percent, now_ms);
-  if (ds_host_load_update_level (
-          &monitor->load, percent,
-          (uint64_t)(monitor->addresses->ttl_s * 1000), now_ms))
+  if (ds_host_load_update_level (&monitor->load, percent,
+                                 (uint64_t)(monitor->addresses->ttl_s * 1000),
+                                 now_ms))
     log_load (monitor, "host_load_level", percent);
   monitor->addresses->level = monitor->load.level;
-  ds_fleet_view_set_load (
-      monitor->fleet, (uint32_t)ds_host_load_percent (&monitor->load),
-      monitor->load.level);
+  ds_fleet_view_set_load (monitor->fleet,
+                          (uint32_t)ds_host_load_percent (&monitor->load),
+                          monitor->load.level);
   set_gauge (DS_METRIC_HOST_UTILISATION,
              (int64_t)ds_host_load_percent (&monitor->load));
   set_gauge (DS_METRIC_HOST_LOAD_LEVEL, monitor->load.level);
--- a/tests/test_caller_spread.c
+++ b/tests/test_caller_spread.c
@@ -16,8 +16,8 @@
 #define TICK_MS 200
 #define STRONG 50 /* capacity of the strongest hosts */
 #define TTL_MS 2000
-/* Bytes of both directions in a tick for a load of 1; 200 Mbit/s are as much as
-   a core.  */
+/* Bytes of both directions in a tick for a load of 1; 200 Mbit/s are as much
+   as a core.  */
 #define BYTES_PER_LOAD (0.2e6 / 8 * TICK_MS / 1000)
 
 static const struct ds_str zone_names[ZONES]
@@ -58,7 +58,7 @@
 {
   const char *name;
   int hosts[ZONES];
-  int strong; /* in each zone */
+  int strong;    /* in each zone */
   uint32_t weak; /* capacity of the others */
   int callers[ZONES];
   double load;
@@ -71,9 +71,9 @@
 struct outcome
 {
   int over_max_ms;
-  int moves_max;       /* of a single caller */
+  int moves_max;        /* of a single caller */
   double served[ZONES]; /* part of the load, in the first part */
-  int differing;       /* answers at the end that are not the usual ones */
+  int differing;        /* answers at the end that are not the usual ones */
 };
 
 static struct host hosts[HOSTS_MAX];
@@ -148,8 +148,8 @@
   ck_abort_msg ("no such host");
 }
 
-/* CALLER asks some host for addresses.  A single caller keeps its host if it is
-   still named.  True if the answer is the usual one.  */
+/* CALLER asks some host for addresses.  A single caller keeps its host if it
+   is still named.  True if the answer is the usual one.  */
 static bool
 look_up (struct caller *caller, bool spread, uint64_t now_ms)
 {
@@ -157,8 +157,8 @@
   size_t count = list_candidates (candidates);
   const struct host *answering = &hosts[next_random () % (uint32_t)host_count];
   struct ds_str list[DS_ADDRESSES_MAX];
-  struct ds_str before = caller->count > 0 ? caller->list[caller->usual]
-                                           : DS_STR_EMPTY;
+  struct ds_str before
+      = caller->count > 0 ? caller->list[caller->usual] : DS_STR_EMPTY;
   size_t found
       = ds_address_choose (list, candidates, count, zone_names[caller->zone],
                            DS_STR ("r"), caller->origin);
@@ -247,10 +247,9 @@
   double used = host->offered < capacity ? host->offered : capacity;
   uint32_t id = (uint32_t)(host - hosts);
   struct ds_host_usage usage;
-  struct ds_heavy_tick heavy = { .host = id,
-                                 .capacity = capacity,
-                                 .elapsed_ms = TICK_MS,
-                                 .now_ms = now_ms };
+  struct ds_heavy_tick heavy = {
+    .host = id, .capacity = capacity, .elapsed_ms = TICK_MS, .now_ms = now_ms
+  };
   double percent;
 
   host->bytes += (uint64_t)(used * BYTES_PER_LOAD);
@@ -298,12 +297,11 @@
     {
       struct host *host = &hosts[i];
 
-      host->over_ms
-          = host->offered > 3 * offered * host->capacity / capacity
-                    && ds_host_load_is_over (host->offered * 10
-                                             / host->capacity)
-                ? host->over_ms + TICK_MS
-                : 0;
+      host->over_ms = host->offered > 3 * offered * host->capacity / capacity
+                              && ds_host_load_is_over (host->offered * 10
+                                                       / host->capacity)
+                          ? host->over_ms + TICK_MS
+                          : 0;
       if (host->over_ms > host->over_max)
         host->over_max = host->over_ms;
     }
@@ -357,15 +355,55 @@
 
 static const struct replay heavy_callers[] = {
   { "one caller in each zone",
-    { 21, 21, 20 }, 2, 5, { 60, 60, 60 }, 8, { 1, 1, 1 }, 80, 1, 60000 },
+    { 21, 21, 20 },
+    2,
+    5,
+    { 60, 60, 60 },
+    8,
+    { 1, 1, 1 },
+    80,
+    1,
+    60000 },
   { "two callers in each zone",
-    { 21, 21, 20 }, 2, 5, { 60, 60, 60 }, 8, { 2, 2, 2 }, 120, 1, 60000 },
+    { 21, 21, 20 },
+    2,
+    5,
+    { 60, 60, 60 },
+    8,
+    { 2, 2, 2 },
+    120,
+    1,
+    60000 },
   { "three callers in one zone",
-    { 21, 21, 20 }, 2, 5, { 60, 60, 60 }, 8, { 3, 0, 0 }, 160, 1, 60000 },
+    { 21, 21, 20 },
+    2,
+    5,
+    { 60, 60, 60 },
+    8,
+    { 3, 0, 0 },
+    160,
+    1,
+    60000 },
   { "six callers in one zone",
-    { 21, 21, 20 }, 2, 5, { 60, 60, 60 }, 8, { 6, 0, 0 }, 160, 1, 60000 },
+    { 21, 21, 20 },
+    2,
+    5,
+    { 60, 60, 60 },
+    8,
+    { 6, 0, 0 },
+    160,
+    1,
+    60000 },
   { "seven hosts",
-    { 3, 2, 2 }, 1, 20, { 20, 20, 20 }, 5, { 1, 1, 0 }, 320, 1, 60000 },
+    { 3, 2, 2 },
+    1,
+    20,
+    { 20, 20, 20 },
+    5,
+    { 1, 1, 0 },
+    320,
+    1,
+    60000 },
 };
 
 /* Guards against a caller that stays at, or wanders between, hosts that it
@@ -383,9 +421,25 @@
 
 static const struct replay short_zones[] = {
   { "one zone is short",
-    { 21, 21, 20 }, 2, 5, { 100, 12, 12 }, 26, { 0, 0, 0 }, 0, 0.1, 120000 },
+    { 21, 21, 20 },
+    2,
+    5,
+    { 100, 12, 12 },
+    26,
+    { 0, 0, 0 },
+    0,
+    0.1,
+    120000 },
   { "seven hosts, one zone is short",
-    { 3, 2, 2 }, 1, 20, { 60, 10, 10 }, 18, { 0, 0, 0 }, 0, 0.1, 120000 },
+    { 3, 2, 2 },
+    1,
+    20,
+    { 60, 10, 10 },
+    18,
+    { 0, 0, 0 },
+    0,
+    0.1,
+    120000 },
 };
 
 /* Guards against a zone that is short while others are idle, and against
@@ -406,9 +460,25 @@
 
 static const struct replay ample[] = {
   { "no overload",
-    { 21, 21, 20 }, 2, 5, { 60, 60, 60 }, 5, { 0, 0, 0 }, 0, 1, 30000 },
+    { 21, 21, 20 },
+    2,
+    5,
+    { 60, 60, 60 },
+    5,
+    { 0, 0, 0 },
+    0,
+    1,
+    30000 },
   { "seven hosts, no overload",
-    { 3, 2, 2 }, 1, 20, { 10, 10, 10 }, 5, { 0, 0, 0 }, 0, 1, 30000 },
+    { 3, 2, 2 },
+    1,
+    20,
+    { 10, 10, 10 },
+    5,
+    { 0, 0, 0 },
+    0,
+    1,
+    30000 },
 };
 
 /* Guards against other answers than the usual ones while no host is short.  */
--- a/tests/test_entry_settings.c
+++ b/tests/test_entry_settings.c
@@ -158,9 +158,9 @@
   ck_assert_uint_eq (settings->zones.count, 2);
   ck_assert_double_eq (settings->cold_overage, _i != 0 ? 102.25 : 1.5);
   ck_assert_double_eq (settings->cold_slack, _i != 0 ? 102.25 : 5);
-  ck_assert (ds_str_equal (settings->zones.items[0].value, DS_STR ("home"))
-             != ds_str_equal (settings->zones.items[0].value,
-                              DS_STR ("away")));
+  ck_assert (
+      ds_str_equal (settings->zones.items[0].value, DS_STR ("home"))
+      != ds_str_equal (settings->zones.items[0].value, DS_STR ("away")));
   ds_entry_settings_free (settings);
   talloc_free (text);
   g_free (template);
--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -487,6 +487,94 @@
 }
 END_TEST
 
+/* Sends the load of the peer with LEVEL and, if not 0, a heavy caller.  */
+static void
+send_load (uint32_t level, uint64_t origin)
+{
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__HostLoad load;
+  Daisystep__Gossip__HeavyCaller caller;
+  Daisystep__Gossip__HeavyCaller *callers[] = { &caller };
+
+  init_datagram (&datagram);
+  daisystep__gossip__host_load__init (&load);
+  daisystep__gossip__heavy_caller__init (&caller);
+  datagram.ready = true;
+  load.percent = 97;
+  load.level = level;
+  caller.origin = origin;
+  caller.load = 48;
+  load.heavy_callers = callers;
+  load.n_heavy_callers = origin != 0;
+  datagram.load = &load;
+  send_datagram (&datagram);
+}
+
+/* Guards against hosts that lead callers by different loads: what a host
+   reports of itself reaches the others directly and through a relay, and a
+   level that no host can have is ignored.  */
+START_TEST (loads_and_heavy_callers_reach_other_hosts)
+{
+  struct ds_heavy_callers heavy = { .count = 0 };
+  Daisystep__Gossip__Datagram *received;
+  bool own = false;
+  bool summed_up = false;
+
+  ds_fleet_view_share_loads (view, &heavy);
+  ds_fleet_view_set_load (view, 91, 2);
+  send_load (5, 77);
+  ck_assert_uint_eq (ds_fleet_view_at (view, 0)->load_level, 5);
+  ck_assert_uint_eq (ds_fleet_view_at (view, 0)->load_percent, 97);
+  ck_assert_uint_eq (ds_heavy_callers_load (&heavy, 77), 48);
+  add_hosts (30);
+  ds_fleet_view_set_state (view, true, false);
+  for (int i = 1; i <= 4; i++)
+    ds_fleet_view_tick (view,
+                        ds_clock_ms () + (uint64_t)i * DS_GOSSIP_INTERVAL_MS);
+  while ((received = receive_datagram ()) != NULL)
+    {
+      const Daisystep__Gossip__Summary *summary = received->summary;
+
+      own = own
+            || (received->load != NULL && received->load->percent == 91
+                && received->load->level == 2);
+      for (size_t i = 0; summary != NULL && i < summary->n_ready_loads; i++)
+        summed_up = summed_up
+                    || (summary->n_ready_loads == summary->n_ready_hosts
+                        && summary->ready_loads[i] == 5 + 8 * 9
+                        && summary->n_heavy_callers == 1
+                        && summary->heavy_callers[0]->origin == 77
+                        && summary->heavy_callers[0]->load == 48);
+      daisystep__gossip__datagram__free_unpacked (received, NULL);
+    }
+  ck_assert (own);
+  ck_assert (summed_up);
+  send_load (8, 0);
+  ck_assert_uint_eq (ds_fleet_view_at (view, 0)->load_level, 0);
+}
+END_TEST
+
+/* Guards against a host that goes on leading callers away from one of the
+   previous version, which reports no load, and against reports from a host
+   that does not measure its own.  */
+START_TEST (hosts_without_loads_count_as_idle)
+{
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__Datagram *received;
+
+  send_load (5, 77);
+  ck_assert_uint_eq (ds_fleet_view_at (view, 0)->load_level, 5);
+  init_datagram (&datagram);
+  send_datagram (&datagram);
+  ck_assert_uint_eq (ds_fleet_view_at (view, 0)->load_level, 0);
+  ds_fleet_view_tick (view, ds_clock_ms () + DS_GOSSIP_INTERVAL_MS);
+  received = receive_datagram ();
+  ck_assert_ptr_nonnull (received);
+  ck_assert_ptr_null (received->load);
+  daisystep__gossip__datagram__free_unpacked (received, NULL);
+}
+END_TEST
+
 /* Guards against a host that ends, or stops listening, because of what arrives
    on its gossip port.  */
 START_TEST (malformed_datagrams_are_ignored)
@@ -656,6 +744,8 @@
   tcase_add_test (test_case,
                   a_relay_passes_on_a_thousand_parts_in_two_seconds);
   tcase_add_test (test_case, evacuations_are_exchanged);
+  tcase_add_test (test_case, loads_and_heavy_callers_reach_other_hosts);
+  tcase_add_test (test_case, hosts_without_loads_count_as_idle);
   tcase_add_test (test_case, malformed_datagrams_are_ignored);
   tcase_add_test (test_case, an_address_that_cannot_be_used_is_not_offered);
   suite_add_tcase (suite, test_case);
