Leave a strained host's level to its measured use

A strained host is offered less already; its measured use alone decides what its callers weigh, so that a slow connection does not make one of them heavy.

--- a/src/entry/host_monitor.c
+++ b/src/entry/host_monitor.c
@@ -13,9 +13,6 @@
 #define PERCENT 100
 /* Sockets for one caller: its connection and one to a replica.  */
 #define SOCKETS_PER_CALLER 2
-/* Utilisation of a host that shows signs of strain, whatever it measures: its
-   processor or link carries less than the settings say.  */
-#define STRAINED_PERCENT 100
 
 /* Returns the part that this host can take in the work for the fleet: of a
    core in percent, but no more than its link carries.  */
@@ -209,10 +206,8 @@
   monitor->ticked_ms = now_ms;
   ds_host_load_measure (&monitor->load, &limits, &usage, now_ms);
   percent = ds_host_load_percent (&monitor->load);
-  if (monitor->callers->shedding && percent < STRAINED_PERCENT)
-    percent = STRAINED_PERCENT;
   tick.used = ds_host_load_demand (percent) * capacity / PERCENT;
-  tick.over = ds_host_load_is_over (percent);
+  tick.over = ds_host_load_is_over (percent) || monitor->callers->shedding;
   look_at_others (monitor, now_ms);
   if (ds_heavy_callers_tick (&monitor->heavy, &tick) > 0)
     log_load (monitor, "heavy_caller", percent);
--- a/tests/test_caller_spread.c
+++ b/tests/test_caller_spread.c
@@ -496,6 +496,7 @@
   SRunner *runner;
   int failed;
 
+  tcase_set_timeout (test_case, 60);
   tcase_add_loop_test (test_case, a_heavy_caller_gets_hosts_that_carry_it, 0,
                        5);
   tcase_add_loop_test (test_case, callers_of_a_short_zone_get_other_hosts, 0,
