Make the hash of a replica an identity

ds_str_hash (id, start_time_ms) used the start time as the seed, which XXH3 adds to the bytes of a short id: "i-0" and "i-1" that start one millisecond apart had the same value, so that loads, departures and crashes of one counted for the other.

The hash now covers the hash of the id, its length and the start time. During an update of the fleet, hosts of the two versions do not recognise each other's replicas in datagrams: loads, cached parts and departures of the other half are ignored until the update has ended, and a crash that both saw counts twice.

The new test compares 10,000 neighbours and the low halves of 600.

--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -25,6 +25,22 @@
   struct ds_notice_store notices;
 };
 
+/* Identifies the incarnation of the replica ID that started at START_TIME_MS,
+   alike on all hosts.  The start time is hashed with the id: as the seed of a
+   hash it is added to the bytes of a short id, so that "i-0" and "i-1", which
+   start one millisecond apart, would be the same.  */
+uint64_t
+ds_replica_hash (struct ds_str id, uint64_t start_time_ms)
+{
+  uint64_t identity[]
+      = { GUINT64_TO_LE (ds_str_hash (id, 0)),
+          GUINT64_TO_LE ((uint64_t)id.length), GUINT64_TO_LE (start_time_ms) };
+
+  return ds_str_hash ((struct ds_str){ .data = (const char *)identity,
+                                       .length = sizeof identity },
+                      0);
+}
+
 static int
 destroy (struct ds_replica_set *set)
 {
@@ -101,7 +117,7 @@
       talloc_free (replica);
       return DS_ENOMEM;
     }
-  replica->hash = ds_str_hash (record->id, record->start_time_ms);
+  replica->hash = ds_replica_hash (record->id, record->start_time_ms);
   replica->latency_factor = 1;
   ds_notice_store_restore (&set->notices, replica->hash, &replica->notice);
   grown[set->count++] = (struct entry){ .replica = replica, .listed = true };
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -62,6 +62,7 @@
 
 struct ds_replica_set;
 
+uint64_t ds_replica_hash (struct ds_str id, uint64_t start_time_ms);
 int ds_replica_set_new (struct ds_replica_set **out, TALLOC_CTX *owner);
 int ds_replica_set_put (struct ds_replica_set *set,
                         const struct ds_replica_record *record);
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -144,8 +144,7 @@
 }
 
 /* Registers replica I as one that has crashed and started again.  Starts are
-   a second apart: hashes of ids of three bytes may collide at start times that
-   differ by a few milliseconds.  */
+   a second apart.  */
 void
 entry_restart_replica (int i)
 {
--- a/tests/test_replica_set.c
+++ b/tests/test_replica_set.c
@@ -1,6 +1,7 @@
 #include "core/replica_set.h"
 
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 static TALLOC_CTX *owner;
@@ -344,6 +345,48 @@
 }
 END_TEST
 
+static int
+compare_hashes (const void *a, const void *b)
+{
+  const uint64_t *left = a;
+  const uint64_t *right = b;
+
+  return *left < *right ? -1 : *left > *right;
+}
+
+/* Guards against taking one replica for another: "i-0" and "i-1" that start
+   one millisecond apart had the same hash, so that loads, departures and
+   crashes of one counted for the other.  Ids and starts differ in their last
+   digits only.  */
+START_TEST (neighbours_have_different_hashes)
+{
+  static uint64_t hashes[100 * 100];
+  static uint64_t short_hashes[600];
+  char id[8];
+
+  for (unsigned i = 0; i < 100; i++)
+    for (unsigned k = 0; k < 100; k++)
+      {
+        (void)snprintf (id, sizeof id, "i-%u", i);
+        hashes[i * 100 + k]
+            = ds_replica_hash (ds_str_from_c (id), 1000 + (uint64_t)k);
+      }
+  qsort (hashes, 10000, sizeof hashes[0], compare_hashes);
+  for (size_t i = 1; i < 10000; i++)
+    ck_assert_uint_ne (hashes[i], hashes[i - 1]);
+  /* Summaries identify replicas by half of the hash.  */
+  for (unsigned i = 0; i < 600; i++)
+    {
+      (void)snprintf (id, sizeof id, "i-%u", i);
+      short_hashes[i]
+          = (uint32_t)ds_replica_hash (ds_str_from_c (id), 1000 + i);
+    }
+  qsort (short_hashes, 600, sizeof short_hashes[0], compare_hashes);
+  for (size_t i = 1; i < 600; i++)
+    ck_assert_uint_ne (short_hashes[i], short_hashes[i - 1]);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -376,6 +419,7 @@
   tcase_add_test (test_case, a_hold_is_a_fact_about_one_lifetime);
   tcase_add_test (test_case, holds_are_bounded_and_end_in_time);
   tcase_add_test (test_case, one_request_follows_a_hold);
+  tcase_add_test (test_case, neighbours_have_different_hashes);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_store_watcher.c
+++ b/tests/test_store_watcher.c
@@ -1,6 +1,7 @@
 #include "proto/gossip.pb-c.h"
 #include "support/entry_site.h"
 
+#include "core/replica_set.h"
 #include "io/socket_address.h"
 
 #include <check.h>
@@ -207,7 +208,7 @@
       (void)snprintf (id, sizeof id, "i-%d", i);
       daisystep__gossip__departure__init (&departures[i]);
       departures[i].replica
-          = ds_str_hash (ds_str_from_c (id), 1000 + (uint64_t)i);
+          = ds_replica_hash (ds_str_from_c (id), 1000 + (uint64_t)i);
       departures[i].revision = UINT64_MAX - 1;
       departures[i].gone = true;
       messages[i] = &departures[i];
@@ -234,7 +235,7 @@
   Daisystep__Gossip__Departure *messages[] = { &departure };
 
   init_wrong_host (&other);
-  departure.replica = ds_str_hash (DS_STR ("i-0"), 1000);
+  departure.replica = ds_replica_hash (DS_STR ("i-0"), 1000);
   departure.revision = 1000000;
   departure.gone = true;
   entry_set_faults (entry_store, "{\"busy\":true}");
