Learn the speed and the limit of replicas; use them in placement

Replicas of one service differ in speed and some become slow long before their slots are full, but placement took them for equal up to a latency factor of each host. core/replica_capacity estimates a speed from first events and gaps, and a limit of concurrent requests from rising gaps, first events and rejections, merges the reports of other hosts and lets them expire. ds_placement_choose_within_limits returns DS_PLACEMENT_FULL if all replicas are at their limit; ds_placement_choose then takes the one with the lowest expected time whose memory holds the prompt. Nothing calls it with learning yet.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -75,6 +75,14 @@
   = { .name = "requests_passed_over_total",
       .help = "Attempts kept from the best upstream by what it said in an "
               "answer." },
+  [DS_METRIC_REQUESTS_BEYOND_LIMIT]
+  = { .name = "requests_beyond_limit_total",
+      .help = "Attempts sent while all upstreams were at their learned "
+              "limit." },
+  [DS_METRIC_REPLICA_LIMITS_CHANGED]
+  = { .name = "replica_capacity_changes_total",
+      .help = "Times that the learned speed or limit of an upstream changed "
+              "by a quarter." },
   [DS_METRIC_TOKENS_BILLED]
   = { .name = "tokens_billed_total", .help = "Tokens in bills of this host." },
   [DS_METRIC_TOKENS_RELAYED] = { .name = "tokens_relayed_total",
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1,11 +1,12 @@
 #include "core/placement.h"
 
 #include <float.h>
+#include <math.h>
 #include <string.h>
 
-/* Prefill rate of an engine, corrected by the observed latency factor; the
-   engines of the two deployments reach 51 and 64.  */
-#define PREFILL_TOKENS_PER_MS 50.0
+/* Prefill rate of an engine, corrected by the observed latency factor or by
+   the learned speed.  */
+#define PREFILL_TOKENS_PER_MS DS_CAPACITY_TOKENS_PER_MS
 /* Time to the first event that each running request adds: a batch of 64 slows
    an engine step from 5 ms to about 7 ms, and prefills share the steps.  */
 #define RUNNING_MS 1.5
@@ -34,6 +35,14 @@
 #define LATENCY_FACTOR_MIN 0.5F
 #define LATENCY_FACTOR_MAX 4.0F
 #define LATENCY_FACTOR_WEIGHT 0.1
+/* Mean of the random cost that hosts add, so that those whose loads are 200 ms
+   old do not all choose the replica that was best then.  It is lower than the
+   prefill of a shared part, so that requests still follow cached parts.  */
+#define RANDOM_COST_MS 60.0
+/* Share of a replica's memory that prompts in flight may fill.  The rest is
+   for the output of their requests and for cached parts that several of them
+   use, which count for the request that brought them alone.  */
+#define MEMORY_SHARE 0.85
 /* Time for which a replica is avoided after a failure; doubled with each
    further consecutive failure.  */
 #define AVOID_MS 250
@@ -170,13 +179,56 @@
              : penalty;
 }
 
+static uint32_t
+running_requests (const struct ds_replica *replica)
+{
+  return replica->local_load.running + replica->remote_load.running;
+}
+
+/* Returns the factor by which REPLICA takes longer than one of speed 1 without
+   other load: from the learned speed, or from the observed latency.  */
+static double
+slowness (const struct ds_replica *replica, uint64_t now_ms)
+{
+  if (replica->capacity == NULL)
+    return replica->latency_factor;
+  return 1 / ds_replica_capacity_estimate (replica->capacity, now_ms).speed;
+}
+
+/* Returns what in its learned capacity keeps the request from REPLICA.  */
+static enum ds_placement_obstacle
+find_capacity_obstacle (const struct ds_replica *replica,
+                        const struct ds_placement_request *request,
+                        bool beyond_limits, uint64_t now_ms)
+{
+  uint64_t held
+      = replica->local_load.memory_tokens + replica->remote_load.memory_tokens;
+
+  if (replica->capacity == NULL)
+    return DS_PLACEMENT_UNOBSTRUCTED;
+  /* A prompt that is too large for an idle replica is the replica's to
+     refuse.  */
+  if (request->kv_capacity > 0 && held > 0
+      && (double)(held
+                  + ds_placement_uncached_tokens (replica, request, now_ms))
+             > MEMORY_SHARE * (double)request->kv_capacity)
+    return DS_PLACEMENT_NO_MEMORY;
+  if (!beyond_limits
+      && ds_replica_capacity_room (replica->capacity,
+                                   running_requests (replica), now_ms)
+             == 0)
+    return DS_PLACEMENT_AT_LIMIT;
+  return DS_PLACEMENT_UNOBSTRUCTED;
+}
+
 static double
 expected_ms (const struct ds_replica *replica,
              const struct ds_replica *preferred,
              const struct ds_placement_request *request, uint64_t now_ms,
              uint64_t *uncached)
 {
-  double running = replica->local_load.running + replica->remote_load.running;
+  double running = running_requests (replica);
+  double factor;
   double cost
       = ds_str_equal (replica->record.zone, request->zone) ? 0 : OTHER_ZONE_MS;
   double prefill_ms;
@@ -188,35 +240,66 @@
       *uncached = 0;
       return cost + CALL_MS * running / slots * replica->latency_factor;
     }
+  factor = slowness (replica, now_ms);
   *uncached = ds_placement_uncached_tokens (replica, request, now_ms);
   prefill_ms = (double)*uncached / PREFILL_TOKENS_PER_MS;
   prefill_ms += prefill_penalty (request, *uncached);
   /* Hosts that receive a new part concurrently choose the same replica.  */
   if (*uncached > last_part_tokens (request) && replica == preferred)
     prefill_ms *= PREFERRED_REPLICA_FACTOR;
+  /* A learned speed is too low while a replica is busy, since other hosts'
+     requests of the last moments are unknown.  Its root halves the error; with
+     the whole factor slow replicas got a third of the requests that they can
+     take.  */
+  if (replica->capacity != NULL)
+    prefill_ms *= sqrt (factor);
   return cost + prefill_ms
          + ((double)(replica->local_load.prefill_tokens
                      + replica->remote_load.prefill_tokens)
                 / PREFILL_TOKENS_PER_MS
             + RUNNING_MS * running)
-               * replica->latency_factor;
+               * factor;
+}
+
+/* Returns the random cost of REPLICA, exponentially distributed, which needs
+   to prefill UNCACHED tokens.  There is none if these include a shared part:
+   all hosts prefer the same replica for it.  */
+static double
+random_cost (const struct ds_replica *replica,
+             const struct ds_placement_request *request, uint64_t uncached)
+{
+  double draw;
+
+  if (request->draw == 0 || request->prompt_tokens == 0
+      || (request->part_count >= 2 && uncached > last_part_tokens (request)))
+    return 0;
+  draw = (double)(mix_hash (request->draw ^ replica->hash) >> 11) + 1;
+  return -RANDOM_COST_MS * log (draw / ((double)(UINT64_C (1) << 53) + 1));
 }
 
-/* Returns what keeps the request from REPLICA.  LAST_RESORT allows replicas
-   that leave and still serve.  */
+/* What a search allows: replicas that leave and still serve, and those beyond
+   their learned limit.  */
+struct allowance
+{
+  bool last_resort;
+  bool beyond_limits;
+};
+
+/* Returns what keeps the request from REPLICA.  */
 static enum ds_placement_obstacle
 find_obstacle (const struct ds_replica *replica,
-               const struct ds_placement_request *request, bool last_resort,
-               uint64_t now_ms)
+               const struct ds_placement_request *request,
+               struct allowance allowance, uint64_t now_ms)
 {
   if (replica->notice.leaving_ms > 0
-      && !(last_resort
+      && !(allowance.last_resort
            && ds_replica_notice_may_serve_last (&replica->notice,
                                                 request->drain_ms, now_ms)))
     return DS_PLACEMENT_LEAVING;
   if (ds_replica_notice_wait_ms (&replica->notice, now_ms) > 0)
     return DS_PLACEMENT_HELD;
-  return DS_PLACEMENT_UNOBSTRUCTED;
+  return find_capacity_obstacle (replica, request, allowance.beyond_limits,
+                                 now_ms);
 }
 
 /* The best replica so far, and the best of those with an obstacle.  */
@@ -224,7 +307,7 @@
 {
   const struct ds_placement_request *request;
   const struct ds_replica *preferred;
-  bool last_resort;
+  struct allowance allowance;
   uint64_t now_ms;
   struct ds_placement best;
   double best_cost;
@@ -233,24 +316,36 @@
   double passed_over_cost;
 };
 
+static bool
+is_full (enum ds_placement_obstacle obstacle)
+{
+  return obstacle == DS_PLACEMENT_AT_LIMIT
+         || obstacle == DS_PLACEMENT_NO_MEMORY;
+}
+
 static void
 consider (struct search *search, struct ds_replica *replica)
 {
   enum ds_placement_obstacle obstacle = find_obstacle (
-      replica, search->request, search->last_resort, search->now_ms);
+      replica, search->request, search->allowance, search->now_ms);
   uint64_t uncached;
   double cost;
 
   if (obstacle == DS_PLACEMENT_UNOBSTRUCTED
-      && search->best.status != DS_PLACEMENT_OK)
+      && search->best.status != DS_PLACEMENT_OK
+      && search->best.status != DS_PLACEMENT_FULL)
     search->best.status = DS_PLACEMENT_ALL_TRIED;
   if (obstacle == DS_PLACEMENT_HELD
       && search->best.status == DS_PLACEMENT_NO_REPLICA)
     search->best.status = DS_PLACEMENT_ALL_HELD;
   if (was_tried (search->request, replica->hash))
     return;
+  if (is_full (obstacle) && search->best.status != DS_PLACEMENT_OK)
+    search->best.status = DS_PLACEMENT_FULL;
   cost = expected_ms (replica, search->preferred, search->request,
                       search->now_ms, &uncached);
+  if (replica->capacity != NULL)
+    cost += random_cost (replica, search->request, uncached);
   /* A failing replica is chosen only if there is no other.  */
   if (replica->avoid_until_ms > search->now_ms)
     cost += 100000;
@@ -273,14 +368,14 @@
 
 static struct ds_placement
 choose_among (const struct ds_replica_set *set,
-              const struct ds_placement_request *request, bool last_resort,
-              uint64_t now_ms)
+              const struct ds_placement_request *request,
+              struct allowance allowance, uint64_t now_ms)
 {
   uint64_t key = affinity_key (request);
   struct search search = {
     .request = request,
     .preferred = key != 0 ? find_preferred (set, request->service, key) : NULL,
-    .last_resort = last_resort,
+    .allowance = allowance,
     .now_ms = now_ms,
     .best = { .status = DS_PLACEMENT_NO_REPLICA },
     .best_cost = DBL_MAX,
@@ -313,18 +408,27 @@
 
    A replica that leaves gets no requests, since it may cut them off.  If all
    of a service leave, the first attempt of a request goes to one that still
-   serves: the alternative is a refusal.  */
+   serves: the alternative is a refusal.
+
+   Replicas that run as many requests as they do well, as learned, or whose
+   memory does not hold another prompt, are passed over.  If this leaves none,
+   the status is DS_PLACEMENT_FULL: the request may wait.  */
 struct ds_placement
-ds_placement_choose (const struct ds_replica_set *set,
-                     const struct ds_placement_request *request,
-                     uint64_t now_ms)
+ds_placement_choose_within_limits (const struct ds_replica_set *set,
+                                   const struct ds_placement_request *request,
+                                   uint64_t now_ms)
 {
-  struct ds_placement placement = choose_among (set, request, false, now_ms);
+  struct allowance allowance = { .last_resort = false };
+  struct ds_placement placement
+      = choose_among (set, request, allowance, now_ms);
 
   if (placement.status == DS_PLACEMENT_NO_REPLICA
       && placement.passed_over != NULL && request->tried_count == 0)
     {
-      struct ds_placement last = choose_among (set, request, true, now_ms);
+      struct ds_placement last;
+
+      allowance.last_resort = true;
+      last = choose_among (set, request, allowance, now_ms);
 
       if (last.status == DS_PLACEMENT_OK)
         return last;
@@ -332,6 +436,28 @@
   return placement;
 }
 
+/* Chooses a replica as ds_placement_choose_within_limits or, if all are full,
+   the one with the lowest expected time of those whose memory holds the
+   prompt.  A request is not refused for a learned limit alone.  */
+struct ds_placement
+ds_placement_choose (const struct ds_replica_set *set,
+                     const struct ds_placement_request *request,
+                     uint64_t now_ms)
+{
+  struct ds_placement placement
+      = ds_placement_choose_within_limits (set, request, now_ms);
+  struct ds_placement beyond;
+
+  if (placement.status != DS_PLACEMENT_FULL)
+    return placement;
+  beyond = choose_among (set, request,
+                         (struct allowance){ .beyond_limits = true }, now_ms);
+  if (beyond.status != DS_PLACEMENT_OK)
+    return placement;
+  beyond.beyond_limit = true;
+  return beyond;
+}
+
 /* Returns the time until the first replica of SERVICE takes requests again if
    all of them, but for those that leave, want none for now; else 0.  */
 uint64_t
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -26,7 +26,9 @@
   uint32_t target_latency_ms; /* to the first event; 0 for none */
   uint64_t tried[4];          /* hashes of replicas to exclude */
   size_t tried_count;
-  uint64_t drain_ms; /* for which a replica that leaves still serves */
+  uint64_t drain_ms;    /* for which a replica that leaves still serves */
+  uint64_t draw;        /* uniformly distributed; 0: no random choice */
+  uint64_t kv_capacity; /* tokens in the memory of a replica; 0: unknown */
 };
 
 /* DS_PLACEMENT_OK, or why there is no replica.  */
@@ -36,21 +38,24 @@
   DS_PLACEMENT_NO_REPLICA, /* none is known for the service */
   DS_PLACEMENT_ALL_TRIED,  /* all known ones were tried */
   DS_PLACEMENT_ALL_HELD,   /* all known ones want no requests for now */
-  DS_PLACEMENT_FULL        /* all slots are in use */
+  DS_PLACEMENT_FULL        /* all others are beyond their learned capacity */
 };
 
 /* Why the best replica of a service was not chosen.  */
 enum ds_placement_obstacle
 {
   DS_PLACEMENT_UNOBSTRUCTED,
-  DS_PLACEMENT_LEAVING, /* it said that it leaves */
-  DS_PLACEMENT_HELD     /* it said that it wants no requests for a while */
+  DS_PLACEMENT_LEAVING,  /* it said that it leaves */
+  DS_PLACEMENT_HELD,     /* it said that it wants no requests for a while */
+  DS_PLACEMENT_AT_LIMIT, /* it runs as many requests as it does well */
+  DS_PLACEMENT_NO_MEMORY /* its memory does not hold another prompt */
 };
 
 /* EXPECTED_MS is the estimated time to the first event, UNCACHED_TOKENS the
    number of prompt tokens that the replica must prefill.  PASSED_OVER is a
    replica that is no worse than the chosen one but for the OBSTACLE; null if
-   there is none.  */
+   there is none.  BEYOND_LIMIT is set if all replicas that could be chosen are
+   at their learned limit.  */
 struct ds_placement
 {
   enum ds_placement_status status;
@@ -59,11 +64,16 @@
   double expected_ms;
   const struct ds_replica *passed_over;
   enum ds_placement_obstacle obstacle;
+  bool beyond_limit;
 };
 
 struct ds_placement ds_placement_choose (const struct ds_replica_set *set,
                                          const struct ds_placement_request *r,
                                          uint64_t now_ms);
+struct ds_placement
+ds_placement_choose_within_limits (const struct ds_replica_set *set,
+                                   const struct ds_placement_request *r,
+                                   uint64_t now_ms);
 uint64_t ds_placement_wait_ms (const struct ds_replica_set *set,
                                struct ds_str service, uint64_t now_ms);
 uint64_t
--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -23,6 +23,7 @@
   GHashTable *by_hash;       /* of struct ds_replica, by its member hash */
   GHashTable *by_short_hash; /* by the low 32 bits of it */
   struct ds_notice_store notices;
+  struct ds_capacity_options capacity;
 };
 
 /* Identifies the incarnation of the replica ID that started at START_TIME_MS,
@@ -62,6 +63,14 @@
   return 0;
 }
 
+/* Lets the capacity of the replicas that are added from now on be learned.  */
+void
+ds_replica_set_learn_capacity (struct ds_replica_set *set,
+                               const struct ds_capacity_options *options)
+{
+  set->capacity = *options;
+}
+
 static struct entry *
 find_entry (const struct ds_replica_set *set, struct ds_str id)
 {
@@ -112,7 +121,11 @@
     return DS_ENOMEM;
   set->entries = grown;
   replica = talloc_zero (set, struct ds_replica);
-  if (replica == NULL || copy_record (replica, &replica->record, record) != 0)
+  if (replica == NULL || copy_record (replica, &replica->record, record) != 0
+      || (set->capacity.report_ttl_ms > 0
+          && ds_replica_capacity_new (&replica->capacity, replica,
+                                      &set->capacity, record->slots)
+                 != 0))
     {
       talloc_free (replica);
       return DS_ENOMEM;
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -1,6 +1,7 @@
 #ifndef DS_CORE_REPLICA_SET_H
 #define DS_CORE_REPLICA_SET_H
 
+#include "core/replica_capacity.h"
 #include "core/replica_notice.h"
 #include "daisystep/error.h"
 #include "daisystep/str.h"
@@ -25,6 +26,7 @@
 {
   uint32_t running;        /* requests */
   uint64_t prefill_tokens; /* of requests without a first event */
+  uint64_t memory_tokens;  /* prompt tokens that they add to its memory */
 };
 
 /* Size of the table of prompt parts in the cache of a replica.  */
@@ -57,6 +59,7 @@
   uint64_t left_reported_ms;
   uint64_t left_refuted_ms; /* when a report was last found wrong; or 0 */
   struct ds_replica_notice notice;
+  struct ds_replica_capacity *capacity; /* null: it is not learned */
   bool removed;
 };
 
@@ -64,6 +67,8 @@
 
 uint64_t ds_replica_hash (struct ds_str id, uint64_t start_time_ms);
 int ds_replica_set_new (struct ds_replica_set **out, TALLOC_CTX *owner);
+void ds_replica_set_learn_capacity (struct ds_replica_set *set,
+                                    const struct ds_capacity_options *options);
 int ds_replica_set_put (struct ds_replica_set *set,
                         const struct ds_replica_record *record);
 void ds_replica_set_remove (struct ds_replica_set *set, struct ds_str id,
--- a/src/entry/replica_notices.c
+++ b/src/entry/replica_notices.c
@@ -79,6 +79,10 @@
       return "leaves";
     case DS_PLACEMENT_HELD:
       return "pushes back";
+    case DS_PLACEMENT_AT_LIMIT:
+      return "limit of requests";
+    case DS_PLACEMENT_NO_MEMORY:
+      return "memory";
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
@@ -93,6 +97,11 @@
 {
   if (placement->replica->notice.leaving_ms > 0)
     ds_decision_line_add_number (line, "last_resort", 1);
+  if (placement->beyond_limit)
+    {
+      ds_metric_add (DS_METRIC_REQUESTS_BEYOND_LIMIT, 1);
+      ds_decision_line_add_number (line, "beyond_limit", 1);
+    }
   if (placement->passed_over == NULL)
     return;
   ds_metric_add (DS_METRIC_REQUESTS_PASSED_OVER, 1);
@@ -110,12 +119,16 @@
     ds_metric_add (DS_METRIC_REQUESTS_PASSED_OVER, 1);
   if (placement->status == DS_PLACEMENT_ALL_HELD)
     return "all replicas push back";
+  if (placement->status == DS_PLACEMENT_FULL)
+    return "the memory of all replicas is full";
   switch (placement->obstacle)
     {
     case DS_PLACEMENT_LEAVING:
       return "all replicas that are left leave";
     case DS_PLACEMENT_HELD:
       return "all replicas that are left push back";
+    case DS_PLACEMENT_AT_LIMIT:
+    case DS_PLACEMENT_NO_MEMORY:
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -399,6 +399,77 @@
 }
 END_TEST
 
+/* Adds two replicas whose capacity is learned and that reject what exceeds
+   RUNNING requests: nine tenths of them are the limit.  */
+static void
+add_limited_replicas (uint32_t running)
+{
+  const struct ds_capacity_options options
+      = { .min_samples = 8, .report_ttl_ms = 5000 };
+
+  ds_replica_set_learn_capacity (set, &options);
+  add_replica ("l1", "limited", "kelheim", false);
+  add_replica ("l2", "limited", "riedenburg", false);
+  for (size_t i = ds_replica_set_count (set) - 2;
+       i < ds_replica_set_count (set); i++)
+    ds_replica_capacity_record_rejection (ds_replica_set_at (set, i)->capacity,
+                                          running, 1000);
+}
+
+/* Guards against requests for a replica beyond its learned limit while another
+   one has room, and against a refusal for the limits alone.  */
+START_TEST (learned_limits_are_exceeded_only_if_all_are_reached)
+{
+  struct ds_placement_request request
+      = { .service = DS_STR ("limited"), .zone = DS_STR ("kelheim") };
+  struct ds_placement placement;
+  struct ds_replica *first;
+
+  add_limited_replicas (4);
+  first = ds_placement_choose (set, &request, 1000).replica;
+  ck_assert_str_eq (first->record.id.data, "l1");
+  first->local_load.running = 1;
+  first->remote_load.running = 2;
+  placement = ds_placement_choose (set, &request, 1000);
+  ck_assert_str_eq (placement.replica->record.id.data, "l2");
+  ck_assert (!placement.beyond_limit);
+  placement.replica->local_load.running = 5;
+  ck_assert_int_eq (
+      ds_placement_choose_within_limits (set, &request, 1000).status,
+      DS_PLACEMENT_FULL);
+  placement = ds_placement_choose (set, &request, 1000);
+  ck_assert_int_eq (placement.status, DS_PLACEMENT_OK);
+  ck_assert (placement.beyond_limit);
+  ck_assert_ptr_eq (placement.replica, first);
+}
+END_TEST
+
+/* Guards against prompts that exceed the memory of a replica, which then
+   crashes: those of other hosts count, and none is sent if no replica has
+   memory for it.  */
+START_TEST (prompts_stay_within_the_memory)
+{
+  struct ds_placement_request request = { .service = DS_STR ("limited"),
+                                          .zone = DS_STR ("kelheim"),
+                                          .prompt_tokens = 10000,
+                                          .kv_capacity = 100000 };
+  struct ds_placement placement;
+
+  add_limited_replicas (6);
+  placement = ds_placement_choose (set, &request, 1000);
+  placement.replica->local_load.memory_tokens = 40000;
+  placement.replica->remote_load.memory_tokens = 40000;
+  placement = ds_placement_choose (set, &request, 1000);
+  ck_assert_str_eq (placement.replica->record.id.data, "l2");
+  placement.replica->remote_load.memory_tokens = 80000;
+  ck_assert_int_eq (ds_placement_choose (set, &request, 1000).status,
+                    DS_PLACEMENT_FULL);
+  request.prompt_tokens = 5000;
+  ck_assert_int_eq (ds_placement_choose (set, &request, 1000).status,
+                    DS_PLACEMENT_OK);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -427,6 +498,9 @@
   tcase_add_test (test_case,
                   budget_pages_spread_evenly_and_move_only_to_a_new_host);
   tcase_add_test (test_case, latency_factor_follows_observed_latency);
+  tcase_add_test (test_case,
+                  learned_limits_are_exceeded_only_if_all_are_reached);
+  tcase_add_test (test_case, prompts_stay_within_the_memory);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
