Share measurements of replicas and prompt memory between hosts

Each host of sixty sees too little of a replica's traffic to judge it alone. Datagrams (member 37) and summaries (member 16) carry the measurements of replicas with news, at most 8 and 32 in turn, with their age; loads carry the prompt tokens in the memory of a replica (ReplicaLoad 4, member 17 of summaries). Hosts that do not learn send none of it.

protoc-c is not installed here: src/proto/gossip.pb-c.* was extended by a script that first reproduced the existing blocks byte for byte. Run scripts/generate.sh where protoc-c is available and compare.

Checks of crash_fleet, entry_fleet, fleet_view, placement pass.

--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -106,6 +106,8 @@
       loads[used]->replica = replica->hash;
       loads[used]->running = replica->local_load.running;
       loads[used]->prefill_tokens = replica->local_load.prefill_tokens;
+      if (replica->capacity != NULL)
+        loads[used]->memory_tokens = replica->local_load.memory_tokens;
       used++;
     }
   if (used > LOADS_PER_DATAGRAM_MAX)
@@ -337,6 +339,8 @@
 {
   ds_fleet_fill_self (view, owner, datagram);
   fill_loads (view, owner, datagram);
+  datagram->capacities = ds_fleet_take_capacities (
+      view, owner, DS_CAPACITY_OWN, &datagram->n_capacities);
   if (!ds_gossip_uses_relays (view->count))
     fill_holdings (view, owner, datagram);
 }
@@ -435,6 +439,7 @@
       .replica = datagram->loads[i]->replica,
       .running = datagram->loads[i]->running,
       .prefill_tokens = datagram->loads[i]->prefill_tokens,
+      .memory_tokens = datagram->loads[i]->memory_tokens,
     };
 }
 
@@ -536,6 +541,9 @@
   if (!datagram->partial)
     receive_loads (member, datagram);
   ds_fleet_record_parts (view, datagram->reads, datagram->n_reads, now_ms);
+  ds_fleet_receive_capacities (
+      view, (struct ds_capacity_source){ .id = member->short_id },
+      datagram->capacities, datagram->n_capacities, now_ms);
   receive_suspects (view, member, datagram, now_ms);
   ds_fleet_receive_departures (view, member, datagram->departures,
                                datagram->n_departures);
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -21,11 +21,13 @@
 #define INTRODUCTIONS ((size_t)3 * DS_RELAY_DOWNLINK_INTERVALS)
 /* Loads of another zone, or of the fleet, are used for this long.  */
 #define LOADS_VALID_MS 2000
-/* Tokens in one unit of prefill in a summary.  */
-#define PREFILL_UNIT_TOKENS 64
+/* Tokens in one unit of prefill or memory in a summary.  */
+#define TOKENS_PER_UNIT 64
 /* A host that the store lists but that nobody has seen may be starting; it is
    a candidate for a relay for this long.  */
 #define UNSEEN_CANDIDATE_MS 1500
+/* Seed of the hash that identifies zones as sources of reports.  */
+#define ZONE_SEED 29
 /* Unit of the ages of hosts in a summary.  */
 #define AGE_UNIT_MS 20
 
@@ -132,10 +134,17 @@
 }
 
 static void
-add_load (struct ds_replica_load *sum, uint64_t running, uint64_t prefill)
+add_load (struct ds_replica_load *sum, const struct ds_fleet_load *load)
 {
-  sum->running += (uint32_t)running;
-  sum->prefill_tokens += prefill;
+  sum->running += load->running;
+  sum->prefill_tokens += load->prefill_tokens;
+  sum->memory_tokens += load->memory_tokens;
+}
+
+static uint32_t
+to_units (uint64_t tokens)
+{
+  return (uint32_t)((tokens + TOKENS_PER_UNIT / 2) / TOKENS_PER_UNIT);
 }
 
 /* Sums up the loads of this host and, as reported to it as a relay, of its
@@ -167,9 +176,8 @@
 
           if (replica == NULL)
             continue;
-          add_load (&replica->zone_load, load->running, load->prefill_tokens);
-          add_load (&replica->remote_load, load->running,
-                    load->prefill_tokens);
+          add_load (&replica->zone_load, load);
+          add_load (&replica->remote_load, load);
         }
     }
   for (size_t i = 0; i < view->zone_count; i++)
@@ -184,8 +192,7 @@
               view->replicas, (uint32_t)zone->loads[k].replica);
 
           if (replica != NULL)
-            add_load (&replica->remote_load, zone->loads[k].running,
-                      zone->loads[k].prefill_tokens);
+            add_load (&replica->remote_load, &zone->loads[k]);
         }
     }
 }
@@ -256,12 +263,14 @@
 {
   size_t count = ds_replica_set_count (view->replicas);
   size_t used = 0;
+  bool learning = false;
 
   summary->replicas = talloc_array (owner, uint32_t, (unsigned)count + 1);
   summary->running = talloc_array (owner, uint32_t, (unsigned)count + 1);
   summary->prefill_units = talloc_array (owner, uint32_t, (unsigned)count + 1);
+  summary->memory_units = talloc_array (owner, uint32_t, (unsigned)count + 1);
   if (summary->replicas == NULL || summary->running == NULL
-      || summary->prefill_units == NULL)
+      || summary->prefill_units == NULL || summary->memory_units == NULL)
     return;
   for (size_t i = 0; i < count; i++)
     {
@@ -274,19 +283,22 @@
           = replica->local_load.running + replica->remote_load.running,
           .prefill_tokens = replica->local_load.prefill_tokens
                             + replica->remote_load.prefill_tokens,
+          .memory_tokens = replica->local_load.memory_tokens
+                           + replica->remote_load.memory_tokens,
         };
       if (load.running == 0)
         continue;
       summary->replicas[used] = (uint32_t)replica->hash;
       summary->running[used] = load.running;
-      summary->prefill_units[used]
-          = (uint32_t)((load.prefill_tokens + PREFILL_UNIT_TOKENS / 2)
-                       / PREFILL_UNIT_TOKENS);
+      summary->prefill_units[used] = to_units (load.prefill_tokens);
+      summary->memory_units[used] = to_units (load.memory_tokens);
+      learning = learning || replica->capacity != NULL;
       used++;
     }
   summary->n_replicas = used;
   summary->n_running = used;
   summary->n_prefill_units = used;
+  summary->n_memory_units = learning ? used : 0;
 }
 
 /* Number of parts for which DATAGRAM has room.  */
@@ -400,6 +412,9 @@
   summary->zone = fleet ? whole_fleet : datagram->zone;
   fill_hosts (view, owner, summary, fleet, now_ms);
   fill_summary_loads (view, owner, summary, fleet);
+  summary->capacities = ds_fleet_take_capacities (
+      view, owner, fleet ? DS_CAPACITY_FLEET : DS_CAPACITY_ZONE,
+      &summary->n_capacities);
   fill_records (view, owner, summary, fleet, now_ms);
   ds_fleet_fill_suspects (view, owner, datagram);
   summary->departures
@@ -575,6 +590,21 @@
              : 0;
 }
 
+/* Returns the load at position I of SUMMARY.  */
+static struct ds_fleet_load
+load_at (const Daisystep__Gossip__Summary *summary, size_t i)
+{
+  return (struct ds_fleet_load){
+    .replica = summary->replicas[i],
+    .running = summary->running[i],
+    .prefill_tokens = (uint64_t)summary->prefill_units[i] * TOKENS_PER_UNIT,
+    .memory_tokens
+    = summary->n_memory_units == summary->n_replicas
+          ? (uint64_t)summary->memory_units[i] * TOKENS_PER_UNIT
+          : 0,
+  };
+}
+
 static void
 receive_zone_loads (struct ds_fleet_view *view,
                     const Daisystep__Gossip__Summary *summary, uint64_t now_ms)
@@ -590,12 +620,13 @@
   zone->load_count = 0;
   zone->received_ms = now_ms;
   for (size_t i = 0; i < count && zone->loads != NULL; i++)
-    zone->loads[zone->load_count++] = (struct ds_fleet_load){
-      .replica = summary->replicas[i],
-      .running = summary->running[i],
-      .prefill_tokens
-      = (uint64_t)summary->prefill_units[i] * PREFILL_UNIT_TOKENS,
-    };
+    zone->loads[zone->load_count++] = load_at (summary, i);
+}
+
+static uint64_t
+without (uint64_t sum, uint64_t part)
+{
+  return sum > part ? sum - part : 0;
 }
 
 /* Takes over the loads of the fleet less what this host has reported, which
@@ -609,17 +640,18 @@
     {
       struct ds_replica *replica = ds_replica_set_find_by_short_hash (
           view->replicas, summary->replicas[i]);
-      uint64_t prefill
-          = (uint64_t)summary->prefill_units[i] * PREFILL_UNIT_TOKENS;
+      struct ds_fleet_load load = load_at (summary, i);
 
       if (replica == NULL)
         continue;
-      if (summary->running[i] > replica->reported_load.running)
-        replica->remote_load.running
-            = summary->running[i] - replica->reported_load.running;
-      if (prefill > replica->reported_load.prefill_tokens)
-        replica->remote_load.prefill_tokens
-            = prefill - replica->reported_load.prefill_tokens;
+      replica->remote_load = (struct ds_replica_load){
+        .running
+        = (uint32_t)without (load.running, replica->reported_load.running),
+        .prefill_tokens = without (load.prefill_tokens,
+                                   replica->reported_load.prefill_tokens),
+        .memory_tokens = without (load.memory_tokens,
+                                  replica->reported_load.memory_tokens),
+      };
     }
 }
 
@@ -666,6 +698,13 @@
   ds_fleet_receive_departures (view, sender, summary->departures,
                                summary->n_departures);
   ds_fleet_record_parts (view, summary->reads, summary->n_reads, now_ms);
+  /* A relay sums up what the hosts of its zone report to it.  */
+  if (zone.length > 0 || view->relay_rank < 0)
+    ds_fleet_receive_capacities (
+        view,
+        (struct ds_capacity_source){
+            .id = (uint32_t)ds_str_hash (zone, ZONE_SEED), .relayed = true },
+        summary->capacities, summary->n_capacities, now_ms);
   if (zone.length > 0)
     {
       receive_zone_loads (view, summary, now_ms);
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -24,6 +24,12 @@
 #define TRANSFERS_MAX 64
 /* Transfer numbers kept per host to detect duplicates.  */
 #define SEEN_TRANSFERS_MAX 256
+/* Measurements of replicas in one datagram of a host.  It sees some ten
+   requests a second, hence news of few replicas in an interval.  */
+#define CAPACITIES_PER_DATAGRAM_MAX 8
+/* The same in one summary.  With 600 replicas, all get their turn within half
+   of the time for which reports count.  */
+#define CAPACITIES_PER_SUMMARY_MAX 32
 /* Departures of replicas waiting to be announced; further ones are dropped,
    since each host also hears of them from the store.  */
 #define PENDING_DEPARTURES_MAX 64
@@ -37,6 +43,7 @@
   uint64_t replica; /* hash */
   uint32_t running;
   uint64_t prefill_tokens;
+  uint64_t memory_tokens;
 };
 
 struct ds_fleet_transfer
@@ -166,6 +173,7 @@
   uint64_t transfer_number;
   uint64_t started_ms;
   size_t next_target;
+  size_t next_capacity[DS_CAPACITY_SCOPES]; /* replica to report first */
   int fd;
   struct ds_ledger_access ledger; /* of this host */
   bool ledger_reachable;
@@ -212,6 +220,15 @@
                             Daisystep__Gossip__PartRead *const *reads,
                             size_t count, uint64_t now_ms);
 
+/* fleet_capacity.c */
+Daisystep__Gossip__ReplicaCapacity **
+ds_fleet_take_capacities (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                          enum ds_capacity_scope scope, size_t *count);
+void ds_fleet_receive_capacities (
+    struct ds_fleet_view *view, struct ds_capacity_source source,
+    Daisystep__Gossip__ReplicaCapacity *const *capacities, size_t count,
+    uint64_t now_ms);
+
 /* fleet_relay.c */
 void ds_fleet_relay_tick (struct ds_fleet_view *view, uint64_t now_ms);
 void ds_fleet_receive_summary (struct ds_fleet_view *view,
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &daisystep__gossip__replica_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   daisystep__gossip__replica_capacity__init
+                     (Daisystep__Gossip__ReplicaCapacity         *message)
+{
+  static const Daisystep__Gossip__ReplicaCapacity init_value = DAISYSTEP__GOSSIP__REPLICA_CAPACITY__INIT;
+  *message = init_value;
+}
+size_t daisystep__gossip__replica_capacity__get_packed_size
+                     (const Daisystep__Gossip__ReplicaCapacity *message)
+{
+  assert(message->base.descriptor == &daisystep__gossip__replica_capacity__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t daisystep__gossip__replica_capacity__pack
+                     (const Daisystep__Gossip__ReplicaCapacity *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &daisystep__gossip__replica_capacity__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t daisystep__gossip__replica_capacity__pack_to_buffer
+                     (const Daisystep__Gossip__ReplicaCapacity *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &daisystep__gossip__replica_capacity__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Daisystep__Gossip__ReplicaCapacity *
+       daisystep__gossip__replica_capacity__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Daisystep__Gossip__ReplicaCapacity *)
+     protobuf_c_message_unpack (&daisystep__gossip__replica_capacity__descriptor,
+                                allocator, len, data);
+}
+void   daisystep__gossip__replica_capacity__free_unpacked
+                     (Daisystep__Gossip__ReplicaCapacity *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &daisystep__gossip__replica_capacity__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   daisystep__gossip__crash__init
                      (Daisystep__Gossip__Crash         *message)
 {
@@ -502,7 +547,7 @@
   assert(message->base.descriptor == &daisystep__gossip__datagram__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor daisystep__gossip__replica_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor daisystep__gossip__replica_load__field_descriptors[4] =
 {
   {
     "replica",
@@ -540,8 +585,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "memory_tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__ReplicaLoad, memory_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__replica_load__field_indices_by_name[] = {
+  3,   /* field[3] = memory_tokens */
   2,   /* field[2] = prefill_tokens */
   0,   /* field[0] = replica */
   1,   /* field[1] = running */
@@ -549,7 +607,7 @@
 static const ProtobufCIntRange daisystep__gossip__replica_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__replica_load__descriptor =
 {
@@ -559,13 +617,129 @@
   "Daisystep__Gossip__ReplicaLoad",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__ReplicaLoad),
-  3,
+  4,
   daisystep__gossip__replica_load__field_descriptors,
   daisystep__gossip__replica_load__field_indices_by_name,
   1,  daisystep__gossip__replica_load__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__replica_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor daisystep__gossip__replica_capacity__field_descriptors[7] =
+{
+  {
+    "replica",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__ReplicaCapacity, replica),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__ReplicaCapacity, speed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__ReplicaCapacity, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gap",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__ReplicaCapacity, gap),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__ReplicaCapacity, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__ReplicaCapacity, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__ReplicaCapacity, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned daisystep__gossip__replica_capacity__field_indices_by_name[] = {
+  6,   /* field[6] = age */
+  3,   /* field[3] = gap */
+  5,   /* field[5] = limit */
+  0,   /* field[0] = replica */
+  4,   /* field[4] = samples */
+  1,   /* field[1] = speed */
+  2,   /* field[2] = stretch */
+};
+static const ProtobufCIntRange daisystep__gossip__replica_capacity__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor daisystep__gossip__replica_capacity__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "daisystep.gossip.ReplicaCapacity",
+  "ReplicaCapacity",
+  "Daisystep__Gossip__ReplicaCapacity",
+  "daisystep.gossip",
+  sizeof(Daisystep__Gossip__ReplicaCapacity),
+  7,
+  daisystep__gossip__replica_capacity__field_descriptors,
+  daisystep__gossip__replica_capacity__field_indices_by_name,
+  1,  daisystep__gossip__replica_capacity__number_ranges,
+  (ProtobufCMessageInit) daisystep__gossip__replica_capacity__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor daisystep__gossip__crash__field_descriptors[2] =
 {
   {
@@ -1260,7 +1434,7 @@
   (ProtobufCMessageInit) daisystep__gossip__departure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[14] =
+static const ProtobufCFieldDescriptor daisystep__gossip__summary__field_descriptors[16] =
 {
   {
     "zone",
@@ -1430,11 +1604,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacities",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Summary, n_capacities),
+    offsetof(Daisystep__Gossip__Summary, capacities),
+    &daisystep__gossip__replica_capacity__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_units",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Daisystep__Gossip__Summary, n_memory_units),
+    offsetof(Daisystep__Gossip__Summary, memory_units),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__summary__field_indices_by_name[] = {
+  14,   /* field[14] = capacities */
   8,   /* field[8] = cut_hosts */
   13,   /* field[13] = departures */
   10,   /* field[10] = leaving */
+  15,   /* field[15] = memory_units */
   12,   /* field[12] = other_ages */
   2,   /* field[2] = other_hosts */
   5,   /* field[5] = prefill_units */
@@ -1447,10 +1647,11 @@
   9,   /* field[9] = strained_hosts */
   0,   /* field[0] = zone */
 };
-static const ProtobufCIntRange daisystep__gossip__summary__number_ranges[1 + 1] =
+static const ProtobufCIntRange daisystep__gossip__summary__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 16, 14 },
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__summary__descriptor =
 {
@@ -1460,14 +1661,14 @@
   "Daisystep__Gossip__Summary",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Summary),
-  14,
+  16,
   daisystep__gossip__summary__field_descriptors,
   daisystep__gossip__summary__field_indices_by_name,
-  1,  daisystep__gossip__summary__number_ranges,
+  2,  daisystep__gossip__summary__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[28] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[29] =
 {
   {
     "host",
@@ -1805,10 +2006,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacities",
+    37,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Daisystep__Gossip__Datagram, n_capacities),
+    offsetof(Daisystep__Gossip__Datagram, capacities),
+    &daisystep__gossip__replica_capacity__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
   4,   /* field[4] = caller_address */
+  28,   /* field[28] = capacities */
   19,   /* field[19] = capacity */
   24,   /* field[24] = config_revision */
   9,   /* field[9] = crashes */
@@ -1836,10 +2050,11 @@
   11,   /* field[11] = transfers */
   2,   /* field[2] = zone */
 };
-static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
+static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 37, 28 },
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1849,10 +2064,10 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  28,
+  29,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
-  1,  daisystep__gossip__datagram__number_ranges,
+  2,  daisystep__gossip__datagram__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Daisystep__Gossip__ReplicaLoad Daisystep__Gossip__ReplicaLoad;
+typedef struct Daisystep__Gossip__ReplicaCapacity Daisystep__Gossip__ReplicaCapacity;
 typedef struct Daisystep__Gossip__Crash Daisystep__Gossip__Crash;
 typedef struct Daisystep__Gossip__Suspect Daisystep__Gossip__Suspect;
 typedef struct Daisystep__Gossip__TokenAsk Daisystep__Gossip__TokenAsk;
@@ -42,10 +43,52 @@
   uint64_t replica;
   uint32_t running;
   uint64_t prefill_tokens;
+  /*
+   * Prompt tokens that the requests add to the memory of the replica. Sent by
+   * hosts that learn the capacity of replicas.
+   */
+  uint64_t memory_tokens;
 };
 #define DAISYSTEP__GOSSIP__REPLICA_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__replica_load__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
+
+
+/*
+ * What a host or, in a summary, a relay has measured of a replica.
+ */
+struct  Daisystep__Gossip__ReplicaCapacity
+{
+  ProtobufCMessage base;
+  /*
+   * The low 32 bits of its hash.
+   */
+  uint32_t replica;
+  /*
+   * In percent of 50 prompt tokens per millisecond; 0 for unknown.
+   */
+  uint32_t speed;
+  /*
+   * Time to the first event, in percent of that of an idle replica.
+   */
+  uint32_t stretch;
+  /*
+   * Between two events, in units of 0.1 ms; 0 for unknown.
+   */
+  uint32_t gap;
+  uint32_t samples;
+  /*
+   * Of concurrent requests of all hosts.
+   */
+  uint32_t limit;
+  /*
+   * Of the latest sample, in units of 100 ms.
+   */
+  uint32_t age;
+};
+#define DAISYSTEP__GOSSIP__REPLICA_CAPACITY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__replica_capacity__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -263,10 +306,17 @@
   uint32_t *other_ages;
   size_t n_departures;
   Daisystep__Gossip__Departure **departures;
+  size_t n_capacities;
+  Daisystep__Gossip__ReplicaCapacity **capacities;
+  /*
+   * In units of 64 tokens, at the same positions as the replicas, or empty.
+   */
+  size_t n_memory_units;
+  uint32_t *memory_units;
 };
 #define DAISYSTEP__GOSSIP__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__summary__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Daisystep__Gossip__Datagram
@@ -348,10 +398,12 @@
   Daisystep__Gossip__Suspect **suspects;
   size_t n_departures;
   Daisystep__Gossip__Departure **departures;
+  size_t n_capacities;
+  Daisystep__Gossip__ReplicaCapacity **capacities;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
@@ -373,6 +425,25 @@
 void   daisystep__gossip__replica_load__free_unpacked
                      (Daisystep__Gossip__ReplicaLoad *message,
                       ProtobufCAllocator *allocator);
+/* Daisystep__Gossip__ReplicaCapacity methods */
+void   daisystep__gossip__replica_capacity__init
+                     (Daisystep__Gossip__ReplicaCapacity         *message);
+size_t daisystep__gossip__replica_capacity__get_packed_size
+                     (const Daisystep__Gossip__ReplicaCapacity   *message);
+size_t daisystep__gossip__replica_capacity__pack
+                     (const Daisystep__Gossip__ReplicaCapacity   *message,
+                      uint8_t             *out);
+size_t daisystep__gossip__replica_capacity__pack_to_buffer
+                     (const Daisystep__Gossip__ReplicaCapacity   *message,
+                      ProtobufCBuffer     *buffer);
+Daisystep__Gossip__ReplicaCapacity *
+       daisystep__gossip__replica_capacity__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   daisystep__gossip__replica_capacity__free_unpacked
+                     (Daisystep__Gossip__ReplicaCapacity *message,
+                      ProtobufCAllocator *allocator);
 /* Daisystep__Gossip__Crash methods */
 void   daisystep__gossip__crash__init
                      (Daisystep__Gossip__Crash         *message);
@@ -568,6 +639,9 @@
 typedef void (*Daisystep__Gossip__ReplicaLoad_Closure)
                  (const Daisystep__Gossip__ReplicaLoad *message,
                   void *closure_data);
+typedef void (*Daisystep__Gossip__ReplicaCapacity_Closure)
+                 (const Daisystep__Gossip__ReplicaCapacity *message,
+                  void *closure_data);
 typedef void (*Daisystep__Gossip__Crash_Closure)
                  (const Daisystep__Gossip__Crash *message,
                   void *closure_data);
@@ -605,6 +679,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor daisystep__gossip__replica_load__descriptor;
+extern const ProtobufCMessageDescriptor daisystep__gossip__replica_capacity__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__crash__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__suspect__descriptor;
 extern const ProtobufCMessageDescriptor daisystep__gossip__token_ask__descriptor;
