Learn the capacity of replicas from the attempts of a host

entry/attempt_feedback takes over what the exchange did when an attempt is sent, has its first event and ends, and adds gaps between events and rejections.

--- a/src/core/replica_capacity.c
+++ b/src/core/replica_capacity.c
@@ -47,6 +47,8 @@
 #define LIMIT_MIN 2
 /* Share of the requests that were running when one was rejected.  */
 #define REJECTION_SHARE 0.9
+/* Part of the slots below which a rejection says nothing about the limit.  */
+#define REJECTION_SLOTS_DIVISOR 4
 /* The least gap is that of the last one to two windows.  A replica that stays
    slow gets its limit back after that time, since its speed alone then keeps
    requests away from it.  */
@@ -424,7 +426,7 @@
   if (now_ms - capacity->updated_ms < UPDATE_MS || !capacity->running_seen)
     return;
   capacity->updated_ms = now_ms;
-  if (capacity->merged.samples < capacity->options.min_samples)
+  if (capacity->merged.samples < (double)capacity->options.min_samples)
     return;
   if (latency > 1 && capacity->peak_running <= limit)
     {
@@ -484,7 +486,7 @@
 {
   struct ds_capacity_estimate *merged = &capacity->merged;
   struct figures figures;
-  double doubt = capacity->options.min_samples / 2.0;
+  double doubt = (double)capacity->options.min_samples / 2;
   uint64_t elapsed_ms = now_ms - capacity->merged_ms;
 
   if (capacity->merged_ms > 0 && elapsed_ms < MERGE_MS)
@@ -565,13 +567,17 @@
 }
 
 /* Records that the replica rejected a request, which did not run, while
-   RUNNING others were there.  */
+   RUNNING others were there.  One that rejects while most of its slots are
+   free has another reason.  */
 void
 ds_replica_capacity_record_rejection (struct ds_replica_capacity *capacity,
                                       uint32_t running, uint64_t now_ms)
 {
   uint32_t limit = (uint32_t)(running * REJECTION_SHARE);
 
+  if (capacity->slots != UINT32_MAX
+      && running < capacity->slots / REJECTION_SLOTS_DIVISOR)
+    return;
   if (limit < LIMIT_MIN)
     limit = LIMIT_MIN;
   decay (&capacity->sums, now_ms);
--- a/src/core/replica_capacity.h
+++ b/src/core/replica_capacity.h
@@ -14,7 +14,7 @@
    switches learning off.  */
 struct ds_capacity_options
 {
-  uint32_t min_samples;
+  uint64_t min_samples;
   uint64_t report_ttl_ms;
 };
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -684,8 +684,7 @@
       ds_log_error (&error, NULL);
       return;
     }
-  /* Addresses and names are fixed for the lifetime of the process; budget
-     policy, grace period and address TTL may change.  */
+  /* The budget policy, grace period and address TTL may change.  */
   entry->settings->grace_s = loaded->grace_s;
   entry->addresses.ttl_s = loaded->address_ttl_s;
   entry->settings->budget = loaded->budget;
@@ -986,6 +985,7 @@
       || ds_budget_manager_new (&entry->budgets, entry, &budgets) != 0)
     return ds_error_set (error, DS_ENOMEM, "start entry host", "",
                          "out of memory");
+  ds_replica_set_learn_capacity (entry->replicas, &settings->replica_capacity);
   entry->exchanges.ev = entry->ev;
   entry->exchanges.replicas = entry->replicas;
   entry->exchanges.budgets = entry->budgets;
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -35,6 +35,12 @@
     .offset = offsetof (struct ds_entry_settings, member), .required = true,  \
     .members = (rows), .member_count = COUNT (rows),                          \
   }
+#define OPTIONAL_OBJECT(member, rows)                                         \
+  {                                                                           \
+    .name = #member, .type = DS_FIELD_OBJECT,                                 \
+    .offset = offsetof (struct ds_entry_settings, member), .members = (rows), \
+    .member_count = COUNT (rows),                                             \
+  }
 
 static const struct ds_field retry_fields[] = {
   REAL (struct ds_retry_settings, ratio, 0, 10),
@@ -51,6 +57,11 @@
   NUMBER (struct ds_budget_settings, cushion_ms, 0, 60000, 1000),
 };
 
+static const struct ds_field replica_capacity_fields[] = {
+  NUMBER (struct ds_capacity_options, min_samples, 1, 1000, 8),
+  NUMBER (struct ds_capacity_options, report_ttl_ms, 500, 60000, 5000),
+};
+
 static const struct ds_field settings_fields[] = {
   REQUIRED (host, DS_FIELD_NAME),
   REQUIRED (zone, DS_FIELD_NAME),
@@ -78,6 +89,7 @@
   OPTIONAL_REAL (struct ds_entry_settings, memory_mb, 32, 1048576, 88),
   OBJECT (retry, retry_fields),
   OBJECT (budget, budget_fields),
+  OPTIONAL_OBJECT (replica_capacity, replica_capacity_fields),
 };
 
 /* Reads the settings file.  The error names the file, the field and the
@@ -104,6 +116,10 @@
   if (status == 0)
     status = ds_fields_read (settings, settings, file->root, settings_fields,
                              COUNT (settings_fields), &location, problems);
+  /* An absent object is read as an empty one; here it switches off.  */
+  if (status == 0 && json_object_get (file->root, "replica_capacity") == NULL)
+    settings->replica_capacity
+        = (struct ds_capacity_options){ .report_ttl_ms = 0 };
   if (status != 0)
     {
       if (file != NULL)
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -1,6 +1,7 @@
 #ifndef DS_ENTRY_ENTRY_SETTINGS_H
 #define DS_ENTRY_ENTRY_SETTINGS_H
 
+#include "core/replica_capacity.h"
 #include "daisystep/fields.h"
 
 /* Fleet-wide limit on retries to a service.  */
@@ -46,6 +47,7 @@
   double memory_mb; /* MiB; limit of the process */
   struct ds_retry_settings retry;
   struct ds_budget_settings budget;
+  struct ds_capacity_options replica_capacity; /* zero if absent */
 };
 
 int ds_entry_settings_load (struct ds_entry_settings **out, TALLOC_CTX *owner,
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -1,6 +1,7 @@
 #include "entry/exchange.h"
 #include "base/decision_log.h"
 #include "daisystep/metrics.h"
+#include "entry/attempt_feedback.h"
 #include "entry/event_stream.h"
 #include "entry/replica_notices.h"
 #include "io/clock.h"
@@ -71,14 +72,12 @@
 
   struct ds_pooled_connection *pooled; /* of the current attempt */
   struct ds_replica *replica;          /* referenced during an attempt */
-  uint64_t uncached_tokens;
-  bool prefill_counted; /* in the replica's load */
+  struct ds_attempt_feedback feedback; /* of the current attempt */
   uint64_t attempt_ms;
   uint64_t answer_ms;      /* when the attempt's answer began; 0 before */
   uint64_t earlier_events; /* of attempts before */
   bool beyond_crash;       /* the attempt's answer has come far enough */
-  double expected_ms;
-  uint32_t runs; /* attempts that may have run */
+  uint32_t runs;           /* attempts that may have run */
   uint32_t rejections;
   unsigned rejected_status;
   bool may_have_run;
@@ -164,11 +163,7 @@
 {
   if (x->replica == NULL)
     return;
-  x->replica->local_load.running--;
-  ds_replica_notice_record_end (&x->replica->notice, x->attempt_ms);
-  if (x->prefill_counted)
-    x->replica->local_load.prefill_tokens -= x->uncached_tokens;
-  x->prefill_counted = false;
+  ds_attempt_feedback_end (&x->feedback, ds_clock_ms ());
   talloc_unlink (x, x->replica);
   x->replica = NULL;
 }
@@ -578,7 +573,7 @@
 announce_parts (struct ds_exchange *x)
 {
   if (x->placement_request.part_count < 2
-      || x->uncached_tokens
+      || x->feedback.uncached_tokens
              <= x->placement_request.parts[x->placement_request.part_count - 1]
                     .tokens)
     return;
@@ -591,15 +586,9 @@
 record_first_event (struct ds_exchange *x)
 {
   uint64_t now_ms = ds_clock_ms ();
-  double took = (double)(now_ms - x->attempt_ms);
 
-  if (x->prefill_counted)
-    {
-      x->replica->local_load.prefill_tokens -= x->uncached_tokens;
-      x->prefill_counted = false;
-    }
-  ds_placement_record_prefill (x->replica, &x->placement_request, now_ms);
-  ds_placement_record_first_event (x->replica, took, x->expected_ms);
+  ds_attempt_feedback_record_first_event (&x->feedback, &x->placement_request,
+                                          now_ms);
   if (x->first_event_ms == 0)
     x->first_event_ms = now_ms;
 }
@@ -666,17 +655,20 @@
         on_attempt_failed (x, "answer is too long");
       return;
     }
-  if (x->prefill_counted)
+  if (x->feedback.prefill_counted)
     record_first_event (x);
   if (!x->response.is_stream)
     ds_caller_write_chunk (x->caller, bytes);
   else if (!forward_events (x, bytes))
     return;
+  ds_attempt_feedback_record_events (&x->feedback, x->events.events,
+                                     ds_clock_ms ());
   if (x->events.events - x->earlier_events >= EVENTS_BEYOND_CRASH)
     record_beyond_crash (x);
   if (!x->paused && ds_caller_is_behind (x->caller))
     {
       x->paused = true;
+      ds_attempt_feedback_pause (&x->feedback);
       ds_http_connection_pause (ds_pooled_connection_http (x->pooled), true);
     }
 }
@@ -784,6 +776,8 @@
   if (x->response.not_run)
     {
       return_connection (x);
+      if (x->status == 503 && !x->response.leaving)
+        ds_attempt_feedback_record_rejection (&x->feedback, now_ms);
       /* The address now belongs to another replica.  */
       if (x->status == 421)
         ds_placement_record_failure (x->replica, now_ms);
@@ -970,15 +964,9 @@
       return status;
     }
   x->replica = talloc_reference (x, placement->replica);
-  x->replica->local_load.running++;
-  ds_replica_notice_record_sent (&x->replica->notice, now_ms);
-  x->uncached_tokens = placement->uncached_tokens;
-  x->replica->local_load.prefill_tokens += x->uncached_tokens;
-  x->prefill_counted = true;
-  /* The next request with the same parts should use this replica.  */
-  ds_placement_record_prefill (x->replica, &x->placement_request, now_ms);
+  ds_attempt_feedback_begin (&x->feedback, placement, &x->placement_request,
+                             now_ms);
   announce_parts (x);
-  x->expected_ms = placement->expected_ms;
   x->attempt_ms = now_ms;
   x->answer_ms = 0;
   x->streaming = false;
@@ -1204,6 +1192,8 @@
 static void
 fill_placement_request (struct ds_exchange *x)
 {
+  const struct ds_service *service;
+
   x->placement_request = (struct ds_placement_request){
     .zone = x->context->zone,
     .service
@@ -1212,7 +1202,12 @@
     .prompt_tokens = x->request.prompt_tokens,
     .target_latency_ms = x->route->target_latency_ms,
     .drain_ms = x->context->drain_ms,
+    .draw = ds_str_hash (x->request.id, 13),
   };
+  service = ds_routing_config_find_service (x->config,
+                                            x->placement_request.service);
+  if (service != NULL)
+    x->placement_request.kv_capacity = service->kv_capacity;
   memcpy (x->placement_request.parts, x->request.parts,
           sizeof x->placement_request.parts);
 }
--- a/src/entry/fleet_capacity.c
+++ b/src/entry/fleet_capacity.c
@@ -24,9 +24,8 @@
 {
   Daisystep__Gossip__ReplicaCapacity *message
       = talloc (owner, Daisystep__Gossip__ReplicaCapacity);
-  uint32_t samples
-      = to_uint (report->samples < SAMPLES_MAX ? report->samples
-                                               : SAMPLES_MAX);
+  uint32_t samples = to_uint (report->samples < SAMPLES_MAX ? report->samples
+                                                            : SAMPLES_MAX);
 
   if (message == NULL)
     return NULL;
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -598,10 +598,9 @@
     .replica = summary->replicas[i],
     .running = summary->running[i],
     .prefill_tokens = (uint64_t)summary->prefill_units[i] * TOKENS_PER_UNIT,
-    .memory_tokens
-    = summary->n_memory_units == summary->n_replicas
-          ? (uint64_t)summary->memory_units[i] * TOKENS_PER_UNIT
-          : 0,
+    .memory_tokens = summary->n_memory_units == summary->n_replicas
+                         ? (uint64_t)summary->memory_units[i] * TOKENS_PER_UNIT
+                         : 0,
   };
 }
 
@@ -647,10 +646,10 @@
       replica->remote_load = (struct ds_replica_load){
         .running
         = (uint32_t)without (load.running, replica->reported_load.running),
-        .prefill_tokens = without (load.prefill_tokens,
-                                   replica->reported_load.prefill_tokens),
-        .memory_tokens = without (load.memory_tokens,
-                                  replica->reported_load.memory_tokens),
+        .prefill_tokens
+        = without (load.prefill_tokens, replica->reported_load.prefill_tokens),
+        .memory_tokens
+        = without (load.memory_tokens, replica->reported_load.memory_tokens),
       };
     }
 }
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -241,8 +241,7 @@
           replica->remote_load.running += member->loads[k].running;
           replica->remote_load.prefill_tokens
               += member->loads[k].prefill_tokens;
-          replica->remote_load.memory_tokens
-              += member->loads[k].memory_tokens;
+          replica->remote_load.memory_tokens += member->loads[k].memory_tokens;
         }
     }
 }
