--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -186,13 +186,19 @@
 }
 
 /* Returns the factor by which REPLICA takes longer than one of speed 1 without
-   other load: from the learned speed, or from the observed latency.  */
+   other load: from the learned speed, or from the observed latency.
+
+   A learned speed is too low while a replica is busy, since it does not know
+   the requests that other hosts have sent in the last moments.  Its root
+   halves the error; with the speed itself, slow replicas got a third of the
+   requests that they can take.  */
 static double
 slowness (const struct ds_replica *replica, uint64_t now_ms)
 {
   if (replica->capacity == NULL)
     return replica->latency_factor;
-  return 1 / ds_replica_capacity_estimate (replica->capacity, now_ms).speed;
+  return sqrt (
+      1 / ds_replica_capacity_estimate (replica->capacity, now_ms).speed);
 }
 
 /* Returns what in its learned capacity keeps the request from REPLICA.  */
@@ -247,12 +253,8 @@
   /* Hosts that receive a new part concurrently choose the same replica.  */
   if (*uncached > last_part_tokens (request) && replica == preferred)
     prefill_ms *= PREFERRED_REPLICA_FACTOR;
-  /* A learned speed is too low while a replica is busy, since other hosts'
-     requests of the last moments are unknown.  Its root halves the error; with
-     the whole factor slow replicas got a third of the requests that they can
-     take.  */
   if (replica->capacity != NULL)
-    prefill_ms *= sqrt (factor);
+    prefill_ms *= factor;
   return cost + prefill_ms
          + ((double)(replica->local_load.prefill_tokens
                      + replica->remote_load.prefill_tokens)
--- a/src/core/replica_capacity.c
+++ b/src/core/replica_capacity.c
@@ -35,7 +35,7 @@
    same speed, and gaps this many times the least, count as overload.  A full
    healthy engine of 64 slots has gaps of 1.5 to 2 times those of an idle
    one.  */
-#define STRETCH_MAX 3.0
+#define STRETCH_MAX 6.0
 #define GAP_STRETCH_MAX 2.0
 /* Share of these bounds up to which the limit grows.  */
 #define GROWTH_BELOW 0.8
@@ -94,8 +94,7 @@
   struct ds_capacity_options options;
   uint32_t slots;
   struct sums sums;
-  uint32_t limit; /* of this host */
-  bool limited;
+  uint32_t limit;
   uint32_t peak_running; /* seen since the last update */
   bool running_seen;
   uint64_t updated_ms;
@@ -170,7 +169,7 @@
 own_report (struct ds_replica_capacity *capacity, uint64_t now_ms)
 {
   struct sums *sums = &capacity->sums;
-  struct ds_capacity_report report = { .limit = capacity->limit };
+  struct ds_capacity_report report = { .speed = 0 };
 
   decay (sums, now_ms);
   report.samples = sums->prefills + sums->gap_samples + sums->rejections;
@@ -215,8 +214,8 @@
   double median = 0;
   double least = DBL_MAX;
 
-  /* The least value at which half of the weight is reached; there are at most
-     33 figures.  */
+  /* The least value at which more than half of the weight is reached; there
+     are at most 33 figures.  */
   for (size_t i = 0; i < count; i++)
     {
       double below = 0;
@@ -226,7 +225,7 @@
       for (size_t k = 0; k < count; k++)
         if (figures[k].value <= figures[i].value)
           below += figures[k].weight;
-      if (below >= total / 2)
+      if (below > total / 2)
         {
           least = figures[i].value;
           median = least;
@@ -257,10 +256,8 @@
   struct weighted slowness[SOURCES_MAX + 1]; /* 1 / speed */
   struct weighted stretch[SOURCES_MAX + 1];
   struct weighted gap[SOURCES_MAX + 1];
-  struct weighted limit[SOURCES_MAX + 1];
   size_t speeds;
   size_t gaps;
-  size_t limits;
   double samples;
   uint64_t age_ms; /* of the latest sample */
 };
@@ -283,8 +280,6 @@
   if (report->gap_ms > 0)
     figures->gap[figures->gaps++]
         = (struct weighted){ .value = report->gap_ms, .weight = weight };
-  figures->limit[figures->limits++]
-      = (struct weighted){ .value = report->limit, .weight = weight };
   figures->samples += weight;
   if (age_ms < figures->age_ms)
     figures->age_ms = age_ms;
@@ -315,7 +310,7 @@
 static double
 weight_limit (const struct opinion *opinions, size_t count)
 {
-  struct weighted weights[SOURCES_MAX + 1];
+  struct weighted weights[SOURCES_MAX + 1] = { { .value = 0 } };
   size_t hosts = 0;
 
   for (size_t i = 0; i < count; i++)
@@ -358,6 +353,10 @@
       };
     }
   limit = weight_limit (opinions, count);
+  /* A host with enough measurements of its own trusts no other host more.  */
+  if (own.samples >= (double)capacity->options.min_samples
+      && opinions[0].weight < limit)
+    limit = opinions[0].weight;
   *out = (struct figures){ .age_ms = UINT64_MAX };
   for (size_t i = 0; i < count; i++)
     {
@@ -412,7 +411,10 @@
 
 /* Moves the limit, once in UPDATE_MS: down in proportion to the latency above
    its bound, up by a part while latency is well below it and the limit is in
-   use.  It starts from the limit of all hosts, so that they stay together.
+   use.  Hosts use the same measurements and so come to similar limits.  The
+   limits themselves are not shared: with the median of all hosts as the base
+   of each change, one wrong host lowered the limits of replicas with little
+   traffic for good.
 
    A reduction waits until the requests that are running have come down to the
    one before: while all replicas are at their limits, requests exceed them,
@@ -420,7 +422,7 @@
 static void
 update_limit (struct ds_replica_capacity *capacity, uint64_t now_ms)
 {
-  uint32_t limit = capacity->merged.limit;
+  uint32_t limit = capacity->limit;
   double latency = relative_latency (capacity);
 
   if (now_ms - capacity->updated_ms < UPDATE_MS || !capacity->running_seen)
@@ -445,7 +447,6 @@
                                                : capacity->slots;
     }
   capacity->limit = limit;
-  capacity->limited = limit < capacity->slots;
   capacity->peak_running = 0;
   capacity->running_seen = false;
 }
@@ -500,13 +501,9 @@
       = (figures.samples + doubt)
         / (figures.samples * merge_slowness (capacity, &figures, elapsed_ms)
            + doubt);
-  merged->limit
-      = figures.limits > 0
-            ? (uint32_t)weighted_median (figures.limit, figures.limits)
-            : capacity->limit;
   update_floor (capacity, merged->gap_ms, now_ms);
   update_limit (capacity, now_ms);
-  merged->limited = merged->limit < capacity->slots;
+  merged->limit = capacity->limit;
 }
 
 /* Records that a request was sent while RUNNING, with it, are unfinished on
@@ -585,7 +582,6 @@
   if (limit < capacity->limit)
     {
       capacity->limit = limit;
-      capacity->limited = true;
       capacity->updated_ms = now_ms;
     }
   note_sample (capacity, now_ms);
@@ -602,8 +598,7 @@
 {
   struct source *entry = &capacity->sources[0];
 
-  if (report->age_ms >= capacity->options.report_ttl_ms
-      || report->limit < LIMIT_MIN)
+  if (report->age_ms >= capacity->options.report_ttl_ms)
     return;
   for (size_t i = 0; i < SOURCES_MAX; i++)
     {
@@ -623,8 +618,6 @@
     .report = *report,
     .received_ms = now_ms,
   };
-  if (entry->report.limit > capacity->slots)
-    entry->report.limit = capacity->slots;
   if (!source.relayed)
     capacity->news_ms[DS_CAPACITY_ZONE] = now_ms;
   capacity->news_ms[DS_CAPACITY_FLEET] = now_ms;
@@ -665,13 +658,12 @@
     return false;
   capacity->news_ms[scope] = 0;
   collect (capacity, scope, &figures, now_ms);
-  if (figures.limits == 0)
+  if (figures.samples <= 0)
     return false;
   *out = (struct ds_capacity_report){
     .stretch = robust_mean (figures.stretch, figures.speeds),
     .gap_ms = robust_mean (figures.gap, figures.gaps),
     .samples = figures.samples,
-    .limit = (uint32_t)weighted_median (figures.limit, figures.limits),
     .age_ms = figures.age_ms,
   };
   if (figures.speeds > 0)
--- a/src/core/replica_capacity.h
+++ b/src/core/replica_capacity.h
@@ -35,7 +35,6 @@
   double stretch;  /* time to the first event / that of an idle replica */
   double gap_ms;   /* between two events; 0 for unknown */
   double samples;  /* that the figures stand for */
-  uint32_t limit;  /* of concurrent requests */
   uint64_t age_ms; /* of the latest sample */
 };
 
@@ -47,13 +46,12 @@
   bool relayed;
 };
 
-/* The estimate of all hosts together.  LIMITED is set if LIMIT follows from
-   measurements; until then it is the number of slots.  */
+/* The estimate by the measurements of all hosts.  LIMIT is the number of slots
+   until latency rises or a request is rejected.  */
 struct ds_capacity_estimate
 {
   double speed;
   uint32_t limit;
-  bool limited;
   double stretch;
   double gap_ms;
   double samples;
--- a/src/entry/fleet_capacity.c
+++ b/src/entry/fleet_capacity.c
@@ -35,7 +35,6 @@
   message->stretch = to_uint (report->stretch * 100);
   message->gap = to_uint (report->gap_ms * GAP_UNITS_PER_MS);
   message->samples = samples > 0 ? samples : 1;
-  message->limit = report->limit;
   message->age = (uint32_t)(report->age_ms / AGE_UNIT_MS);
   return message;
 }
@@ -89,7 +88,6 @@
         .stretch = message->stretch / 100.0,
         .gap_ms = (double)message->gap / GAP_UNITS_PER_MS,
         .samples = message->samples,
-        .limit = message->limit,
         .age_ms = (uint64_t)message->age * AGE_UNIT_MS,
       };
 
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -624,7 +624,7 @@
   (ProtobufCMessageInit) daisystep__gossip__replica_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__replica_capacity__field_descriptors[7] =
+static const ProtobufCFieldDescriptor daisystep__gossip__replica_capacity__field_descriptors[6] =
 {
   {
     "replica",
@@ -686,21 +686,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "limit",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Daisystep__Gossip__ReplicaCapacity, limit),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "age",
-    7,
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -712,9 +700,8 @@
   },
 };
 static const unsigned daisystep__gossip__replica_capacity__field_indices_by_name[] = {
-  6,   /* field[6] = age */
+  5,   /* field[5] = age */
   3,   /* field[3] = gap */
-  5,   /* field[5] = limit */
   0,   /* field[0] = replica */
   4,   /* field[4] = samples */
   1,   /* field[1] = speed */
@@ -723,7 +710,7 @@
 static const ProtobufCIntRange daisystep__gossip__replica_capacity__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__replica_capacity__descriptor =
 {
@@ -733,7 +720,7 @@
   "Daisystep__Gossip__ReplicaCapacity",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__ReplicaCapacity),
-  7,
+  6,
   daisystep__gossip__replica_capacity__field_descriptors,
   daisystep__gossip__replica_capacity__field_indices_by_name,
   1,  daisystep__gossip__replica_capacity__number_ranges,
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -77,10 +77,6 @@
    */
   uint32_t gap;
   uint32_t samples;
-  /*
-   * Of concurrent requests of all hosts.
-   */
-  uint32_t limit;
   /*
    * Of the latest sample, in units of 100 ms.
    */
@@ -88,7 +84,7 @@
 };
 #define DAISYSTEP__GOSSIP__REPLICA_CAPACITY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__replica_capacity__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/support/entry_site.h
+++ b/tests/support/entry_site.h
@@ -33,6 +33,10 @@
 extern struct test_process *entry_hosts[ENTRY_HOSTS_MAX];
 /* "minimum_tokens" of the hosts started from now on.  */
 extern long entry_minimum_tokens;
+/* Further members of their settings, each after a comma; null for none.  */
+extern const char *entry_more_settings;
+/* "kv_capacity" in configurations written from now on; 0 for unknown.  */
+extern long entry_kv_capacity;
 extern char entry_caller_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 extern char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 extern char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
--- a/tests/test_entry_settings.c
+++ b/tests/test_entry_settings.c
@@ -81,6 +81,25 @@
 }
 END_TEST
 
+/* Guards against learning that is on without the setting, or off with an
+   empty object.  */
+START_TEST (replica_capacity_is_off_if_absent)
+{
+  struct ds_entry_settings *settings;
+
+  ck_assert_int_eq (load (&settings, "8", "2000", "2000", "0.2", "50", "10"),
+                    0);
+  ck_assert_uint_eq (settings->replica_capacity.report_ttl_ms, 0);
+  ds_entry_settings_free (settings);
+  ck_assert_int_eq (load (&settings, "8,\"replica_capacity\":{}", "2000",
+                          "2000", "0.2", "50", "10"),
+                    0);
+  ck_assert_uint_eq (settings->replica_capacity.min_samples, 8);
+  ck_assert_uint_eq (settings->replica_capacity.report_ttl_ms, 5000);
+  ds_entry_settings_free (settings);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -92,6 +111,7 @@
   tcase_add_test (test_case, bounds_may_be_fractions);
   tcase_add_test (test_case, extreme_bounds_are_accepted);
   tcase_add_test (test_case, bounds_outside_their_range_are_refused);
+  tcase_add_test (test_case, replica_capacity_is_off_if_absent);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -327,6 +327,61 @@
 }
 END_TEST
 
+/* Guards against what one host claims of a replica, and against an estimate
+   that outlasts its reports.  Both hosts have measured the replica; the other
+   one claims absurd figures.  The prompts that it reports count for memory. */
+START_TEST (a_wrong_capacity_counts_little_and_expires)
+{
+  const struct ds_capacity_options options
+      = { .min_samples = 8, .report_ttl_ms = 5000 };
+  struct ds_capacity_first_event event = { .tokens = 5000, .took_ms = 110 };
+  Daisystep__Gossip__ReplicaCapacity capacity
+      = DAISYSTEP__GOSSIP__REPLICA_CAPACITY__INIT;
+  Daisystep__Gossip__ReplicaCapacity *capacities[] = { &capacity };
+  Daisystep__Gossip__ReplicaLoad load = DAISYSTEP__GOSSIP__REPLICA_LOAD__INIT;
+  Daisystep__Gossip__ReplicaLoad *loads[] = { &load };
+  Daisystep__Gossip__Datagram datagram;
+  Daisystep__Gossip__Datagram *sent;
+  struct ds_replica *replica;
+  struct ds_capacity_estimate estimate;
+
+  ds_replica_set_learn_capacity (replicas, &options);
+  replica = add_replica ();
+  for (int i = 0; i < 12; i++)
+    ds_replica_capacity_record_first_event (replica->capacity, &event,
+                                            ds_clock_ms ());
+  load.replica = replica->hash;
+  load.running = 1;
+  load.memory_tokens = 700;
+  capacity.replica = (uint32_t)replica->hash;
+  capacity.speed = 1000000;
+  capacity.samples = 4000000000;
+  init_datagram (&datagram);
+  datagram.partial = false;
+  datagram.loads = loads;
+  datagram.n_loads = 1;
+  datagram.capacities = capacities;
+  datagram.n_capacities = 1;
+  send_datagram (&datagram);
+  ds_fleet_view_tick (view, ds_clock_ms ());
+  ck_assert_uint_eq (replica->remote_load.memory_tokens, 700);
+  estimate
+      = ds_replica_capacity_estimate (replica->capacity, ds_clock_ms () + 300);
+  ck_assert_double_gt (estimate.speed, 0.7);
+  ck_assert_double_lt (estimate.speed, 2.0);
+  estimate = ds_replica_capacity_estimate (replica->capacity,
+                                           ds_clock_ms () + 6000);
+  ck_assert_double_eq_tol (estimate.speed, 1, 0.001);
+  /* The own measurements are told.  */
+  sent = receive_datagram ();
+  ck_assert_ptr_nonnull (sent);
+  ck_assert_uint_eq (sent->n_capacities, 1);
+  ck_assert_uint_eq (sent->capacities[0]->replica, (uint32_t)replica->hash);
+  ck_assert_uint_eq (sent->capacities[0]->speed, 100);
+  daisystep__gossip__datagram__free_unpacked (sent, NULL);
+}
+END_TEST
+
 /* Guards against a replica that is taken for having a part for good because
    one host was wrong.  */
 START_TEST (a_wrong_cached_part_expires)
@@ -582,6 +637,7 @@
                   a_transfer_to_an_earlier_incarnation_does_not_count);
   tcase_add_test (test_case, nothing_is_transferred_before_the_first_contact);
   tcase_add_test (test_case, a_wrong_load_lasts_as_long_as_its_host);
+  tcase_add_test (test_case, a_wrong_capacity_counts_little_and_expires);
   tcase_add_test (test_case, a_wrong_cached_part_expires);
   tcase_add_test (test_case, doubt_of_the_store_ends_with_its_host);
   tcase_add_test (test_case,
