--- a/src/core/replica_capacity.c
+++ b/src/core/replica_capacity.c
@@ -645,10 +645,10 @@
 }
 
 /* Writes what to tell others within SCOPE to OUT.  Returns false if there is
-   nothing new since the last call for this scope.  */
+   nothing new since the last call for this scope that did not KEEP it.  */
 bool
 ds_replica_capacity_take_report (struct ds_replica_capacity *capacity,
-                                 enum ds_capacity_scope scope,
+                                 enum ds_capacity_scope scope, bool keep,
                                  struct ds_capacity_report *out,
                                  uint64_t now_ms)
 {
@@ -656,7 +656,8 @@
 
   if (capacity->news_ms[scope] == 0)
     return false;
-  capacity->news_ms[scope] = 0;
+  if (!keep)
+    capacity->news_ms[scope] = 0;
   collect (capacity, scope, &figures, now_ms);
   if (figures.samples <= 0)
     return false;
--- a/src/core/replica_capacity.h
+++ b/src/core/replica_capacity.h
@@ -97,7 +97,7 @@
 };
 
 bool ds_replica_capacity_take_report (struct ds_replica_capacity *capacity,
-                                      enum ds_capacity_scope scope,
+                                      enum ds_capacity_scope scope, bool keep,
                                       struct ds_capacity_report *out,
                                       uint64_t now_ms);
 bool ds_replica_capacity_take_change (struct ds_replica_capacity *capacity,
--- a/src/entry/fleet_capacity.c
+++ b/src/entry/fleet_capacity.c
@@ -51,6 +51,11 @@
       owner, Daisystep__Gossip__ReplicaCapacity *, (unsigned)most);
   size_t replicas = ds_replica_set_count (view->replicas);
   uint64_t now_ms = ds_clock_ms ();
+  size_t first = view->next_capacity[scope];
+  /* A summary of the fleet goes to a part of the zone, so the next one has
+     the same reports.  */
+  bool repeated = scope == DS_CAPACITY_FLEET
+                  && (view->intervals + 1) % DS_RELAY_DOWNLINK_INTERVALS != 0;
 
   *count = 0;
   for (size_t i = 0; i < replicas && messages != NULL && *count < most; i++)
@@ -61,13 +66,15 @@
 
       if (replica->capacity == NULL
           || !ds_replica_capacity_take_report (replica->capacity, scope,
-                                               &report, now_ms))
+                                               repeated, &report, now_ms))
         continue;
       messages[*count] = make_message (messages, replica, &report);
       if (messages[*count] == NULL)
         break;
       ++*count;
     }
+  if (repeated)
+    view->next_capacity[scope] = first;
   return messages;
 }
 
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -27,9 +27,9 @@
 /* Measurements of replicas in one datagram of a host.  It sees some ten
    requests a second, hence news of few replicas in an interval.  */
 #define CAPACITIES_PER_DATAGRAM_MAX 8
-/* The same in one summary.  With 600 replicas, all get their turn within half
-   of the time for which reports count.  */
-#define CAPACITIES_PER_SUMMARY_MAX 32
+/* The same in one summary, some 500 bytes.  With 320 replicas that all have
+   news, a host hears of each within three seconds from one of two relays.  */
+#define CAPACITIES_PER_SUMMARY_MAX 24
 /* Departures of replicas waiting to be announced; further ones are dropped,
    since each host also hears of them from the store.  */
 #define PENDING_DEPARTURES_MAX 64
--- a/tests/test_replica_capacity.c
+++ b/tests/test_replica_capacity.c
@@ -125,8 +125,9 @@
             report = (struct ds_capacity_report){
               .speed = 1000, .stretch = 100, .gap_ms = 1000, .samples = 1e9
             };
-          else if (!ds_replica_capacity_take_report (
-                       replica->capacity, DS_CAPACITY_OWN, &report, now_ms))
+          else if (!ds_replica_capacity_take_report (replica->capacity,
+                                                     DS_CAPACITY_OWN, false,
+                                                     &report, now_ms))
             continue;
           for (int to = 0; to < replay->hosts; to++)
             if (to != h)
@@ -544,10 +545,10 @@
 
   for (int i = 0; i < 16; i++)
     ds_replica_capacity_record_first_event (capacity, &event, 1000);
-  ck_assert (ds_replica_capacity_take_report (capacity, DS_CAPACITY_OWN,
+  ck_assert (ds_replica_capacity_take_report (capacity, DS_CAPACITY_OWN, false,
                                               &report, 1100));
   ck_assert (!ds_replica_capacity_take_report (capacity, DS_CAPACITY_OWN,
-                                               &report, 1200));
+                                               false, &report, 1200));
   ds_replica_capacity_receive (other, (struct ds_capacity_source){ .id = 1 },
                                &report, 1200);
   ck_assert_double_lt (ds_replica_capacity_estimate (other, 1300).speed, 0.7);
@@ -570,9 +571,9 @@
       capacity, (struct ds_capacity_source){ .id = 1, .relayed = true },
       &report, 1000);
   ck_assert (!ds_replica_capacity_take_report (capacity, DS_CAPACITY_ZONE,
-                                               &report, 1100));
+                                               false, &report, 1100));
   ck_assert (ds_replica_capacity_take_report (capacity, DS_CAPACITY_FLEET,
-                                              &report, 1100));
+                                              false, &report, 1100));
   ck_assert_double_eq_tol (report.speed, 0.5, 0.01);
   talloc_free (capacity);
 }
