--- a/src/entry/fleet_capacity.c
+++ b/src/entry/fleet_capacity.c
@@ -55,7 +55,7 @@
   /* A summary of the fleet goes to a part of the zone, so the next one has
      the same reports.  */
   bool repeated = scope == DS_CAPACITY_FLEET
-                  && (view->intervals + 1) % DS_RELAY_DOWNLINK_INTERVALS != 0;
+                  && view->intervals % DS_RELAY_DOWNLINK_INTERVALS != 0;
 
   *count = 0;
   for (size_t i = 0; i < replicas && messages != NULL && *count < most; i++)
--- a/tests/test_fleet_view.c
+++ b/tests/test_fleet_view.c
@@ -516,6 +516,79 @@
   return count;
 }
 
+/* Adds the reports that the peer has received in summaries of the fleet to
+   SENDS: of each replica, the summaries that had it.  Each is sent to several
+   hosts under one number.  Returns the bytes of the largest batch.  */
+static size_t
+receive_capacities (unsigned *sends, uint64_t *last, size_t count)
+{
+  Daisystep__Gossip__Datagram *received;
+  size_t most = 0;
+
+  while ((received = receive_datagram ()) != NULL)
+    {
+      const Daisystep__Gossip__Summary *summary = received->summary;
+      size_t bytes = 0;
+
+      for (size_t i = 0; summary != NULL && i < summary->n_capacities; i++)
+        for (size_t k = 0; k < count; k++)
+          if ((uint32_t)ds_replica_set_at (replicas, k)->hash
+              == summary->capacities[i]->replica)
+            {
+              bytes += 3
+                       + daisystep__gossip__replica_capacity__get_packed_size (
+                           summary->capacities[i]);
+              sends[k] += last[k] != received->sequence;
+              last[k] = received->sequence;
+            }
+      if (bytes > most)
+        most = bytes;
+      daisystep__gossip__datagram__free_unpacked (received, NULL);
+    }
+  return most;
+}
+
+/* Guards against hosts that never hear of some replicas: a summary goes to
+   half of a zone, so each report must be in two of them.  Guards as well
+   against summaries that fill the links: 320 replicas take three seconds
+   (14 summaries, two of each batch) and at most 600 bytes in each.  */
+START_TEST (a_relay_tells_all_hosts_of_all_replicas)
+{
+  static unsigned sends[320];
+  static uint64_t last[320];
+  const struct ds_capacity_options options
+      = { .min_samples = 8, .report_ttl_ms = 5000 };
+  const struct ds_capacity_first_event event
+      = { .tokens = 5000, .took_ms = 230 };
+  uint64_t now_ms = ds_clock_ms ();
+
+  ds_replica_set_learn_capacity (replicas, &options);
+  for (unsigned i = 0; i < 320; i++)
+    {
+      char id[8];
+      struct ds_replica_record record
+          = { .id = { .data = id }, .start_time_ms = 5, .slots = 64 };
+      struct ds_replica *replica;
+
+      record.id.length = (size_t)snprintf (id, sizeof id, "i-%u", i);
+      ck_assert_int_eq (ds_replica_set_put (replicas, &record), 0);
+      replica = ds_replica_set_at (replicas, i);
+      ds_replica_capacity_record_first_event (replica->capacity, &event,
+                                              now_ms);
+      ds_replica_capacity_record_gaps (replica->capacity, 20, 500, now_ms);
+    }
+  add_hosts (30);
+  for (int interval = 0; interval < 28; interval++)
+    {
+      now_ms += DS_GOSSIP_INTERVAL_MS;
+      ds_fleet_view_tick (view, now_ms);
+      ck_assert_uint_le (receive_capacities (sends, last, 320), 600);
+    }
+  for (size_t i = 0; i < 320; i++)
+    ck_assert_uint_eq (sends[i], 2);
+}
+END_TEST
+
 /* Load: hosts of a large fleet prefill 1,000 parts in two seconds.  Guards
    against a relay that drops most of them, since every host that does not hear
    of one makes another replica prefill it again.  */
@@ -639,6 +712,7 @@
   tcase_add_test (test_case, a_wrong_load_lasts_as_long_as_its_host);
   tcase_add_test (test_case, a_wrong_capacity_counts_little_and_expires);
   tcase_add_test (test_case, a_wrong_cached_part_expires);
+  tcase_add_test (test_case, a_relay_tells_all_hosts_of_all_replicas);
   tcase_add_test (test_case, doubt_of_the_store_ends_with_its_host);
   tcase_add_test (test_case,
                   departures_are_passed_on_as_long_as_they_are_news);
--- a/tests/test_replica_capacity.c
+++ b/tests/test_replica_capacity.c
@@ -55,11 +55,9 @@
   double late;    /* share of requests whose first event took over 400 ms */
   double mean_ms; /* to the first event */
   double speed[REPLICAS_MAX]; /* as host 0 estimates it */
-  uint32_t limit[REPLICAS_MAX];
   double share[REPLICAS_MAX]; /* of requests in the second half */
   uint64_t noticed_ms; /* that host 0 takes the slow one for slower by a third
                           than before */
-  uint32_t running_max;
 };
 
 static TALLOC_CTX *owner;
@@ -195,8 +193,6 @@
         replica->local_load.running + replica->remote_load.running, now_ms);
   engine = &engines[a->replica];
   engine->running++;
-  if (engine->running > out->running_max)
-    out->running_max = engine->running;
   if (engine->free_ms < a->sent_ms)
     engine->free_ms = a->sent_ms;
   engine->free_ms += PROMPT_TOKENS / (50 * engine->speed)
@@ -248,6 +244,15 @@
     ds_replica_capacity_record_end (replica->capacity, now_ms);
 }
 
+/* Returns the speed of REPLICA as host 0 estimates it.  */
+static double
+speed_at (int replica, uint64_t now_ms)
+{
+  return ds_replica_capacity_estimate (replica_at (0, replica)->capacity,
+                                       now_ms)
+      .speed;
+}
+
 static void
 note_slow (const struct replay *replay, struct outcome *out, double before,
            uint64_t now_ms)
@@ -255,10 +260,7 @@
   if (replay->slow_replica < 0 || !replay->learning || now_ms < replay->slow_ms
       || out->noticed_ms > 0)
     return;
-  if (ds_replica_capacity_estimate (
-          replica_at (0, replay->slow_replica)->capacity, now_ms)
-          .speed
-      < before / 1.5)
+  if (speed_at (replay->slow_replica, now_ms) < before / 1.5)
     out->noticed_ms = now_ms - replay->slow_ms;
 }
 
@@ -313,13 +315,7 @@
   out.mean_ms /= served;
   out.late /= served;
   for (int r = 0; r < replay->replicas && replay->learning; r++)
-    {
-      struct ds_capacity_estimate estimate = ds_replica_capacity_estimate (
-          replica_at (0, r)->capacity, replay->until_ms);
-
-      out.speed[r] = estimate.speed;
-      out.limit[r] = estimate.limit;
-    }
+    out.speed[r] = speed_at (r, replay->until_ms);
   talloc_free (owner);
   return out;
 }
