Take replicas of which little is known for as fast as the others

With the setting on, a trial of test_entry_pushback showed that a replica that had just started got no request: it counted as speed 1, while the one that was known had speed 4. A replica without samples now counts as the mean of its service. test_placement checks it.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -185,20 +185,50 @@
   return replica->local_load.running + replica->remote_load.running;
 }
 
+/* Returns the mean factor by which the replicas of SERVICE take longer than
+   one of speed 1, as far as their speed is learned.  It stands for those of
+   which little is known: taken for slower than the others, a new replica would
+   get no request, and nothing would become known of it.  */
+static double
+mean_slowness (const struct ds_replica_set *set, struct ds_str service,
+               uint64_t now_ms)
+{
+  double sum = 0;
+  double weight = 0;
+
+  for (size_t i = 0; i < ds_replica_set_count (set); i++)
+    {
+      const struct ds_replica *replica = ds_replica_set_at (set, i);
+      struct ds_capacity_estimate estimate;
+
+      if (replica->capacity == NULL
+          || !ds_str_equal (replica->record.service, service))
+        continue;
+      estimate = ds_replica_capacity_estimate (replica->capacity, now_ms);
+      sum += estimate.certainty / estimate.measured;
+      weight += estimate.certainty;
+    }
+  return weight > 0 ? sum / weight : 1;
+}
+
 /* Returns the factor by which REPLICA takes longer than one of speed 1 without
-   other load: from the learned speed, or from the observed latency.
+   other load: from the learned speed and the MEAN of the service, or from the
+   observed latency.
 
    A learned speed is too low while a replica is busy, since it does not know
    the requests that other hosts have sent in the last moments.  Its root
    halves the error; with the speed itself, slow replicas got a third of the
    requests that they can take.  */
 static double
-slowness (const struct ds_replica *replica, uint64_t now_ms)
+slowness (const struct ds_replica *replica, double mean, uint64_t now_ms)
 {
+  struct ds_capacity_estimate estimate;
+
   if (replica->capacity == NULL)
     return replica->latency_factor;
-  return sqrt (
-      1 / ds_replica_capacity_estimate (replica->capacity, now_ms).speed);
+  estimate = ds_replica_capacity_estimate (replica->capacity, now_ms);
+  return sqrt (estimate.certainty / estimate.measured
+               + (1 - estimate.certainty) * mean);
 }
 
 /* Returns what in its learned capacity keeps the request from REPLICA.  */
@@ -227,11 +257,12 @@
   return DS_PLACEMENT_UNOBSTRUCTED;
 }
 
+/* MEAN is the mean slowness of the replicas of the service.  */
 static double
 expected_ms (const struct ds_replica *replica,
              const struct ds_replica *preferred,
-             const struct ds_placement_request *request, uint64_t now_ms,
-             uint64_t *uncached)
+             const struct ds_placement_request *request, double mean,
+             uint64_t now_ms, uint64_t *uncached)
 {
   double running = running_requests (replica);
   double factor;
@@ -246,7 +277,7 @@
       *uncached = 0;
       return cost + CALL_MS * running / slots * replica->latency_factor;
     }
-  factor = slowness (replica, now_ms);
+  factor = slowness (replica, mean, now_ms);
   *uncached = ds_placement_uncached_tokens (replica, request, now_ms);
   prefill_ms = (double)*uncached / PREFILL_TOKENS_PER_MS;
   prefill_ms += prefill_penalty (request, *uncached);
@@ -310,6 +341,7 @@
   const struct ds_placement_request *request;
   const struct ds_replica *preferred;
   struct allowance allowance;
+  double mean_slowness;
   uint64_t now_ms;
   struct ds_placement best;
   double best_cost;
@@ -345,7 +377,7 @@
   if (is_full (obstacle) && search->best.status != DS_PLACEMENT_OK)
     search->best.status = DS_PLACEMENT_FULL;
   cost = expected_ms (replica, search->preferred, search->request,
-                      search->now_ms, &uncached);
+                      search->mean_slowness, search->now_ms, &uncached);
   if (replica->capacity != NULL)
     cost += random_cost (replica, search->request, uncached);
   /* A failing replica is chosen only if there is no other.  */
@@ -378,6 +410,7 @@
     .request = request,
     .preferred = key != 0 ? find_preferred (set, request->service, key) : NULL,
     .allowance = allowance,
+    .mean_slowness = mean_slowness (set, request->service, now_ms),
     .now_ms = now_ms,
     .best = { .status = DS_PLACEMENT_NO_REPLICA },
     .best_cost = DBL_MAX,
--- a/src/core/replica_capacity.c
+++ b/src/core/replica_capacity.c
@@ -121,8 +121,9 @@
   (*out)->options = *options;
   (*out)->slots = slots > 0 ? slots : UINT32_MAX;
   (*out)->limit = (*out)->slots;
-  (*out)->merged
-      = (struct ds_capacity_estimate){ .speed = 1, .limit = (*out)->slots };
+  (*out)->merged = (struct ds_capacity_estimate){ .speed = 1,
+                                                  .measured = 1,
+                                                  .limit = (*out)->slots };
   (*out)->logged = (*out)->merged;
   return 0;
 }
@@ -497,10 +498,10 @@
   merged->samples = figures.samples;
   merged->stretch = robust_mean (figures.stretch, figures.speeds);
   merged->gap_ms = robust_mean (figures.gap, figures.gaps);
+  merged->measured = 1 / merge_slowness (capacity, &figures, elapsed_ms);
+  merged->certainty = figures.samples / (figures.samples + doubt);
   merged->speed
-      = (figures.samples + doubt)
-        / (figures.samples * merge_slowness (capacity, &figures, elapsed_ms)
-           + doubt);
+      = 1 / (merged->certainty / merged->measured + (1 - merged->certainty));
   update_floor (capacity, merged->gap_ms, now_ms);
   update_limit (capacity, now_ms);
   merged->limit = capacity->limit;
--- a/src/core/replica_capacity.h
+++ b/src/core/replica_capacity.h
@@ -50,7 +50,9 @@
    until latency rises or a request is rejected.  */
 struct ds_capacity_estimate
 {
-  double speed;
+  double speed;     /* near 1 with few samples */
+  double measured;  /* the speed by the samples alone; 1 without any */
+  double certainty; /* of it: 0 without a sample, towards 1 with many */
   uint32_t limit;
   double stretch;
   double gap_ms;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -444,6 +444,34 @@
 }
 END_TEST
 
+/* Guards against a new replica that gets no request, so that nothing becomes
+   known of it: one that has been measured is four times as fast as assumed of
+   others.  */
+START_TEST (an_unknown_replica_counts_as_fast_as_the_others)
+{
+  const struct ds_capacity_first_event event
+      = { .tokens = 5000, .took_ms = 35 };
+  int chosen = 0;
+
+  add_limited_replicas (1);
+  for (int i = 0; i < 20; i++)
+    ds_replica_capacity_record_first_event (
+        ds_replica_set_at (set, ds_replica_set_count (set) - 1)->capacity,
+        &event, 1000);
+  for (uint64_t i = 0; i < 40; i++)
+    {
+      struct ds_placement_request request = shared_part_request (i, 1000 + i);
+
+      request.service = DS_STR ("limited");
+      chosen += ds_str_equal (
+          ds_placement_choose (set, &request, 2000).replica->record.id,
+          DS_STR ("l1"));
+    }
+  ck_assert_int_gt (chosen, 10);
+  ck_assert_int_lt (chosen, 30);
+}
+END_TEST
+
 /* Guards against prompts that exceed the memory of a replica, which then
    crashes: those of other hosts count, and none is sent if no replica has
    memory for it.  */
@@ -501,6 +529,7 @@
   tcase_add_test (test_case,
                   learned_limits_are_exceeded_only_if_all_are_reached);
   tcase_add_test (test_case, prompts_stay_within_the_memory);
+  tcase_add_test (test_case, an_unknown_replica_counts_as_fast_as_the_others);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
