--- a/src/entry/replica_notices.c
+++ b/src/entry/replica_notices.c
@@ -83,6 +83,8 @@
       return "limit of requests";
     case DS_PLACEMENT_NO_MEMORY:
       return "memory";
+    case DS_PLACEMENT_COLD:
+      return "cold";
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
@@ -121,12 +123,16 @@
     return "all replicas push back";
   if (placement->status == DS_PLACEMENT_FULL)
     return "the memory of all replicas is full";
+  if (placement->status == DS_PLACEMENT_ALL_COLD)
+    return "all replicas are cold";
   switch (placement->obstacle)
     {
     case DS_PLACEMENT_LEAVING:
       return "all replicas that are left leave";
     case DS_PLACEMENT_HELD:
       return "all replicas that are left push back";
+    case DS_PLACEMENT_COLD:
+      return "all replicas that are left are cold";
     case DS_PLACEMENT_AT_LIMIT:
     case DS_PLACEMENT_NO_MEMORY:
     case DS_PLACEMENT_UNOBSTRUCTED:
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -126,17 +126,24 @@
     { DS_STR ("Content-Type"), DS_STR ("text/event-stream; charset=utf-8") },
     { DS_STR ("Keep-Alive"), DS_STR ("max=5, timeout=7") },
     { DS_STR ("Content-Encoding"), DS_STR ("gzip") },
+    { DS_STR ("Cold-Ms"), DS_STR ("1200") },
   };
   struct ds_http_head from = { .status = 200, .lines = response_lines };
   struct ds_upstream_response response;
 
-  from.line_count = 4;
+  from.line_count = 5;
   ds_wire_read_response (&response, &from);
   ck_assert (response.has_mac && response.is_stream && response.encoded
-             && !response.not_run && response.keep_alive_s == 7);
+             && !response.not_run && response.keep_alive_s == 7
+             && response.cold_ms == 1200);
+  /* Another replica has got the address.  */
   from.status = 421;
   ds_wire_read_response (&response, &from);
-  ck_assert (response.not_run);
+  ck_assert (response.not_run && response.cold_ms == DS_COLD_UNKNOWN);
+  from.status = 200;
+  response_lines[4].value = DS_STR ("-1");
+  ds_wire_read_response (&response, &from);
+  ck_assert (response.cold_ms == DS_COLD_UNKNOWN);
 }
 END_TEST
 
