--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1,11 +1,12 @@
 #include "core/placement.h"
 
 #include <float.h>
+#include <math.h>
 #include <string.h>
 
-/* Prefill rate of an engine, corrected by the observed latency factor; the
-   engines of the two deployments reach 51 and 64.  */
-#define PREFILL_TOKENS_PER_MS 50.0
+/* Prefill rate of an engine, corrected by the observed latency factor or by
+   the learned speed.  */
+#define PREFILL_TOKENS_PER_MS DS_CAPACITY_TOKENS_PER_MS
 /* Time to the first event that each running request adds: a batch of 64 slows
    an engine step from 5 ms to about 7 ms, and prefills share the steps.  */
 #define RUNNING_MS 1.5
@@ -36,6 +37,14 @@
 #define LATENCY_FACTOR_MIN 0.5F
 #define LATENCY_FACTOR_MAX 4.0F
 #define LATENCY_FACTOR_WEIGHT 0.1
+/* Mean of the random cost that hosts add, so that those whose loads are 200 ms
+   old do not all choose the replica that was best then.  It is lower than the
+   prefill of a shared part, so that requests still follow cached parts.  */
+#define RANDOM_COST_MS 60.0
+/* Share of a replica's memory that prompts in flight may fill.  The rest is
+   for the output of their requests and for cached parts that several of them
+   use, which count for the request that brought them alone.  */
+#define MEMORY_SHARE 0.85
 /* Time for which a replica is avoided after a failure; doubled with each
    further consecutive failure.  */
 #define AVOID_MS 250
@@ -219,13 +228,93 @@
              : penalty;
 }
 
+static uint32_t
+running_requests (const struct ds_replica *replica)
+{
+  return replica->local_load.running + replica->remote_load.running;
+}
+
+/* Returns the mean factor by which the replicas of SERVICE take longer than
+   one of speed 1, as far as their speed is learned.  It stands for those of
+   which little is known: taken for slower than the others, a new replica would
+   get no request, and nothing would become known of it.  */
+static double
+mean_slowness (const struct ds_replica_set *set, struct ds_str service,
+               uint64_t now_ms)
+{
+  double sum = 0;
+  double weight = 0;
+
+  for (size_t i = 0; i < ds_replica_set_count (set); i++)
+    {
+      const struct ds_replica *replica = ds_replica_set_at (set, i);
+      struct ds_capacity_estimate estimate;
+
+      if (replica->capacity == NULL
+          || !ds_str_equal (replica->record.service, service))
+        continue;
+      estimate = ds_replica_capacity_estimate (replica->capacity, now_ms);
+      sum += estimate.certainty / estimate.measured;
+      weight += estimate.certainty;
+    }
+  return weight > 0 ? sum / weight : 1;
+}
+
+/* Returns the factor by which REPLICA takes longer than one of speed 1 without
+   other load: from the learned speed and the MEAN of the service, or from the
+   observed latency.
+
+   A learned speed is too low while a replica is busy, since it does not know
+   the requests that other hosts have sent in the last moments.  Its root
+   halves the error; with the speed itself, slow replicas got a third of the
+   requests that they can take.  */
+static double
+slowness (const struct ds_replica *replica, double mean, uint64_t now_ms)
+{
+  struct ds_capacity_estimate estimate;
+
+  if (replica->capacity == NULL)
+    return replica->latency_factor;
+  estimate = ds_replica_capacity_estimate (replica->capacity, now_ms);
+  return sqrt (estimate.certainty / estimate.measured
+               + (1 - estimate.certainty) * mean);
+}
+
+/* Returns what in its learned capacity keeps the request from REPLICA.  */
+static enum ds_placement_obstacle
+find_capacity_obstacle (const struct ds_replica *replica,
+                        const struct ds_placement_request *request,
+                        bool beyond_limits, uint64_t now_ms)
+{
+  uint64_t held
+      = replica->local_load.memory_tokens + replica->remote_load.memory_tokens;
+
+  if (replica->capacity == NULL)
+    return DS_PLACEMENT_UNOBSTRUCTED;
+  /* A prompt that is too large for an idle replica is the replica's to
+     refuse.  */
+  if (request->kv_capacity > 0 && held > 0
+      && (double)(held
+                  + ds_placement_uncached_tokens (replica, request, now_ms))
+             > MEMORY_SHARE * (double)request->kv_capacity)
+    return DS_PLACEMENT_NO_MEMORY;
+  if (!beyond_limits
+      && ds_replica_capacity_room (replica->capacity,
+                                   running_requests (replica), now_ms)
+             == 0)
+    return DS_PLACEMENT_AT_LIMIT;
+  return DS_PLACEMENT_UNOBSTRUCTED;
+}
+
+/* MEAN is the mean slowness of the replicas of the service.  */
 static double
 expected_ms (const struct ds_replica *replica,
              const struct ds_replica *preferred,
-             const struct ds_placement_request *request, uint64_t now_ms,
-             uint64_t *uncached)
+             const struct ds_placement_request *request, double mean,
+             uint64_t now_ms, uint64_t *uncached)
 {
-  double running = replica->local_load.running + replica->remote_load.running;
+  double running = running_requests (replica);
+  double factor;
   double cost
       = ds_str_equal (replica->record.zone, request->zone) ? 0 : OTHER_ZONE_MS;
   double prefill_ms;
@@ -237,38 +326,69 @@
       *uncached = 0;
       return cost + CALL_MS * running / slots * replica->latency_factor;
     }
+  factor = slowness (replica, mean, now_ms);
   *uncached = ds_placement_uncached_tokens (replica, request, now_ms);
   prefill_ms = (double)*uncached / PREFILL_TOKENS_PER_MS;
   prefill_ms += prefill_penalty (request, *uncached);
   /* Hosts that receive a new part concurrently choose the same replica.  */
   if (*uncached > last_part_tokens (request) && replica == preferred)
     prefill_ms *= PREFERRED_REPLICA_FACTOR;
+  if (replica->capacity != NULL)
+    prefill_ms *= factor;
   return cost + prefill_ms
          + ((double)(replica->local_load.prefill_tokens
                      + replica->remote_load.prefill_tokens)
                 / PREFILL_TOKENS_PER_MS
             + RUNNING_MS * running)
-               * replica->latency_factor;
+               * factor;
+}
+
+/* Returns the random cost of REPLICA, exponentially distributed, which needs
+   to prefill UNCACHED tokens.  There is none if these include a shared part:
+   all hosts prefer the same replica for it.  */
+static double
+random_cost (const struct ds_replica *replica,
+             const struct ds_placement_request *request, uint64_t uncached)
+{
+  double draw;
+
+  if (request->draw == 0 || request->prompt_tokens == 0
+      || (request->part_count >= 2 && uncached > last_part_tokens (request)))
+    return 0;
+  draw = (double)(mix_hash (request->draw ^ replica->hash) >> 11) + 1;
+  return -RANDOM_COST_MS * log (draw / ((double)(UINT64_C (1) << 53) + 1));
 }
 
-/* Returns what keeps the request from REPLICA.  LAST_RESORT allows replicas
-   that leave and still serve.  */
+/* What a search allows: replicas that leave and still serve, and those beyond
+   their learned limit.  */
+struct allowance
+{
+  bool last_resort;
+  bool beyond_limits;
+};
+
+/* Returns what keeps the request from REPLICA.  */
 static enum ds_placement_obstacle
 find_obstacle (struct ds_replica *replica,
-               const struct ds_placement_request *request, bool last_resort,
-               uint64_t now_ms)
+               const struct ds_placement_request *request,
+               struct allowance allowance, uint64_t now_ms)
 {
   enum ds_placement_obstacle exclusion = find_exclusion (replica, request);
+  enum ds_placement_obstacle capacity_obstacle;
 
   if (exclusion != DS_PLACEMENT_UNOBSTRUCTED)
     return exclusion;
   if (replica->notice.leaving_ms > 0
-      && !(last_resort
+      && !(allowance.last_resort
            && ds_replica_notice_may_serve_last (&replica->notice,
                                                 request->drain_ms, now_ms)))
     return DS_PLACEMENT_LEAVING;
   if (ds_replica_notice_wait_ms (&replica->notice, now_ms) > 0)
     return DS_PLACEMENT_HELD;
+  capacity_obstacle = find_capacity_obstacle (replica, request,
+                                              allowance.beyond_limits, now_ms);
+  if (capacity_obstacle != DS_PLACEMENT_UNOBSTRUCTED)
+    return capacity_obstacle;
   if (cold_wait_ms (replica, request, now_ms) > 0)
     return DS_PLACEMENT_COLD;
   return DS_PLACEMENT_UNOBSTRUCTED;
@@ -279,7 +399,8 @@
 {
   const struct ds_placement_request *request;
   const struct ds_replica *preferred;
-  bool last_resort;
+  struct allowance allowance;
+  double mean_slowness;
   uint64_t now_ms;
   struct ds_placement best;
   double best_cost;
@@ -288,16 +409,24 @@
   double passed_over_cost;
 };
 
+static bool
+is_full (enum ds_placement_obstacle obstacle)
+{
+  return obstacle == DS_PLACEMENT_AT_LIMIT
+         || obstacle == DS_PLACEMENT_NO_MEMORY;
+}
+
 static void
 consider (struct search *search, struct ds_replica *replica)
 {
   enum ds_placement_obstacle obstacle = find_obstacle (
-      replica, search->request, search->last_resort, search->now_ms);
+      replica, search->request, search->allowance, search->now_ms);
   uint64_t uncached;
   double cost;
 
   if (obstacle == DS_PLACEMENT_UNOBSTRUCTED
-      && search->best.status != DS_PLACEMENT_OK)
+      && search->best.status != DS_PLACEMENT_OK
+      && search->best.status != DS_PLACEMENT_FULL)
     search->best.status = DS_PLACEMENT_ALL_TRIED;
   if (obstacle == DS_PLACEMENT_HELD
       && search->best.status == DS_PLACEMENT_NO_REPLICA)
@@ -308,8 +437,12 @@
     search->best.status = DS_PLACEMENT_ALL_COLD;
   if (was_tried (search->request, replica->hash))
     return;
+  if (is_full (obstacle) && search->best.status != DS_PLACEMENT_OK)
+    search->best.status = DS_PLACEMENT_FULL;
   cost = expected_ms (replica, search->preferred, search->request,
-                      search->now_ms, &uncached);
+                      search->mean_slowness, search->now_ms, &uncached);
+  if (replica->capacity != NULL)
+    cost += random_cost (replica, search->request, uncached);
   /* A failing replica is chosen only if there is no other.  */
   if (replica->avoid_until_ms > search->now_ms)
     cost += 100000;
@@ -336,14 +469,15 @@
 
 static struct ds_placement
 choose_among (const struct ds_replica_set *set,
-              const struct ds_placement_request *request, bool last_resort,
-              uint64_t now_ms)
+              const struct ds_placement_request *request,
+              struct allowance allowance, uint64_t now_ms)
 {
   uint64_t key = affinity_key (request);
   struct search search = {
     .request = request,
     .preferred = key != 0 ? find_preferred (set, request, key, now_ms) : NULL,
-    .last_resort = last_resort,
+    .allowance = allowance,
+    .mean_slowness = mean_slowness (set, request->service, now_ms),
     .now_ms = now_ms,
     .best = { .status = DS_PLACEMENT_NO_REPLICA },
     .best_cost = DBL_MAX,
@@ -376,18 +510,27 @@
 
    A replica that leaves gets no requests, since it may cut them off.  If all
    of a service leave, the first attempt of a request goes to one that still
-   serves: the alternative is a refusal.  */
+   serves: the alternative is a refusal.
+
+   Replicas that run as many requests as they do well, as learned, or whose
+   memory does not hold another prompt, are passed over.  If this leaves none,
+   the status is DS_PLACEMENT_FULL: the request may wait.  */
 struct ds_placement
-ds_placement_choose (const struct ds_replica_set *set,
-                     const struct ds_placement_request *request,
-                     uint64_t now_ms)
+ds_placement_choose_within_limits (const struct ds_replica_set *set,
+                                   const struct ds_placement_request *request,
+                                   uint64_t now_ms)
 {
-  struct ds_placement placement = choose_among (set, request, false, now_ms);
+  struct allowance allowance = { .last_resort = false };
+  struct ds_placement placement
+      = choose_among (set, request, allowance, now_ms);
 
   if (placement.status == DS_PLACEMENT_NO_REPLICA
       && placement.passed_over != NULL && request->tried_count == 0)
     {
-      struct ds_placement last = choose_among (set, request, true, now_ms);
+      struct ds_placement last;
+
+      allowance.last_resort = true;
+      last = choose_among (set, request, allowance, now_ms);
 
       if (last.status == DS_PLACEMENT_OK)
         return last;
@@ -422,6 +565,26 @@
   return result;
 }
 
+/* Chooses a replica as ds_placement_choose_within_limits or, if all are full,
+   the one with the lowest expected time of those whose memory holds the
+   prompt.  A request is not refused for a learned limit alone.  */
+struct ds_placement
+ds_placement_choose (const struct ds_replica_set *set,
+                     const struct ds_placement_request *request,
+                     uint64_t now_ms)
+{
+  struct ds_placement placement
+      = ds_placement_choose_within_limits (set, request, now_ms);
+  struct ds_placement beyond;
+
+  if (placement.status != DS_PLACEMENT_FULL)
+    return placement;
+  beyond = choose_among (set, request,
+                         (struct allowance){ .beyond_limits = true }, now_ms);
+  beyond.beyond_limit = beyond.status == DS_PLACEMENT_OK;
+  return beyond;
+}
+
 /* Returns the time until the first replica of the service takes the request,
    if all of them, but for those that leave or are excluded, want none for now
    or are cold;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -29,7 +29,9 @@
   uint32_t target_latency_ms; /* to the first event; 0 for none */
   uint64_t tried[4];          /* hashes of replicas to exclude */
   size_t tried_count;
-  uint64_t drain_ms; /* for which a replica that leaves still serves */
+  uint64_t drain_ms;    /* for which a replica that leaves still serves */
+  uint64_t draw;        /* uniformly distributed; 0: no random choice */
+  uint64_t kv_capacity; /* tokens in the memory of a replica; 0: unknown */
   const struct ds_cold_limit *cold_limit; /* null: no replica is cold */
   struct ds_cold_rule cold_rule;          /* of SERVICE */
   unsigned urgency;                       /* 0 is the most urgent */
@@ -45,7 +47,7 @@
   DS_PLACEMENT_ALL_TRIED,  /* all known ones were tried */
   DS_PLACEMENT_ALL_HELD,   /* all known ones want no requests for now */
   DS_PLACEMENT_ALL_COLD,   /* all others are cold and take none now */
-  DS_PLACEMENT_FULL        /* all slots are in use */
+  DS_PLACEMENT_FULL        /* all others are beyond their learned capacity */
 };
 
 /* Why the best replica of a service was not chosen.  */
@@ -56,13 +58,16 @@
   DS_PLACEMENT_HELD,      /* it said that it wants no requests for a while */
   DS_PLACEMENT_EVACUATED, /* its zone is evacuated */
   DS_PLACEMENT_REGION,    /* its region is not allowed */
-  DS_PLACEMENT_COLD       /* it is cold and takes none from this host now */
+  DS_PLACEMENT_COLD,      /* it is cold and takes none from this host now */
+  DS_PLACEMENT_AT_LIMIT,  /* it runs as many requests as it does well */
+  DS_PLACEMENT_NO_MEMORY  /* its memory does not hold another prompt */
 };
 
 /* EXPECTED_MS is the estimated time to the first event, UNCACHED_TOKENS the
    number of prompt tokens that the replica must prefill.  PASSED_OVER is a
    replica that is no worse than the chosen one but for the OBSTACLE; null if
-   there is none.  */
+   there is none.  BEYOND_LIMIT is set if all replicas that could be chosen are
+   at their learned limit.  */
 struct ds_placement
 {
   enum ds_placement_status status;
@@ -71,6 +76,7 @@
   double expected_ms;
   const struct ds_replica *passed_over;
   enum ds_placement_obstacle obstacle;
+  bool beyond_limit;
 };
 
 struct ds_placement ds_placement_choose (const struct ds_replica_set *set,
@@ -79,6 +85,10 @@
 enum ds_placement_obstacle
 ds_placement_exclusion (const struct ds_replica_set *set,
                         const struct ds_placement_request *request);
+struct ds_placement
+ds_placement_choose_within_limits (const struct ds_replica_set *set,
+                                   const struct ds_placement_request *r,
+                                   uint64_t now_ms);
 uint64_t ds_placement_wait_ms (const struct ds_replica_set *set,
                                const struct ds_placement_request *request,
                                uint64_t now_ms);
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -25,6 +25,12 @@
 #define TRANSFERS_MAX 64
 /* Transfer numbers kept per host to detect duplicates.  */
 #define SEEN_TRANSFERS_MAX 256
+/* Measurements of replicas in one datagram of a host.  It sees some ten
+   requests a second, hence news of few replicas in an interval.  */
+#define CAPACITIES_PER_DATAGRAM_MAX 8
+/* The same in one summary, some 500 bytes.  With 320 replicas that all have
+   news, a host hears of each within three seconds from one of two relays.  */
+#define CAPACITIES_PER_SUMMARY_MAX 24
 /* Departures of replicas waiting to be announced; further ones are dropped,
    since each host also hears of them from the store.  */
 #define PENDING_DEPARTURES_MAX 64
@@ -38,6 +44,7 @@
   uint64_t replica; /* hash */
   uint32_t running;
   uint64_t prefill_tokens;
+  uint64_t memory_tokens;
 };
 
 struct ds_fleet_transfer
@@ -169,6 +176,7 @@
   uint64_t transfer_number;
   uint64_t started_ms;
   size_t next_target;
+  size_t next_capacity[DS_CAPACITY_SCOPES]; /* replica to report first */
   int fd;
   struct ds_fleet_clock clock;
   struct ds_ledger_access ledger; /* of this host */
@@ -228,6 +236,14 @@
                                    const struct ds_fleet_peer *member,
                                    const Daisystep__Gossip__Datagram *datagram,
                                    uint64_t age_ms);
+/* fleet_capacity.c */
+Daisystep__Gossip__ReplicaCapacity **
+ds_fleet_take_capacities (struct ds_fleet_view *view, TALLOC_CTX *owner,
+                          enum ds_capacity_scope scope, size_t *count);
+void ds_fleet_receive_capacities (
+    struct ds_fleet_view *view, struct ds_capacity_source source,
+    Daisystep__Gossip__ReplicaCapacity *const *capacities, size_t count,
+    uint64_t now_ms);
 
 /* fleet_relay.c */
 void ds_fleet_relay_tick (struct ds_fleet_view *view, uint64_t now_ms);
--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -20,6 +20,7 @@
 const char *entry_region = "r";
 const char *entry_replica_zones[ENTRY_REPLICAS] = { "z", "z" };
 long entry_release_span_ms;
+long entry_kv_capacity;
 char entry_caller_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 char entry_readiness_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
 char entry_directory_addresses[ENTRY_HOSTS_MAX][ENTRY_ADDRESS_BYTES];
@@ -82,7 +83,7 @@
       "s:[{s:s,s:s,s:s,s:s,s:i,s:i,s:s},{s:s,s:s,s:s,s:s,s:i,s:i,s:s},"
       "{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:b,s:b},"
       "{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:b,s:b}],"
-      "s:[{s:s,s:s,s:{s:i,s:i}}],"
+      "s:[{s:s,s:s,s:{s:i,s:i,s:I}}],"
       "s:{s:i,s:i,s:i,s:i},"
       "s:[{s:s,s:[s],s:I}]}",
       "version", ++entry_config_version, "routes", "name", "look", "host",
@@ -96,10 +97,10 @@
       "path_prefix", "/once/", "kind", "streaming", "timeout_ms", 8000,
       "max_attempts", 2, "service", "pool", "resumable", 0, "sticky", 1,
       "services", "name", "pool", "health_path", "/health", "engine", "slots",
-      8, "stride", 4, "limits", "max_header_bytes", 4000, "max_body_bytes",
-      (int)entry_body_limit, "header_timeout_ms", 3000, "idle_timeout_ms",
-      15000, "tenants", "name", "north", "api_keys", "key-1", "prepaid",
-      (json_int_t)prepaid);
+      8, "stride", 4, "kv_capacity", (json_int_t)entry_kv_capacity, "limits",
+      "max_header_bytes", 4000, "max_body_bytes", (int)entry_body_limit,
+      "header_timeout_ms", 3000, "idle_timeout_ms", 15000, "tenants", "name",
+      "north", "api_keys", "key-1", "prepaid", (json_int_t)prepaid);
 
   ck_assert_ptr_nonnull (spec);
   if (entry_cold_start_s > 0)
@@ -173,8 +174,7 @@
 }
 
 /* Registers replica I as one that has crashed and started again.  Starts are
-   a second apart: hashes of ids of three bytes may collide at start times that
-   differ by a few milliseconds.  */
+   a second apart.  */
 void
 entry_restart_replica (int i)
 {
--- a/tests/test_entry_settings.c
+++ b/tests/test_entry_settings.c
@@ -84,6 +84,25 @@
 }
 END_TEST
 
+/* Guards against learning that is on without the setting, or off with an
+   empty object.  */
+START_TEST (replica_capacity_is_off_if_absent)
+{
+  struct ds_entry_settings *settings;
+
+  ck_assert_int_eq (load (&settings, "8", "2000", "2000", "0.2", "50", "10"),
+                    0);
+  ck_assert_uint_eq (settings->replica_capacity.report_ttl_ms, 0);
+  ds_entry_settings_free (settings);
+  ck_assert_int_eq (load (&settings, "8,\"replica_capacity\":{}", "2000",
+                          "2000", "0.2", "50", "10"),
+                    0);
+  ck_assert_uint_eq (settings->replica_capacity.min_samples, 8);
+  ck_assert_uint_eq (settings->replica_capacity.report_ttl_ms, 5000);
+  ds_entry_settings_free (settings);
+}
+END_TEST
+
 /* The value that the platform puts in the place of FIELD of the template.  */
 static const char *
 field_value (const char *field)
@@ -158,9 +177,9 @@
   ck_assert_uint_eq (settings->zones.count, 2);
   ck_assert_double_eq (settings->cold_overage, _i != 0 ? 102.25 : 1.5);
   ck_assert_double_eq (settings->cold_slack, _i != 0 ? 102.25 : 5);
-  ck_assert (ds_str_equal (settings->zones.items[0].value, DS_STR ("home"))
-             != ds_str_equal (settings->zones.items[0].value,
-                              DS_STR ("away")));
+  ck_assert (
+      ds_str_equal (settings->zones.items[0].value, DS_STR ("home"))
+      != ds_str_equal (settings->zones.items[0].value, DS_STR ("away")));
   ds_entry_settings_free (settings);
   talloc_free (text);
   g_free (template);
@@ -202,6 +221,7 @@
   tcase_add_test (test_case, bounds_outside_their_range_are_refused);
   tcase_add_loop_test (test_case, the_template_renders_valid_settings, 0, 2);
   tcase_add_test (test_case, zones_that_are_no_names_are_refused);
+  tcase_add_test (test_case, replica_capacity_is_off_if_absent);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
