--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -23,8 +23,25 @@
   GHashTable *by_hash;       /* of struct ds_replica, by its member hash */
   GHashTable *by_short_hash; /* by the low 32 bits of it */
   struct ds_notice_store notices;
+  struct ds_capacity_options capacity;
 };
 
+/* Identifies the incarnation of the replica ID that started at START_TIME_MS,
+   alike on all hosts.  The start time is hashed with the id: as the seed of a
+   hash it is added to the bytes of a short id, so that "i-0" and "i-1", which
+   start one millisecond apart, would be the same.  */
+uint64_t
+ds_replica_hash (struct ds_str id, uint64_t start_time_ms)
+{
+  uint64_t identity[]
+      = { GUINT64_TO_LE (ds_str_hash (id, 0)),
+          GUINT64_TO_LE ((uint64_t)id.length), GUINT64_TO_LE (start_time_ms) };
+
+  return ds_str_hash ((struct ds_str){ .data = (const char *)identity,
+                                       .length = sizeof identity },
+                      0);
+}
+
 static int
 destroy (struct ds_replica_set *set)
 {
@@ -46,6 +63,14 @@
   return 0;
 }
 
+/* Lets the capacity of the replicas that are added from now on be learned.  */
+void
+ds_replica_set_learn_capacity (struct ds_replica_set *set,
+                               const struct ds_capacity_options *options)
+{
+  set->capacity = *options;
+}
+
 static struct entry *
 find_entry (const struct ds_replica_set *set, struct ds_str id)
 {
@@ -96,12 +121,16 @@
     return DS_ENOMEM;
   set->entries = grown;
   replica = talloc_zero (set, struct ds_replica);
-  if (replica == NULL || copy_record (replica, &replica->record, record) != 0)
+  if (replica == NULL || copy_record (replica, &replica->record, record) != 0
+      || (set->capacity.report_ttl_ms > 0
+          && ds_replica_capacity_new (&replica->capacity, replica,
+                                      &set->capacity, record->slots)
+                 != 0))
     {
       talloc_free (replica);
       return DS_ENOMEM;
     }
-  replica->hash = ds_str_hash (record->id, record->start_time_ms);
+  replica->hash = ds_replica_hash (record->id, record->start_time_ms);
   replica->latency_factor = 1;
   ds_notice_store_restore (&set->notices, replica->hash, &replica->notice);
   grown[set->count++] = (struct entry){ .replica = replica, .listed = true };
--- a/src/entry/replica_notices.c
+++ b/src/entry/replica_notices.c
@@ -79,6 +79,10 @@
       return "leaves";
     case DS_PLACEMENT_HELD:
       return "pushes back";
+    case DS_PLACEMENT_AT_LIMIT:
+      return "limit of requests";
+    case DS_PLACEMENT_NO_MEMORY:
+      return "memory";
     case DS_PLACEMENT_COLD:
       return "cold";
     case DS_PLACEMENT_EVACUATED:
@@ -100,6 +104,8 @@
     case DS_PLACEMENT_LEAVING:
     case DS_PLACEMENT_HELD:
     case DS_PLACEMENT_COLD:
+    case DS_PLACEMENT_AT_LIMIT:
+    case DS_PLACEMENT_NO_MEMORY:
       ds_metric_add (DS_METRIC_REQUESTS_PASSED_OVER, 1);
       break;
     case DS_PLACEMENT_EVACUATED:
@@ -121,6 +127,11 @@
 {
   if (placement->replica->notice.leaving_ms > 0)
     ds_decision_line_add_number (line, "last_resort", 1);
+  if (placement->beyond_limit)
+    {
+      ds_metric_add (DS_METRIC_REQUESTS_BEYOND_LIMIT, 1);
+      ds_decision_line_add_number (line, "beyond_limit", 1);
+    }
   if (placement->passed_over == NULL)
     return;
   count_obstacle (placement->obstacle);
@@ -138,6 +149,8 @@
     count_obstacle (placement->obstacle);
   if (placement->status == DS_PLACEMENT_ALL_HELD)
     return "all replicas push back";
+  if (placement->status == DS_PLACEMENT_FULL)
+    return "the memory of all replicas is full";
   if (placement->status == DS_PLACEMENT_ALL_COLD)
     return "all replicas are cold";
   switch (placement->obstacle)
@@ -152,6 +165,8 @@
       return "all replicas that are left are evacuated";
     case DS_PLACEMENT_REGION:
       return "no replica that is left is in an allowed region";
+    case DS_PLACEMENT_AT_LIMIT:
+    case DS_PLACEMENT_NO_MEMORY:
     case DS_PLACEMENT_UNOBSTRUCTED:
       break;
     }
