Take no part of an answer for a whole one while the request is being sent

After a reset, Linux reports the error to the first call on the socket alone. While an upload was being written, that was the write; the read that followed saw an orderly close, which completes a response without a length. The end of such a stream is now reported as a reset. An orderly close before the peer has acknowledged all of the request no longer completes a success without a length either. Errors may still come before the whole request.

--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -23,6 +23,7 @@
   uint64_t requests;
   uint64_t answers; /* with those that were discarded */
   bool head_only;
+  bool unframed;   /* a success that only the end of the connection ends */
   bool discarding; /* the response belongs to no request */
   bool response_complete;
   bool not_reusable;
@@ -40,6 +41,7 @@
     return;
   c->state = READING_RESPONSE;
   c->answers++;
+  c->unframed = !head->framed && head->status < 300;
   answer = c->handlers.on_head (head, c->handlers.user_data);
   c->discarding = answer == DS_HTTP_ANSWER_FOREIGN;
   /* A copy of a response that names no request could be taken for the answer
@@ -148,6 +150,17 @@
     c->handlers.on_connected (c->handlers.user_data);
 }
 
+/* Whether END may complete the response that is being read.  A peer that
+   closes before it has the request cannot have completed a response to it that
+   states no end of its own.  Errors may come before the whole request.  */
+static bool
+may_complete (const struct ds_http_connection *c, enum ds_tcp_end end)
+{
+  return c->state == READING_RESPONSE
+         && (end == DS_TCP_END_CLOSED
+             || (end == DS_TCP_END_CLOSED_EARLY && !c->unframed));
+}
+
 static void
 on_tcp_end (enum ds_tcp_end end, void *user_data)
 {
@@ -159,7 +172,7 @@
       return;
     }
   c->fell_silent = end == DS_TCP_END_SILENT;
-  if (end == DS_TCP_END_CLOSED && c->state == READING_RESPONSE)
+  if (may_complete (c, end))
     {
       ds_http_reader_end_input (c->reader);
       if (c->response_complete && !c->freed)
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -3,11 +3,13 @@
 #include "io/timer.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdatomic.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -209,6 +211,22 @@
     tcp->handlers.on_connected (tcp->handlers.user_data);
 }
 
+/* How a stream ended whose peer sends no more.  After a reset, the operating
+   system reports the error to the first call alone: once a write has got it, a
+   read sees an orderly close.  */
+static enum ds_tcp_end
+end_of_input (const struct ds_tcp *tcp)
+{
+  int unacked = 0;
+
+  if (tcp->end_scheduled)
+    return DS_TCP_END_RESET;
+  if (ds_tcp_unsent_bytes (tcp) > 0
+      || (ioctl (tcp->fd, SIOCOUTQ, &unacked) == 0 && unacked > 0))
+    return DS_TCP_END_CLOSED_EARLY;
+  return DS_TCP_END_CLOSED;
+}
+
 static void
 receive (struct ds_tcp *tcp)
 {
@@ -222,7 +240,7 @@
                          ? DS_TCP_END_SILENT
                          : DS_TCP_END_RESET);
   else if (count == 0)
-    end_stream (tcp, DS_TCP_END_CLOSED);
+    end_stream (tcp, end_of_input (tcp));
   else
     {
       count_bytes ((size_t)count);
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -13,6 +13,7 @@
 enum ds_tcp_end
 {
   DS_TCP_END_CLOSED,       /* closed in order */
+  DS_TCP_END_CLOSED_EARLY, /* in order, but the peer lacks bytes sent to it */
   DS_TCP_END_RESET,        /* the peer or this host has reset it */
   DS_TCP_END_SILENT,       /* the peer no longer acknowledges anything */
   DS_TCP_END_NOT_CONNECTED /* the connection was never established */
--- a/tests/standins/scripted_replica.c
+++ b/tests/standins/scripted_replica.c
@@ -26,6 +26,7 @@
                   placeholders still stand for the present one
      "read_body"  reads the body of the request here; without this step it is
                   read before the first one
+     "half_close" closes the connection for sending alone
      "close"      closes the connection
      "reset"      resets the connection
 
@@ -250,6 +251,8 @@
     sleep_ms (atol (text));
   else if (strcmp (step, "read_body") == 0)
     c->open = read_body (c);
+  else if (strcmp (step, "half_close") == 0)
+    (void)shutdown (c->fd, SHUT_WR);
   else if (strcmp (step, "await_request") == 0)
     c->open = c->rest_length > 0 || receive_more (c);
   else
