Bound what callers and replicas that read slowly make a host hold

Socket buffers grow to some MB each: 200 callers that read 1 KB/s of 2 MB held 404 MB on a host with memory_mb 88, while its process showed 10 MB. The buffers of a request now get an equal part of the share for unsent bytes, 32 to 256 KB; full ones and those of paused connections count against it. Beyond the share, the connections of the callers that are behind for longest are closed, logged as slow_reader_closed and counted.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -59,6 +59,11 @@
   [DS_METRIC_HEADS_REFUSED]
   = { .name = "heads_refused_total",
       .help = "Request heads that were too long for the memory left." },
+  [DS_METRIC_SLOW_READERS_CLOSED]
+  = { .name = "slow_readers_closed_total",
+      .help
+      = "Connections of callers closed because they took their responses "
+        "too slowly for the memory left." },
   [DS_METRIC_UPSTREAM_RETRIES]
   = { .name = "upstream_retries_total", .help = "Attempts after the first." },
   [DS_METRIC_UPSTREAM_SILENT]
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -1,4 +1,5 @@
 #include "entry/caller.h"
+#include "base/decision_log.h"
 #include "daisystep/metrics.h"
 #include "entry/host_monitor.h"
 #include "io/clock.h"
@@ -36,6 +37,12 @@
    response; callers that send to the end before they read need the time.  */
 #define DISCARD_TIMEOUT_MS 2000
 
+/* A caller that has taken nothing of what waits for it for this time is slow;
+   others pass through this state for some ms.  */
+#define SLOW_MS 1000
+/* Interval of the checks while slow callers hold more than their share.  */
+#define EXCESS_CHECK_MS 100
+
 /* A body above the ordinary size and the memory that it has.  Connections to
    replicas reference it until they have sent it.  */
 struct body
@@ -69,6 +76,9 @@
   uint64_t body_wait_ms;
   size_t head_memory; /* counted */
   struct ds_byte_buffer pipelined;
+  struct ds_caller *previous; /* of those behind */
+  struct ds_caller *next;
+  uint64_t behind_ms; /* since when bytes wait; 0 if none do */
   void *request_data;
   uint64_t origin; /* as counted by the monitor; 0 before */
   bool request_complete;
@@ -132,6 +142,47 @@
   ds_tcp_pause (caller->tcp, paused);
 }
 
+/* Removes the caller from those that are behind.  */
+static void
+end_behind (struct ds_caller *caller)
+{
+  if (caller->behind_ms == 0)
+    return;
+  caller->behind_ms = 0;
+  if (caller->previous != NULL)
+    caller->previous->next = caller->next;
+  else
+    caller->group->behind = caller->next;
+  if (caller->next != NULL)
+    caller->next->previous = caller->previous;
+  else
+    caller->group->last_behind = caller->previous;
+  caller->previous = NULL;
+  caller->next = NULL;
+}
+
+/* Adds the caller as the one that has been behind for the shortest time.  */
+static void
+begin_behind (struct ds_caller *caller)
+{
+  struct ds_caller_group *group = caller->group;
+
+  caller->behind_ms = ds_clock_ms ();
+  caller->previous = group->last_behind;
+  if (group->last_behind != NULL)
+    group->last_behind->next = caller;
+  else
+    group->behind = caller;
+  group->last_behind = caller;
+}
+
+static void
+count_responding (struct ds_caller_group *group, int change)
+{
+  group->responding += (size_t)change;
+  group->memory->requests += (size_t)change;
+}
+
 static void
 disconnect (struct ds_caller *caller)
 {
@@ -139,6 +190,7 @@
     return;
   caller->freed = true;
   count_head (caller, 0);
+  end_behind (caller);
   if (caller->body != NULL)
     {
       ds_body_pool_cancel_wait (&caller->group->memory->bodies,
@@ -148,7 +200,7 @@
     }
   caller->group->connections--;
   if (caller->responding)
-    caller->group->responding--;
+    count_responding (caller->group, -1);
   ds_tcp_free (caller->tcp);
   /* The reader and the buffers may be in use further up the stack; they are
      freed with the TCP stream.  */
@@ -395,9 +447,12 @@
 static void
 start_response (struct ds_caller *caller)
 {
+  uint32_t buffer = ds_host_memory_socket_buffer (caller->group->memory);
+
   caller->responding = true;
-  caller->group->responding++;
+  count_responding (caller->group, 1);
   set_timeout (caller, 0);
+  ds_tcp_set_buffers (caller->tcp, buffer, buffer);
   ds_tcp_set_read_size (caller->tcp, IDLE_READ_BYTES);
 }
 
@@ -565,22 +620,96 @@
 }
 
 static void
-on_tcp_end (enum ds_tcp_end how, void *user_data)
+end_caller (struct ds_caller *caller)
 {
-  struct ds_caller *caller = user_data;
-
-  (void)how;
   if (caller->responding)
     caller->group->handlers.on_disconnect (caller, caller->request_data,
                                            caller->group->handlers.user_data);
   disconnect (caller);
 }
 
+static void
+on_tcp_end (enum ds_tcp_end how, void *user_data)
+{
+  (void)how;
+  end_caller (user_data);
+}
+
+/* Closes the connection of a caller that reads too slowly.  */
+static void
+close_slow (struct ds_caller *caller, uint64_t now_ms)
+{
+  const struct ds_host_memory *memory = caller->group->memory;
+  struct ds_caller_request request = { .id = DS_STR_EMPTY };
+  struct ds_decision_line line;
+
+  if (caller->responding)
+    (void)ds_wire_read_request (&request, &caller->head);
+  line = ds_decision_line_begin ("slow_reader_closed", request.id);
+  ds_decision_line_add_number (&line, "behind_ms",
+                               (int64_t)(now_ms - caller->behind_ms));
+  ds_decision_line_add_number (&line, "unsent",
+                               (int64_t)ds_tcp_unsent_bytes (caller->tcp));
+  ds_decision_line_add_number (&line, "unsent_all", (int64_t)memory->unsent);
+  ds_decision_line_add_number (&line, "unread_all", (int64_t)memory->unread);
+  ds_decision_line_add_number (&line, "allowed", (int64_t)memory->unsent_max);
+  ds_decision_line_end (&line);
+  ds_metric_add (DS_METRIC_SLOW_READERS_CLOSED, 1);
+  end_caller (caller);
+}
+
+static void start_excess_timer (struct ds_caller_group *group);
+
+/* Closes the connections of the callers that are behind for longest, until the
+   others hold no more than their share.  */
+static void
+on_excess_timer (void *user_data)
+{
+  struct ds_caller_group *group = user_data;
+  uint64_t now_ms = ds_clock_ms ();
+  enum ds_host_memory_excess excess;
+
+  group->excess_timer = NULL;
+  while (group->behind != NULL
+         && (excess = ds_host_memory_excess (group->memory))
+                != DS_HOST_MEMORY_WITHIN
+         && (excess == DS_HOST_MEMORY_FAR_ABOVE
+             || now_ms - group->behind->behind_ms >= SLOW_MS))
+    close_slow (group->behind, now_ms);
+  start_excess_timer (group);
+}
+
+/* Has slow callers disconnected unless all hold no more than their share.  Not
+   at once, since the one that is written to may be the slowest.  */
+static void
+start_excess_timer (struct ds_caller_group *group)
+{
+  if (group->excess_timer == NULL && group->behind != NULL
+      && ds_host_memory_excess (group->memory) != DS_HOST_MEMORY_WITHIN)
+    group->excess_timer = ds_timer_add (group->ev, group->ev, EXCESS_CHECK_MS,
+                                        on_excess_timer, group);
+}
+
+/* Notes whether bytes wait for the caller.  */
+static void
+note_behind (struct ds_caller *caller)
+{
+  if (ds_tcp_unsent_bytes (caller->tcp) == 0)
+    {
+      end_behind (caller);
+      return;
+    }
+  if (caller->behind_ms == 0)
+    begin_behind (caller);
+  start_excess_timer (caller->group);
+}
+
 static void
 on_drained (void *user_data)
 {
   struct ds_caller *caller = user_data;
 
+  end_behind (caller);
   if (caller->responding && caller->group->handlers.on_drained != NULL)
     caller->group->handlers.on_drained (caller, caller->request_data,
                                         caller->group->handlers.user_data);
@@ -596,6 +725,8 @@
     .unacked_timeout_ms = UNACKED_TIMEOUT_MS,
     .keepalive_interval_s = KEEPALIVE_INTERVAL_S,
     .unsent_total = &group->memory->unsent,
+    .send_buffer = ds_host_memory_socket_buffer (group->memory),
+    .receive_buffer = ds_host_memory_socket_buffer (group->memory),
   };
   struct ds_tcp_handlers tcp_handlers = {
     .on_bytes = on_bytes,
@@ -645,8 +776,10 @@
 void
 ds_caller_write (struct ds_caller *caller, struct ds_str bytes)
 {
-  if (!caller->freed)
-    (void)ds_tcp_write (caller->tcp, bytes);
+  if (caller->freed)
+    return;
+  (void)ds_tcp_write (caller->tcp, bytes);
+  note_behind (caller);
 }
 
 /* Sends a chunk of a chunked body; nothing when it is empty, which would end
@@ -705,7 +838,7 @@
   if (caller->freed || !caller->responding)
     return;
   caller->responding = false;
-  caller->group->responding--;
+  count_responding (caller->group, -1);
   caller->request_data = NULL;
   drop_body (caller);
   if (caller->ordinary_body.capacity > ORDINARY_BODY_BYTES)
@@ -781,4 +914,5 @@
 ds_caller_group_stop (struct ds_caller_group *group)
 {
   TALLOC_FREE (group->admit_event);
+  TALLOC_FREE (group->excess_timer);
 }
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -9,6 +9,7 @@
 
 struct ds_caller;
 struct ds_host_monitor;
+struct ds_timer;
 
 /* Handlers of a listener.  ON_REQUEST is called with a complete request; HEAD
    and BODY are valid until the response is finished.  ON_DISCONNECT reports
@@ -37,7 +38,8 @@
    that to a request that arrives meanwhile.  MONITOR, if not null, counts the
    requests of each caller and may have its connections closed.  CONNECTIONS
    counts open connections, RESPONDING those with a request in progress. MEMORY
-   is shared by all groups of the host; ADMIT_EVENT is the group's own.  */
+   is shared by all groups of the host; ADMIT_EVENT and the callers that are
+   BEHIND are the group's own.  */
 struct ds_caller_group
 {
   struct tevent_context *ev;
@@ -46,6 +48,9 @@
   struct ds_host_memory *memory;
   struct tevent_immediate *admit_event;
   struct ds_host_monitor *monitor;
+  struct ds_caller *behind; /* the longest first */
+  struct ds_caller *last_behind;
+  struct ds_timer *excess_timer;
   bool closing;
   bool shedding;
   size_t connections;
--- a/src/entry/connection_pool.c
+++ b/src/entry/connection_pool.c
@@ -26,19 +26,23 @@
 struct ds_connection_pool
 {
   struct tevent_context *ev;
+  struct ds_host_memory *memory;
   struct ds_pooled_connection *idle;
   struct ds_pooled_connection *all;
 };
 
-/* Creates an empty pool.  */
+/* Creates an empty pool.  What responses hold in its sockets is counted in
+   MEMORY.  */
 int
 ds_connection_pool_new (struct ds_connection_pool **out, TALLOC_CTX *owner,
-                        struct tevent_context *ev)
+                        struct tevent_context *ev,
+                        struct ds_host_memory *memory)
 {
   *out = talloc_zero (owner, struct ds_connection_pool);
   if (*out == NULL)
     return DS_ENOMEM;
   (*out)->ev = ev;
+  (*out)->memory = memory;
   return 0;
 }
 
@@ -80,11 +84,15 @@
                  struct ds_connection_pool *pool, struct ds_replica *replica,
                  uint32_t connect_timeout_ms)
 {
+  uint32_t buffer = ds_host_memory_socket_buffer (pool->memory);
   struct ds_tcp_options options = {
     .ev = pool->ev,
     .connect_timeout_ms = connect_timeout_ms,
     .unacked_timeout_ms = UNACKED_TIMEOUT_MS,
     .keepalive_interval_s = KEEPALIVE_INTERVAL_S,
+    .unread_total = &pool->memory->unread,
+    .send_buffer = buffer,
+    .receive_buffer = buffer,
   };
   struct ds_socket_address address;
   struct ds_pooled_connection *pooled;
@@ -140,6 +148,8 @@
         && ds_http_connection_is_reusable (at->connection))
       {
         unlink_idle (at);
+        ds_http_connection_set_buffers (
+            at->connection, ds_host_memory_socket_buffer (pool->memory));
         at->reused = true;
         *out = at;
         return 0;
--- a/src/entry/connection_pool.h
+++ b/src/entry/connection_pool.h
@@ -1,6 +1,7 @@
 #ifndef DS_ENTRY_CONNECTION_POOL_H
 #define DS_ENTRY_CONNECTION_POOL_H
 
+#include "core/host_memory.h"
 #include "core/replica_set.h"
 #include "io/http_connection.h"
 
@@ -8,7 +9,8 @@
 struct ds_pooled_connection;
 
 int ds_connection_pool_new (struct ds_connection_pool **out, TALLOC_CTX *owner,
-                            struct tevent_context *ev);
+                            struct tevent_context *ev,
+                            struct ds_host_memory *memory);
 int ds_connection_pool_acquire (struct ds_pooled_connection **out,
                                 struct ds_connection_pool *pool,
                                 struct ds_replica *replica, uint64_t now_ms,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -65,7 +65,6 @@
    it.  */
 #define STORE_CHECK_INTERVAL_MS 3000
 
-#define BYTES_PER_MB 1048576.0
 /* Readiness, address and metrics questions are GET requests.  */
 #define QUESTION_BODY_BYTES_MAX 4096
 /* Blocks from this size on are mapped by themselves, so that their memory goes
@@ -844,7 +843,9 @@
       || ds_cold_starts_new (&entry->exchanges.cold_starts, entry,
                              entry->store, entry->replicas, settings)
              != 0
-      || ds_connection_pool_new (&entry->exchanges.pool, entry, entry->ev) != 0
+      || ds_connection_pool_new (&entry->exchanges.pool, entry, entry->ev,
+                                 &entry->exchanges.memory)
+             != 0
       || ds_crash_evidence_new (&entry->exchanges.crashes, entry, entry->ev,
                                 entry->exchanges.pool, settings->host)
              != 0
@@ -977,8 +978,7 @@
   struct ds_tcp_listener *listener;
   int status;
 
-  ds_host_memory_init (&entry->exchanges.memory,
-                       (uint64_t)(settings->memory_mb * BYTES_PER_MB));
+  ds_host_memory_init (&entry->exchanges.memory, settings->memory_mb);
   entry->callers = make_caller_group (entry);
   entry->monitor = (struct ds_host_monitor){
     .settings = settings,
--- a/src/io/http_connection.c
+++ b/src/io/http_connection.c
@@ -330,6 +330,14 @@
   return c->fell_silent;
 }
 
+/* Limits what the operating system buffers, for each direction.  */
+void
+ds_http_connection_set_buffers (struct ds_http_connection *c, uint32_t bytes)
+{
+  if (!c->freed)
+    ds_tcp_set_buffers (c->tcp, bytes, bytes);
+}
+
 /* Pauses or resumes reading the response, for back-pressure.  */
 void
 ds_http_connection_pause (struct ds_http_connection *c, bool paused)
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -58,6 +58,8 @@
 bool ds_http_connection_is_first_answer (const struct ds_http_connection *c);
 bool ds_http_connection_has_sent (const struct ds_http_connection *c);
 bool ds_http_connection_fell_silent (const struct ds_http_connection *c);
+void ds_http_connection_set_buffers (struct ds_http_connection *connection,
+                                     uint32_t bytes);
 void ds_http_connection_pause (struct ds_http_connection *connection,
                                bool paused);
 
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -32,7 +32,13 @@
   struct ds_str shared; /* follows OUT; memory of SHARED_HOLDER */
   void *shared_holder;
   uint64_t *unsent_total;
+  uint64_t *unread_total;
   uint64_t sent;
+  uint32_t send_buffer; /* 0 without a limit */
+  uint32_t receive_buffer;
+  uint32_t counted_send; /* of the buffers, in the totals */
+  uint32_t counted_receive;
+  uint32_t unchecked; /* bytes sent since the send buffer was measured */
   size_t read_size;
   int fd;
   bool connected;
@@ -67,11 +73,36 @@
   return atomic_load_explicit (&all_bytes, memory_order_relaxed);
 }
 
+static void
+count_buffer (uint64_t *total, uint32_t *counted, uint32_t bytes)
+{
+  if (total == NULL)
+    return;
+  *total += bytes;
+  *total -= *counted;
+  *counted = bytes;
+}
+
+/* Counts the buffers that are probably full: for sending, while the operating
+   system takes no more; for receiving, while nothing is read.  */
+static void
+count_buffers (struct ds_tcp *tcp)
+{
+  bool open = tcp->fd >= 0;
+  bool full = open && tcp->connected && ds_tcp_unsent_bytes (tcp) > 0;
+
+  count_buffer (tcp->unsent_total, &tcp->counted_send,
+                full ? tcp->send_buffer : 0);
+  count_buffer (tcp->unread_total, &tcp->counted_receive,
+                open && tcp->paused ? tcp->receive_buffer : 0);
+}
+
 static void
 update_fd_event (struct ds_tcp *tcp)
 {
   uint16_t flags = 0;
 
+  count_buffers (tcp);
   if (tcp->fd_event == NULL)
     return;
   if (!tcp->paused && tcp->connected)
@@ -110,6 +141,7 @@
   if (tcp->fd >= 0)
     (void)close (tcp->fd);
   tcp->fd = -1;
+  count_buffers (tcp);
 }
 
 static int
@@ -143,14 +175,39 @@
               tcp->connected ? DS_TCP_END_RESET : DS_TCP_END_NOT_CONNECTED);
 }
 
+/* Returns how many of LENGTH bytes may be sent now.  The operating system
+   exceeds its limit by up to 64 KB, as it fills the last segment.  At the
+   limit it reports the stream as not writable, so a result of 0 causes no busy
+   loop.  */
+static size_t
+room_to_send (struct ds_tcp *tcp, size_t length)
+{
+  int queued = 0;
+
+  if (tcp->send_buffer == 0)
+    return length;
+  if (tcp->unchecked + length > tcp->send_buffer
+      && ioctl (tcp->fd, SIOCOUTQ, &queued) == 0)
+    tcp->unchecked = (uint32_t)queued;
+  if (tcp->unchecked >= tcp->send_buffer)
+    return 0;
+  return length < tcp->send_buffer - tcp->unchecked
+             ? length
+             : tcp->send_buffer - tcp->unchecked;
+}
+
 /* Sends BYTES as far as the socket takes them.  False if not all were sent; a
    failure is reported from the event loop, never inside ds_tcp_write.  */
 static bool
 send_bytes (struct ds_tcp *tcp, struct ds_str bytes, size_t *sent)
 {
-  ssize_t count = send (tcp->fd, bytes.data, bytes.length, MSG_NOSIGNAL);
+  size_t room = room_to_send (tcp, bytes.length);
+  ssize_t count;
 
   *sent = 0;
+  if (room == 0)
+    return false;
+  count = send (tcp->fd, bytes.data, room, MSG_NOSIGNAL);
   if (count < 0 && (errno == EAGAIN || errno == EINTR))
     return false;
   if (count < 0)
@@ -163,6 +220,7 @@
   *sent = (size_t)count;
   tcp->sent += (uint64_t)count;
   count_bytes ((size_t)count);
+  tcp->unchecked += (uint32_t)count;
   return *sent == bytes.length;
 }
 
@@ -286,6 +344,20 @@
     receive (tcp);
 }
 
+/* Limits a buffer to BYTES unless it has that limit.  */
+static void
+set_buffer (int fd, int option, uint32_t *current, uint32_t bytes)
+{
+  /* The operating system doubles the value, for what it takes beside the
+     payload.  */
+  int size = (int)(bytes / 2);
+
+  if (*current == bytes || fd < 0)
+    return;
+  *current = bytes;
+  (void)setsockopt (fd, SOL_SOCKET, option, &size, sizeof size);
+}
+
 static void
 set_options (int fd, const struct ds_tcp_options *options)
 {
@@ -321,6 +393,7 @@
   tcp->connected = connected;
   tcp->read_size = READ_BYTES;
   tcp->unsent_total = options->unsent_total;
+  tcp->unread_total = options->unread_total;
   tcp->handlers = *handlers;
   tcp->deferred_event = tevent_create_immediate (tcp);
   tcp->fd_event = tevent_add_fd (options->ev, tcp, fd,
@@ -333,6 +406,7 @@
     }
   tcp->fd = fd;
   set_options (fd, options);
+  ds_tcp_set_buffers (tcp, options->send_buffer, options->receive_buffer);
   talloc_set_destructor (tcp, destroy);
   *out = tcp;
   return 0;
@@ -502,6 +576,15 @@
   tcp->read_size = bytes < READ_BYTES ? bytes : READ_BYTES;
 }
 
+/* Sets how many bytes the operating system takes to buffer the stream.  What
+   it holds already stays.  */
+void
+ds_tcp_set_buffers (struct ds_tcp *tcp, uint32_t send, uint32_t receive)
+{
+  set_buffer (tcp->fd, SO_SNDBUF, &tcp->send_buffer, send);
+  set_buffer (tcp->fd, SO_RCVBUF, &tcp->receive_buffer, receive);
+}
+
 /* Pauses or resumes reading.  While paused, a close by the peer is not
    detected.  */
 void
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -35,7 +35,11 @@
    unacknowledged for so long, 0 for the system default.  KEEPALIVE_INTERVAL_S
    is the idle time before the first keep-alive probe and the interval between
    probes; 0 disables them.  UNSENT_TOTAL, if not null, is kept at the sum of
-   the unsent bytes that the streams with it have copied.  */
+   the unsent bytes that the streams with it have copied, and of the send
+   buffers that are full.  UNREAD_TOTAL, if not null, is kept at the sum of the
+   receive buffers of paused streams.  SEND_BUFFER and RECEIVE_BUFFER limit the
+   bytes that the operating system takes to buffer the stream; 0 for its
+   defaults, which grow to some MB.  */
 struct ds_tcp_options
 {
   struct tevent_context *ev;
@@ -43,6 +47,9 @@
   uint32_t unacked_timeout_ms;
   uint32_t keepalive_interval_s;
   uint64_t *unsent_total;
+  uint64_t *unread_total;
+  uint32_t send_buffer;
+  uint32_t receive_buffer;
 };
 
 struct ds_tcp;
@@ -69,6 +76,7 @@
                          const struct ds_tcp *tcp);
 bool ds_tcp_peer_has_closed (const struct ds_tcp *tcp);
 void ds_tcp_set_read_size (struct ds_tcp *tcp, size_t bytes);
+void ds_tcp_set_buffers (struct ds_tcp *tcp, uint32_t send, uint32_t receive);
 void ds_tcp_pause (struct ds_tcp *tcp, bool paused);
 void ds_tcp_close_when_sent (struct ds_tcp *tcp);
 void ds_tcp_free (struct ds_tcp *tcp);
