Read what a peer sent before it reset a connection

A write that failed ended the stream from the event loop, and what had arrived before was read only if the same event had announced it. A replica's rejection of a long upload could be lost with it, and the caller got 502 for 503.

--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -163,17 +163,9 @@
     tcp->handlers.on_end (reason, tcp->handlers.user_data);
 }
 
-static void
-report_scheduled_end (struct tevent_context *ev,
-                      struct tevent_immediate *deferred_event, void *user_data)
-{
-  struct ds_tcp *tcp = user_data;
-
-  (void)ev;
-  (void)deferred_event;
-  end_stream (tcp,
-              tcp->connected ? DS_TCP_END_RESET : DS_TCP_END_NOT_CONNECTED);
-}
+static void report_scheduled_end (struct tevent_context *ev,
+                                  struct tevent_immediate *deferred_event,
+                                  void *user_data);
 
 /* Returns how many of LENGTH bytes may be sent now.  The operating system
    exceeds its limit by up to 64 KB, as it fills the last segment.  At the
@@ -285,14 +277,15 @@
   return DS_TCP_END_CLOSED;
 }
 
-static void
+/* Reads once; false if there was nothing to read.  */
+static bool
 receive (struct ds_tcp *tcp)
 {
   static char bytes[READ_BYTES];
   ssize_t count = recv (tcp->fd, bytes, tcp->read_size, 0);
 
   if (count < 0 && (errno == EAGAIN || errno == EINTR))
-    return;
+    return false;
   if (count < 0)
     end_stream (tcp, errno == ETIMEDOUT || errno == EHOSTUNREACH
                          ? DS_TCP_END_SILENT
@@ -307,6 +300,25 @@
             (struct ds_str){ .data = bytes, .length = (size_t)count },
             tcp->handlers.user_data);
     }
+  return count > 0;
+}
+
+/* Reports the end of a stream after a write has failed.  What the peer sent
+   before it reset the connection is read first: it may be a rejection of a
+   request that was still being written.  */
+static void
+report_scheduled_end (struct tevent_context *ev,
+                      struct tevent_immediate *deferred_event, void *user_data)
+{
+  struct ds_tcp *tcp = user_data;
+
+  (void)ev;
+  (void)deferred_event;
+  while (tcp->connected && !tcp->closing && !tcp->ended && !tcp->paused
+         && receive (tcp))
+    ;
+  end_stream (tcp,
+              tcp->connected ? DS_TCP_END_RESET : DS_TCP_END_NOT_CONNECTED);
 }
 
 static void
@@ -341,7 +353,7 @@
         }
     }
   if (flags & TEVENT_FD_READ)
-    receive (tcp);
+    (void)receive (tcp);
 }
 
 /* Limits a buffer to BYTES unless it has that limit.  */
