Leave out a processor clock that does not count processor time

Cause: where the process clock runs like a wall clock, each host reported 833 % of its share and gave up callers all the time. Change: figures above 150 % of the share, which a limited process cannot use, do not count as load.

--- a/src/core/host_load.c
+++ b/src/core/host_load.c
@@ -17,6 +17,9 @@
    as FULL_COUNTS_PERCENT.  */
 #define FULL_PERCENT 95
 #define FULL_COUNTS_PERCENT 200
+/* A host with a limit on its processor time cannot use this much of it, so the
+   clock does not count processor time there, or the limit is not enforced.  */
+#define CPU_IMPLAUSIBLE_PERCENT 150
 /* Time above the limit before the first decision, in which the average comes
    close to the load.  */
 #define SETTLE_MS 600
@@ -39,14 +42,16 @@
 {
   double elapsed_ms = (double)(now_ms - load->measured_ms);
   double weight = elapsed_ms / (elapsed_ms + SMOOTHING_MS);
+  double cpu;
 
   if (load->measured_ms > 0 && now_ms <= load->measured_ms)
     return;
   if (load->measured_ms > 0 && limits->cpu_share > 0)
-    smooth (&load->cpu,
-            PERCENT * (double)(usage->cpu_us - load->last.cpu_us) / 1000
-                / elapsed_ms / limits->cpu_share,
-            weight);
+    {
+      cpu = PERCENT * (double)(usage->cpu_us - load->last.cpu_us) / 1000
+            / elapsed_ms / limits->cpu_share;
+      smooth (&load->cpu, cpu < CPU_IMPLAUSIBLE_PERCENT ? cpu : 0, weight);
+    }
   if (load->measured_ms > 0 && limits->link_mbps > 0)
     smooth (&load->link,
             PERCENT * (double)(usage->bytes - load->last.bytes) * BITS_PER_BYTE
