--- a/tests/standins/common_server.c
+++ b/tests/standins/common_server.c
@@ -420,6 +420,9 @@
   MHD_add_response_header (response, "Content-Type", "application/json");
   if (attempt_id != NULL)
     MHD_add_response_header (response, "X-Attempt-Id", attempt_id);
+  if (request->header_name != NULL)
+    MHD_add_response_header (response, request->header_name,
+                             request->header_value);
   result = MHD_queue_response (request->connection, status, response);
   MHD_destroy_response (response);
   return result;
--- a/tests/standins/common_server.h
+++ b/tests/standins/common_server.h
@@ -35,6 +35,8 @@
   char *body; /* zero-terminated */
   size_t body_length;
   bool body_too_large;
+  const char *header_name; /* of a header of the response; null for none */
+  char header_value[24];
 };
 
 /* Longer bodies get 413.  */
--- a/tests/standins/platform_store.c
+++ b/tests/standins/platform_store.c
@@ -16,7 +16,12 @@
    registrations of replicas at once) and "compact" (discards the history).
    POST /standin/raw/KIND/NAME writes an object whose spec is the body, byte by
    byte and unchecked.  GET /standin/counts returns the number of watch
-   requests and of ledger writes.  */
+   requests, of ledger reads and of ledger writes.
+   POST /standin/copy keeps a copy of the objects, the history and the revision
+   counter.  POST /standin/restore returns to it, so that revisions are issued
+   again for other contents and a watch from a later one gets 410.  POST
+   /standin/era with a number as its body makes all responses carry the header
+   Store-Era with that number, which each later restore increases by one.  */
 
 #define OBJECTS_PREFIX "/daisystep/objects/"
 #define RAW_PREFIX "/standin/raw/"
@@ -42,9 +47,27 @@
   char lose_kind[64];
   json_int_t lose_watches;
   json_int_t watches;
+  json_int_t ledger_reads;
   json_int_t ledger_writes;
+  json_int_t era; /* negative: responses have no such header */
+  json_t *copied_objects; /* null without a copy */
+  json_t *copied_events;
+  json_int_t copied_revision;
+  json_int_t copied_history_start;
 };
 
+/* Adds the era to the response of REQUEST; the lock is held, so that the era
+   is that of what the response holds.  */
+static void
+add_era (const struct store *store, struct standin_request *request)
+{
+  if (store->era < 0)
+    return;
+  request->header_name = "Store-Era";
+  (void)snprintf (request->header_value, sizeof request->header_value, "%lld",
+                  (long long)store->era);
+}
+
 static void
 add_event (struct store *store, json_t *object, bool tombstone)
 {
@@ -160,6 +183,7 @@
       json_array_append (items, object);
   }
   revision = store->revision;
+  add_era (store, request);
   pthread_mutex_unlock (&store->lock);
   return respond_objects (request,
                           json_pack ("{s:o,s:b,s:I}", "items", items,
@@ -167,7 +191,7 @@
 }
 
 /* The events of KIND after the revision SINCE, or null if that part of the
-   history has been discarded.  */
+   history has been discarded or the store does not have the revision.  */
 static json_t *
 events_since (struct store *store, const char *kind, json_int_t since)
 {
@@ -175,7 +199,7 @@
   size_t i;
   json_t *event;
 
-  if (since < store->history_start)
+  if (since < store->history_start || since > store->revision)
     {
       json_decref (events);
       return NULL;
@@ -224,6 +248,7 @@
       pthread_mutex_lock (&store->lock);
       events = events_since (store, kind, since);
       revision = store->revision;
+      add_era (store, request);
       pthread_mutex_unlock (&store->lock);
       if (events == NULL)
         return standin_respond_error (request, MHD_HTTP_GONE, "history gone");
@@ -276,6 +301,7 @@
     }
   (void)snprintf (key, sizeof key, "%s/%s", kind, name);
   pthread_mutex_lock (&store->lock);
+  add_era (store, request);
   current = json_object_get (store->objects, key);
   if (current != NULL
       && (path_name == NULL
@@ -316,6 +342,7 @@
 
   (void)snprintf (key, sizeof key, "%s/%s", kind, name);
   pthread_mutex_lock (&store->lock);
+  add_era (store, request);
   object = json_incref (json_object_get (store->objects, key));
   pthread_mutex_unlock (&store->lock);
   if (object == NULL)
@@ -347,6 +374,7 @@
 
   (void)snprintf (key, sizeof key, "%s/%s", kind, name);
   pthread_mutex_lock (&store->lock);
+  add_era (store, request);
   remove_object (store, key);
   pthread_mutex_unlock (&store->lock);
   return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
@@ -406,7 +434,8 @@
   json_t *counts;
 
   pthread_mutex_lock (&store->lock);
-  counts = json_pack ("{s:I,s:I}", "watches", store->watches, "ledger_writes",
+  counts = json_pack ("{s:I,s:I,s:I}", "watches", store->watches,
+                      "ledger_reads", store->ledger_reads, "ledger_writes",
                       store->ledger_writes);
   pthread_mutex_unlock (&store->lock);
   return standin_respond_json (request, MHD_HTTP_OK, NULL, counts);
@@ -439,6 +468,49 @@
   return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
 }
 
+static enum MHD_Result
+set_era (struct store *store, struct standin_request *request)
+{
+  pthread_mutex_lock (&store->lock);
+  store->era = (json_int_t)strtoll (request->body, NULL, 10);
+  pthread_mutex_unlock (&store->lock);
+  return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
+/* Objects and events are never changed after they were added, so it is enough
+   to copy their containers.  */
+static enum MHD_Result
+make_copy (struct store *store, struct standin_request *request)
+{
+  pthread_mutex_lock (&store->lock);
+  json_decref (store->copied_objects);
+  json_decref (store->copied_events);
+  store->copied_objects = json_copy (store->objects);
+  store->copied_events = json_copy (store->events);
+  store->copied_revision = store->revision;
+  store->copied_history_start = store->history_start;
+  pthread_mutex_unlock (&store->lock);
+  return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
+static enum MHD_Result
+restore (struct store *store, struct standin_request *request)
+{
+  if (store->copied_objects == NULL)
+    return standin_respond_error (request, MHD_HTTP_CONFLICT, "no copy");
+  pthread_mutex_lock (&store->lock);
+  json_decref (store->objects);
+  json_decref (store->events);
+  store->objects = json_copy (store->copied_objects);
+  store->events = json_copy (store->copied_events);
+  store->revision = store->copied_revision;
+  store->history_start = store->copied_history_start;
+  if (store->era >= 0)
+    store->era++;
+  pthread_mutex_unlock (&store->lock);
+  return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
 static enum MHD_Result
 handle (void *state, struct standin_request *request)
 {
@@ -453,6 +525,12 @@
     return set_faults (store, request);
   if (standin_request_matches (request, "GET", "/standin/counts"))
     return get_counts (store, request);
+  if (standin_request_matches (request, "POST", "/standin/era"))
+    return set_era (store, request);
+  if (standin_request_matches (request, "POST", "/standin/copy"))
+    return make_copy (store, request);
+  if (standin_request_matches (request, "POST", "/standin/restore"))
+    return restore (store, request);
   if (strncmp (request->path, RAW_PREFIX, strlen (RAW_PREFIX)) == 0)
     return write_raw (store, request);
   if (strncmp (request->path, OBJECTS_PREFIX, strlen (OBJECTS_PREFIX)) != 0)
@@ -461,11 +539,13 @@
   busy = store->busy;
   silent = store->silent;
   endless = store->endless;
+  add_era (store, request);
   if (standin_request_query (request, "watch") != NULL)
     store->watches++;
-  else if (strcmp (request->method, "GET") != 0
-           && strstr (request->path, "ledger") != NULL)
-    store->ledger_writes++;
+  else if (strstr (request->path, "ledger") != NULL)
+    *(strcmp (request->method, "GET") != 0 ? &store->ledger_writes
+                                           : &store->ledger_reads)
+        += 1;
   (void)snprintf (kind, sizeof kind, "%s",
                   request->path + strlen (OBJECTS_PREFIX));
   slash = strchr (kind, '/');
@@ -499,7 +579,8 @@
 main (int argc, char **argv)
 {
   struct store store
-      = { .objects = json_object (), .events = json_array (), .revision = 1 };
+      = { .objects = json_object (), .events = json_array (), .revision = 1,
+          .era = -1 };
   struct standin_arguments arguments;
   int status = EXIT_FAILURE;
 
@@ -512,6 +593,8 @@
   arg_freetable (table, sizeof table / sizeof table[0]);
   json_decref (store.objects);
   json_decref (store.events);
+  json_decref (store.copied_objects);
+  json_decref (store.copied_events);
   pthread_mutex_destroy (&store.lock);
   return status;
 }
