--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -105,6 +105,16 @@
   [DS_METRIC_UNREADABLE_ENTRIES]
   = { .name = "unreadable_entries_total",
       .help = "Changes of entries in the store that cannot be read." },
+  [DS_METRIC_STORE_RESTORES]
+  = { .name = "store_restores_total",
+      .help = "Returns of the store from an older copy." },
+  [DS_METRIC_LEDGER_RAISES]
+  = { .name = "ledger_raises_total",
+      .help = "Updates that raise a ledger page after such a return." },
+  [DS_METRIC_TOKENS_HELD_BACK]
+  = { .name = "tokens_held_back_total",
+      .help
+      = "Tokens that hosts may have drawn unseen before such a return." },
   [DS_METRIC_JOURNAL_RECORDS]
   = { .name = "journal_records_total",
       .help = "Records appended to the own journal." },
--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -337,5 +337,6 @@
   allotment->ledger_ungranted = ds_ledger_account_ungranted (account);
   allotment->ledger_settled = account->settled;
   allotment->ledger_observed_ms = now_ms;
+  allotment->ledger_reporter = 0;
   allotment->known = true;
 }
--- a/src/core/allotment.h
+++ b/src/core/allotment.h
@@ -61,6 +61,7 @@
   uint64_t home_ungranted; /* neither settled nor granted in the ledger */
   uint64_t home_settled;
   uint64_t home_reported_ms;  /* time of its last report, 0 for none */
+  uint64_t home_id;           /* of the incarnation of the host, not 0 */
   bool home_ledger_known;     /* the home has read the ledger */
   bool home_ledger_reachable; /* the home can reach the ledger */
 };
@@ -90,6 +91,7 @@
   uint64_t ledger_ungranted;  /* limit less what is granted and settled */
   uint64_t ledger_settled;
   uint64_t ledger_observed_ms; /* when the two members above were read */
+  uint64_t ledger_reporter;    /* the host that reported them, 0: this one */
   uint64_t last_request_ms;    /* of the last request for tokens to peers */
   uint64_t last_transfer_ms;   /* of the last transfer to the home */
   uint64_t peer_request_ms;    /* of a peer's last request that was not met */
--- a/src/core/ledger_page.c
+++ b/src/core/ledger_page.c
@@ -17,6 +17,26 @@
   return 0;
 }
 
+/* Reads the bases of an account; none is no fault.  */
+static int
+read_bases (struct ds_ledger_account *account, const json_t *bases)
+{
+  size_t i;
+  json_t *item;
+
+  json_array_foreach (bases, i, item)
+  {
+    struct ds_ledger_base *base = &account->bases[account->base_count];
+
+    if (account->base_count == DS_LEDGER_BASES
+        || read_count (&base->era, json_array_get (item, 0)) != 0
+        || read_count (&base->committed, json_array_get (item, 1)) != 0)
+      return DS_EPROTOCOL;
+    account->base_count++;
+  }
+  return 0;
+}
+
 static int
 read_account (struct ds_ledger_page *page, const char *workspace,
               const json_t *value)
@@ -34,7 +54,18 @@
       || read_count (&account->granted, json_object_get (value, "granted"))
              != 0)
     return DS_EPROTOCOL;
-  return 0;
+  return read_bases (account, json_object_get (value, "bases"));
+}
+
+/* Reads the era KEY of SPEC; 0 if it is missing, as in pages of a store that
+   has always been in era 0.  */
+static int
+read_era (uint64_t *out, const json_t *spec, const char *key)
+{
+  const json_t *value = json_object_get (spec, key);
+
+  *out = 0;
+  return value == NULL ? 0 : read_count (out, value);
 }
 
 /* The index of the page with WORKSPACE's account.  */
@@ -73,6 +104,9 @@
   if (ds_ledger_page_new (&page, owner) != 0)
     return ds_error_set (error, DS_ENOMEM, "read ledger page", "store",
                          "out of memory");
+  status = read_era (&page->era, spec, "era");
+  if (status == 0)
+    status = read_era (&page->witness_era, spec, "witness_era");
   json_object_foreach (accounts, key, value)
   {
     if (status == 0)
@@ -106,6 +140,21 @@
                                       json_integer ((json_int_t)value));
 }
 
+static void
+add_bases (json_t *value, const struct ds_ledger_account *account)
+{
+  json_t *bases;
+
+  if (account->base_count == 0)
+    return;
+  bases = json_array ();
+  for (size_t i = 0; i < account->base_count; i++)
+    (void)json_array_append_new (
+        bases, json_pack ("[I,I]", (json_int_t)account->bases[i].era,
+                          (json_int_t)account->bases[i].committed));
+  (void)json_object_set_new (value, "bases", bases);
+}
+
 /* Encodes PAGE for ds_ledger_page_decode; the caller owns the result.  */
 json_t *
 ds_ledger_page_encode (const struct ds_ledger_page *page)
@@ -123,12 +172,17 @@
       set_count (value, DS_STR ("version"), account->version);
       set_count (value, DS_STR ("settled"), account->settled);
       set_count (value, DS_STR ("granted"), account->granted);
+      add_bases (value, account);
       (void)json_object_setn_new_nocheck (accounts, account->workspace.data,
                                           account->workspace.length, value);
     }
   for (size_t i = 0; i < page->writer_count; i++)
     set_count (writers, page->writers[i].name, page->writers[i].number);
   (void)json_object_set_new (document, "format", json_integer (FORMAT));
+  if (page->era > 0)
+    set_count (document, DS_STR ("era"), page->era);
+  if (page->witness_era > 0)
+    set_count (document, DS_STR ("witness_era"), page->witness_era);
   (void)json_object_set_new (document, "accounts", accounts);
   (void)json_object_set_new (document, "writers", writers);
   return document;
--- a/src/core/ledger_page.h
+++ b/src/core/ledger_page.h
@@ -9,6 +9,19 @@
    and its budget granted twice.  */
 #define DS_LEDGER_PAGES 64
 
+/* Eras whose bases an account keeps: the store returns from a copy a few times
+   a day at most, and a host that is cut off hears of it within minutes.  */
+#define DS_LEDGER_BASES 4
+
+/* Settled and granted tokens of an account when its page was completed in ERA:
+   what hosts have seen in earlier eras, beyond this sum, is not in the
+   account.  */
+struct ds_ledger_base
+{
+  uint64_t era;
+  uint64_t committed;
+};
+
 /* The account of one workspace.  GRANTED counts the tokens that hosts hold,
    neither settled nor returned.  Which host holds them is not recorded: hosts
    transfer tokens among themselves, and SETTLED + GRANTED, which a transfer
@@ -20,6 +33,8 @@
   uint64_t version; /* of the configuration that LIMIT is from */
   uint64_t settled;
   uint64_t granted;
+  struct ds_ledger_base bases[DS_LEDGER_BASES]; /* oldest first */
+  size_t base_count;
 };
 
 /* NUMBER is that of the writer's last update in the page.  */
@@ -29,8 +44,14 @@
   uint64_t number;
 };
 
+/* ERA is the newest era of the store in which a host completed the page: the
+   running hosts had time before to raise its accounts to what they had seen.
+   WITNESS_ERA is the newest in which some host has raised it.  Both are 0 for
+   a store that has never returned from an older copy.  */
 struct ds_ledger_page
 {
+  uint64_t era;
+  uint64_t witness_era;
   struct ds_ledger_account *accounts;
   size_t account_count;
   struct ds_ledger_writer *writers;
--- a/src/core/replica_set.c
+++ b/src/core/replica_set.c
@@ -225,6 +225,16 @@
     }
 }
 
+/* Forgets the reports of other hosts, which name revisions of an earlier era
+   of the store.  That the store does not confirm them says nothing of the
+   hosts.  */
+void
+ds_replica_set_forget_reports (struct ds_replica_set *set)
+{
+  for (size_t i = 0; i < set->count; i++)
+    set->entries[i].replica->left_revision = 0;
+}
+
 /* Drops the replicas whose expiry time has passed, and reports that are too
    old.  */
 void
--- a/src/core/replica_set.h
+++ b/src/core/replica_set.h
@@ -87,6 +87,7 @@
                                       uint64_t now_ms);
 void ds_replica_set_end_reports (struct ds_replica_set *set, uint64_t revision,
                                  uint64_t asked_ms, uint64_t now_ms);
+void ds_replica_set_forget_reports (struct ds_replica_set *set);
 bool ds_replica_set_record_leaving (struct ds_replica_set *set,
                                     struct ds_replica *replica,
                                     uint64_t now_ms);
--- a/src/entry/budget_manager.c
+++ b/src/entry/budget_manager.c
@@ -108,7 +108,8 @@
 {
   return (manager->last_failure_ms == 0
           || now_ms - manager->last_failure_ms > UNREACHABLE_CACHE_MS)
-         && ds_ledger_client_is_reachable (page->client, now_ms);
+         && ds_ledger_client_is_reachable (page->client, now_ms)
+         && !ds_ledger_client_is_held (page->client, now_ms);
 }
 
 /* True if PAGE should be updated before the next interval.  */
@@ -127,7 +128,8 @@
           && (allotment->spent > 0 || allotment->free > 0))
         return true;
     }
-  return ds_ledger_client_is_unresolved (page->client);
+  return ds_ledger_client_is_unresolved (page->client)
+         || ds_ledger_client_needs_raise (page->client, now_ms);
 }
 
 /* True if PAGE has use or surplus to write at the next interval.  */
@@ -203,6 +205,8 @@
     .writer = manager->options.writer,
     .policy = &manager->options.policy,
     .index = index,
+    .peers = { .state = manager->options.peers.reporter_state,
+               .user_data = manager->options.peers.user_data },
     .on_response = on_response,
     .on_timeout = on_timeout,
     .user_data = manager,
@@ -278,6 +282,7 @@
   allotment->ledger_ungranted = peer_state.home_ungranted;
   allotment->ledger_settled = peer_state.home_settled;
   allotment->ledger_observed_ms = peer_state.home_reported_ms;
+  allotment->ledger_reporter = peer_state.home_id;
 }
 
 /* Requests what ALLOTMENT lacks, and a cushion, from its home alone if
@@ -444,6 +449,18 @@
     }
 }
 
+/* Keeps what this host and its peers have seen of the ledger: the store has
+   returned from an older copy.  */
+void
+ds_budget_manager_begin_era (struct ds_budget_manager *manager,
+                             uint64_t now_ms)
+{
+  for (size_t i = 0; i < manager->count; i++)
+    refresh_peer_state (manager, manager->allotments[i]);
+  for (size_t i = 0; i < manager->page_count; i++)
+    ds_ledger_client_begin_era (manager->pages[i].client, now_ms);
+}
+
 /* Hands over all free tokens, and those that running requests leave unused as
    they end: to the homes, or to the ledger when there is no other host.  */
 void
--- a/src/entry/budget_manager.h
+++ b/src/entry/budget_manager.h
@@ -2,6 +2,7 @@
 #define DS_ENTRY_BUDGET_MANAGER_H
 
 #include "core/allotment.h"
+#include "core/ledger_restore.h"
 #include "daisystep/routing_config.h"
 #include "entry/store_client.h"
 
@@ -18,8 +19,9 @@
    and use to the home of a page; false when it cannot be queued.  PEER_STATE
    returns their reports.  PENDING counts unacknowledged transfers.
    UNMET returns what the peers need at once and have not got from this host.
-   ON_TOKENS reports that tokens have arrived, ON_STORE_TIMEOUT a call without
-   response.  */
+   REPORTER_STATE tells what has been heard of the host with an id of
+   peer_state since a time.  ON_TOKENS reports that tokens have arrived,
+   ON_STORE_TIMEOUT a call without response.  */
 struct ds_budget_peers
 {
   enum ds_allotment_home (*home) (uint32_t page, void *user_data);
@@ -32,6 +34,8 @@
                                              void *user_data);
   size_t (*pending) (void *user_data);
   uint64_t (*unmet) (struct ds_str workspace, void *user_data);
+  enum ds_reporter_state (*reporter_state) (uint64_t id, uint64_t since_ms,
+                                            void *user_data);
   void (*on_tokens) (void *user_data);
   void (*on_store_timeout) (void *user_data);
   void *user_data;
@@ -59,6 +63,8 @@
                                    uint32_t settle_ms);
 void ds_budget_manager_tick (struct ds_budget_manager *manager,
                              uint64_t now_ms);
+void ds_budget_manager_begin_era (struct ds_budget_manager *manager,
+                                  uint64_t now_ms);
 void ds_budget_manager_close (struct ds_budget_manager *manager);
 bool ds_budget_manager_is_closed (const struct ds_budget_manager *manager);
 uint64_t ds_budget_manager_give (struct ds_budget_manager *manager,
--- a/src/entry/crash_store.c
+++ b/src/entry/crash_store.c
@@ -22,6 +22,9 @@
 /* Failed reads after which a host starts without the record, as one does whose
    store is away.  */
 #define READS_BEFORE_START 3
+/* Time after the store has returned from an older copy in which the hosts that
+   know of causes, one after another, read the record again.  */
+#define READ_SPREAD_MS 3000
 
 /* The record of the causes of crashes in the store.  A host reads it when it
    starts, and again when another has written before it.  */
@@ -142,6 +145,14 @@
   bool failed = false;
 
   store->pending = NULL;
+  if (store->writes
+      && result->sent_era != ds_store_client_era (store->options.store)->era)
+    {
+      /* The revision that the write was based on is of an earlier era.  */
+      store->known = false;
+      retry (store);
+      return;
+    }
   switch (result->outcome)
     {
     case DS_STORE_OK:
@@ -248,3 +259,16 @@
 {
   return store->settled;
 }
+
+/* Reads the record again after the store has returned from an older copy, and
+   writes what this host is to record if it is missing.  A host that knows of
+   no cause does so when it learns of one.  */
+void
+ds_crash_store_begin_era (struct ds_crash_store *store)
+{
+  bool had_causes = store->stored.count > 0;
+
+  store->known = false;
+  if (had_causes)
+    schedule (store, (uint32_t)random () % READ_SPREAD_MS);
+}
--- a/src/entry/crash_store.h
+++ b/src/entry/crash_store.h
@@ -19,5 +19,6 @@
 int ds_crash_store_new (struct ds_crash_store **out, TALLOC_CTX *owner,
                         const struct ds_crash_store_options *options);
 bool ds_crash_store_is_settled (const struct ds_crash_store *store);
+void ds_crash_store_begin_era (struct ds_crash_store *store);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -11,7 +11,7 @@
 #include "entry/entry_settings.h"
 #include "entry/exchange.h"
 #include "entry/fleet_view.h"
-#include "entry/registration.h"
+#include "entry/store_restore.h"
 #include "entry/store_watcher.h"
 #include "entry/unreadable_entry.h"
 #include "io/clock.h"
@@ -32,13 +32,6 @@
 /* Interval of checks of the settings file, which may change without a
    signal.  */
 #define SETTINGS_CHECK_MS 2000
-/* Replicas whose registrations expired in a store outage register again within
-   two seconds of its end, which is known to a gossip interval.  */
-#define REREGISTRATION_MS (2000 + DS_GOSSIP_INTERVAL_MS)
-/* Registrations do not expire in a shorter outage.  */
-#define OUTAGE_MIN_MS 600
-/* A deletion this soon after an outage may be such an expiry.  */
-#define RECONNECTION_WINDOW_MS 2500
 /* Divisors of the time in which a configuration must take effect, and in which
    a draining replica may get requests: changes are batched for this part.  The
    rest covers a slow response and the reading of a large configuration.  */
@@ -101,8 +94,8 @@
   struct ds_store_watcher *config_watcher;
   struct ds_store_watcher *replica_watcher;
   struct watched_subject watched[DS_STORE_SUBJECTS];
-  struct ds_registration *registration;
   struct ds_crash_store *crash_store;
+  struct ds_store_restore restore;
 
   struct ds_replica_set *replicas;
   struct ds_fleet_view *fleet;
@@ -118,8 +111,6 @@
 
   uint64_t next_tick_ms;     /* when the next tick is due */
   uint64_t store_checked_ms; /* because other hosts have lost the store */
-  uint64_t trouble_since_ms; /* since when it may be out; or 0 */
-  uint64_t outage_ms;        /* when it was last seen out; 0 for never */
   uint64_t stopping_ms;      /* time of SIGTERM; 0 before */
   bool stopped;
 };
@@ -279,34 +270,10 @@
   ds_replica_set_begin_list (entry->replicas);
 }
 
-/* Notes an outage of the store: the calls of this host have failed for a
-   while. That others are turned away is no outage for this host.  */
-static void
-note_outage (struct ds_entry *entry, uint64_t now_ms)
-{
-  if (ds_store_client_is_reachable (entry->store))
-    entry->trouble_since_ms = 0;
-  else if (entry->trouble_since_ms == 0
-           || ds_store_client_succeeded_ms (entry->store)
-                  >= entry->trouble_since_ms)
-    entry->trouble_since_ms = now_ms;
-  else if (now_ms - entry->trouble_since_ms >= OUTAGE_MIN_MS)
-    entry->outage_ms = now_ms;
-}
-
-/* Returns when a missing replica counts as removed: 0 for at once, or later if
-   its registration may have expired in a store outage.  */
 static uint64_t
-removal_time (const struct ds_entry *entry)
+removal_ms (const struct ds_entry *entry)
 {
-  uint64_t now_ms = ds_clock_ms ();
-
-  if (entry->outage_ms == 0
-      || now_ms - entry->outage_ms > RECONNECTION_WINDOW_MS)
-    return 0;
-  return entry->outage_ms + REREGISTRATION_MS > now_ms
-             ? entry->outage_ms + REREGISTRATION_MS
-             : 0;
+  return ds_store_restore_removal_ms (&entry->restore, ds_clock_ms ());
 }
 
 static void
@@ -314,7 +281,7 @@
 {
   struct ds_entry *entry = user_data;
 
-  ds_replica_set_end_list (entry->replicas, removal_time (entry));
+  ds_replica_set_end_list (entry->replicas, removal_ms (entry));
   publish_state (entry);
 }
 
@@ -342,7 +309,7 @@
       = { .revision = object->revision, .gone = gone };
 
   if (replica == NULL || !ds_replica_is_available (replica)
-      || (object->deleted && removal_time (entry) > 0))
+      || (object->deleted && removal_ms (entry) > 0))
     return;
   departure.replica = replica->hash;
   ds_fleet_view_announce_departure (entry->fleet, &departure);
@@ -424,7 +391,7 @@
     {
       announce_departure (entry, object, true);
       ds_replica_set_remove (entry->replicas, object->name,
-                             removal_time (entry));
+                             removal_ms (entry));
       log_replica (object, DS_STR ("gone"), NULL, NULL);
     }
   else if (object->problem != NULL)
@@ -540,6 +507,22 @@
   return ds_fleet_view_unmet_tokens (entry->fleet, workspace);
 }
 
+static enum ds_reporter_state
+reporter_state (uint64_t id, uint64_t since_ms, void *user_data)
+{
+  const struct ds_entry *entry = user_data;
+
+  return ds_fleet_view_reporter_state (entry->fleet, id, since_ms);
+}
+
+static void
+on_peer_era (uint64_t era, void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  ds_store_client_hear_era (entry->store, era);
+}
+
 static void
 on_tokens (void *user_data)
 {
@@ -817,6 +800,7 @@
     {
       place.interval_ms = entry->watched[subject].interval_ms;
       ds_store_watcher_set_place (entry->watched[subject].watcher, &place);
+      ds_store_watcher_check_era (entry->watched[subject].watcher);
       compare_revisions (entry, (enum ds_store_subject)subject, now_ms);
     }
 }
@@ -832,7 +816,7 @@
   ds_replica_set_remove_expired (entry->replicas, now_ms);
   ds_connection_pool_close_expired (entry->exchanges.pool, now_ms);
   count_hosts (entry, now_ms);
-  note_outage (entry, now_ms);
+  ds_store_restore_note_outage (&entry->restore, now_ms);
   update_watches (entry, now_ms);
   ds_budget_manager_tick (entry->budgets, now_ms);
   ds_fleet_view_set_ledger_reachable (
@@ -926,6 +910,7 @@
     .on_holdings = on_peer_holdings,
     .on_suspect = on_peer_suspect,
     .on_departure = on_peer_departure,
+    .on_store_era = on_peer_era,
     .user_data = entry,
   };
 
@@ -936,6 +921,13 @@
       != 0)
     return error->code;
   entry->exchanges.fleet = entry->fleet;
+  entry->restore = (struct ds_store_restore){ .store = entry->store,
+                                              .fleet = entry->fleet,
+                                              .budgets = entry->budgets,
+                                              .replicas = entry->replicas };
+  ds_store_client_watch_era (
+      entry->store, (uint32_t)entry->settings->restore_hold_ms,
+      entry->settings->first_start, ds_store_restore_on_era, &entry->restore);
   entry->addresses = (struct ds_address_service){
     .fleet = entry->fleet,
     .zone = self.zone,
@@ -970,6 +962,7 @@
       .peer_state = get_peer_state,
       .pending = pending_transfers,
       .unmet = unmet_tokens,
+      .reporter_state = reporter_state,
       .on_tokens = on_tokens,
       .on_store_timeout = probe_store,
       .user_data = entry,
@@ -1212,10 +1205,11 @@
   (void)tevent_add_signal (entry->ev, entry, SIGINT, 0, on_term, entry);
   (void)tevent_add_signal (entry->ev, entry, SIGHUP, 0, on_hup, entry);
   if (ds_crash_store_new (&entry->crash_store, entry, &crashes) != 0
-      || ds_registration_start (&entry->registration, entry, entry->ev,
+      || ds_registration_start (&entry->restore.registration, entry, entry->ev,
                                 entry->store, entry->fleet, &self)
              != 0)
     return DS_ENOMEM;
+  entry->restore.crashes = entry->crash_store;
   on_tick (entry);
   while (!entry->stopped)
     if (tevent_loop_once (entry->ev) != 0)
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -70,6 +70,7 @@
   REAL (struct ds_entry_settings, address_ttl_s, 0, 3600),
   OPTIONAL_REAL (struct ds_entry_settings, config_apply_ms, 100, 600000, 2000),
   OPTIONAL_REAL (struct ds_entry_settings, drain_ms, 100, 600000, 2000),
+  OPTIONAL_REAL (struct ds_entry_settings, restore_hold_ms, 0, 60000, 2000),
   NUMBER (struct ds_entry_settings, log_lines_per_s, 0, 100000, 200),
   OPTIONAL_REAL (struct ds_entry_settings, cpu_share, 0, 1000, 1),
   OPTIONAL_REAL (struct ds_entry_settings, cpu_cores, 0, 1000, 1),
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -39,6 +39,7 @@
   double address_ttl_s;
   double config_apply_ms;
   double drain_ms;
+  double restore_hold_ms;
   uint64_t log_lines_per_s;
   double cpu_share; /* of a core */
   double cpu_cores; /* speed of that core */
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -36,6 +36,7 @@
   datagram->strained = view->strained;
   datagram->config_revision = view->store_revisions[DS_STORE_CONFIG];
   datagram->replica_revision = view->store_revisions[DS_STORE_REPLICAS];
+  datagram->store_era = view->store_era;
 }
 
 /* Adds HOLDING to DATAGRAM, which has room for DS_HOLDINGS_MAX.  */
@@ -522,6 +523,7 @@
   struct ds_socket_address address;
   struct ds_fleet_peer *member;
   uint64_t now_ms = ds_clock_ms ();
+  bool same_era;
 
   if (ds_socket_address_parse (&address,
                                ds_str_from_c (datagram->gossip_address))
@@ -531,15 +533,21 @@
   if (member == NULL || !receive_self (view, member, datagram, now_ms))
     return;
   member->address = address;
-  receive_revision (view, DS_STORE_CONFIG, datagram->config_revision);
-  receive_revision (view, DS_STORE_REPLICAS, datagram->replica_revision);
+  same_era = ds_fleet_receive_era (view, datagram);
+  if (same_era)
+    {
+      receive_revision (view, DS_STORE_CONFIG, datagram->config_revision);
+      receive_revision (view, DS_STORE_REPLICAS, datagram->replica_revision);
+    }
   if (!datagram->partial)
     receive_loads (member, datagram);
   ds_fleet_record_parts (view, datagram->reads, datagram->n_reads, now_ms);
   receive_suspects (view, member, datagram, now_ms);
-  ds_fleet_receive_departures (view, member, datagram->departures,
-                               datagram->n_departures);
+  if (same_era)
+    ds_fleet_receive_departures (view, member, datagram->departures,
+                                 datagram->n_departures);
   if (datagram->summary != NULL)
-    ds_fleet_receive_summary (view, member, datagram->summary, now_ms);
-  ds_fleet_receive_tokens (view, member, datagram);
+    ds_fleet_receive_summary (view, member, datagram->summary, same_era,
+                              now_ms);
+  ds_fleet_receive_tokens (view, member, datagram, same_era);
 }
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -643,12 +643,13 @@
     }
 }
 
-/* Handles the summary of a zone or of the fleet from the relay SENDER.  */
+/* Handles the summary of a zone or of the fleet from the relay SENDER, which
+   knows the SAME_ERA of the store or another one.  */
 void
 ds_fleet_receive_summary (struct ds_fleet_view *view,
                           struct ds_fleet_peer *sender,
                           const Daisystep__Gossip__Summary *summary,
-                          uint64_t now_ms)
+                          bool same_era, uint64_t now_ms)
 {
   struct ds_str zone = ds_str_from_c (summary->zone);
 
@@ -663,8 +664,9 @@
     receive_hosts (view, summary->other_hosts, summary->other_ages,
                    summary->n_other_hosts, false, now_ms);
   receive_conditions (view, summary);
-  ds_fleet_receive_departures (view, sender, summary->departures,
-                               summary->n_departures);
+  if (same_era)
+    ds_fleet_receive_departures (view, sender, summary->departures,
+                                 summary->n_departures);
   ds_fleet_record_parts (view, summary->reads, summary->n_reads, now_ms);
   if (zone.length > 0)
     {
--- a/src/entry/fleet_tokens.c
+++ b/src/entry/fleet_tokens.c
@@ -348,6 +348,7 @@
           && now_ms - one.received_ms > HOLDING_VALID_MS)
         one = (struct ds_token_holding){ .workspace = hash };
       peer_state.home_free = one.tokens;
+      peer_state.home_id = ds_fleet_incarnation_id (source);
       peer_state.home_ledger_known = one.ledger_known;
       peer_state.home_ungranted = one.ledger_ungranted;
       peer_state.home_settled = one.ledger_settled;
@@ -505,10 +506,12 @@
 }
 
 /* Takes over the holdings of MEMBER: all of them, or from a partial datagram
-   those that it names.  */
+   those that it names.  What it says of the ledger counts in the same era of
+   the store only.  */
 static void
 receive_holdings (struct ds_fleet_peer *member,
-                  const Daisystep__Gossip__Datagram *datagram, uint64_t now_ms)
+                  const Daisystep__Gossip__Datagram *datagram, bool same_era,
+                  uint64_t now_ms)
 {
   struct ds_fleet_token_link *link = ds_fleet_link (member);
 
@@ -532,7 +535,7 @@
         .workspace = message->workspace,
         .tokens = message->tokens,
         .demand = message->demand,
-        .ledger_known = message->known,
+        .ledger_known = message->known && same_era,
         .ledger_ungranted = message->rest,
         .ledger_settled = message->settled,
         .ledger_away = message->ledger_away,
@@ -690,17 +693,19 @@
     send_reply (view, member, workspace);
 }
 
-/* Handles the parts of a datagram of MEMBER that are about tokens.  */
+/* Handles the parts of a datagram of MEMBER that are about tokens.  MEMBER
+   knows the SAME_ERA of the store or another one.  */
 void
 ds_fleet_receive_tokens (struct ds_fleet_view *view,
                          struct ds_fleet_peer *member,
-                         const Daisystep__Gossip__Datagram *datagram)
+                         const Daisystep__Gossip__Datagram *datagram,
+                         bool same_era)
 {
   uint64_t now_ms = ds_clock_ms ();
 
   if (datagram->n_holdings > 0
       || (!datagram->partial && !ds_gossip_uses_relays (view->count)))
-    receive_holdings (member, datagram, now_ms);
+    receive_holdings (member, datagram, same_era, now_ms);
   receive_acks (member, datagram);
   if (datagram->n_transfers > 0 && is_for_this_incarnation (view, datagram))
     receive_transfers (view, member, datagram);
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include "core/allotment.h"
 #include "core/crash_suspects.h"
+#include "core/ledger_restore.h"
 #include "core/replica_set.h"
 #include "core/watch_pace.h"
 #include "daisystep/error.h"
@@ -82,7 +83,8 @@
    ON_TOKEN_TRANSFER receives a transfer from another host.  ON_HOLDINGS is
    called after a datagram with holdings.  ON_SUSPECT is told what a report
    about a cause of crashes has changed.  ON_DEPARTURE takes a report of a
-   departure and returns whether it is news, which is passed on.  */
+   departure and returns whether it is news, which is passed on.  ON_STORE_ERA
+   is told the era of the store that another host knows.  */
 struct ds_fleet_handlers
 {
   size_t (*list_holdings) (struct ds_token_holding *out, void *user_data);
@@ -98,6 +100,7 @@
                       struct ds_str sender, void *user_data);
   bool (*on_departure) (const struct ds_departure *departure,
                         struct ds_str sender, void *user_data);
+  void (*on_store_era) (uint64_t era, void *user_data);
   void *user_data;
 };
 
@@ -154,6 +157,10 @@
                                        enum ds_store_subject subject);
 void ds_fleet_view_reject_revision (struct ds_fleet_view *view,
                                     enum ds_store_subject subject);
+void ds_fleet_view_set_store_era (struct ds_fleet_view *view, uint64_t era);
+enum ds_reporter_state
+ds_fleet_view_reporter_state (const struct ds_fleet_view *view, uint64_t id,
+                              uint64_t since_ms);
 struct ds_watch_place
 ds_fleet_view_watch_place (const struct ds_fleet_view *view, uint64_t now_ms);
 uint64_t ds_fleet_workspace_hash (struct ds_str workspace);
--- a/src/entry/fleet_view_internal.h
+++ b/src/entry/fleet_view_internal.h
@@ -158,6 +158,7 @@
   uint64_t summaries; /* received; identifies the current one */
   uint64_t store_revisions[DS_STORE_SUBJECTS]; /* seen by this host */
   uint64_t heard_revisions[DS_STORE_SUBJECTS]; /* newest of other hosts */
+  uint64_t store_era;
   uint64_t summary_ms; /* time of the last summary of the fleet; 0 for none */
   size_t intervals;
   size_t next_record[2]; /* member whose record the next summary of the zone,
@@ -212,12 +213,17 @@
                             Daisystep__Gossip__PartRead *const *reads,
                             size_t count, uint64_t now_ms);
 
+/* fleet_era.c */
+uint64_t ds_fleet_incarnation_id (const struct ds_fleet_peer *member);
+bool ds_fleet_receive_era (struct ds_fleet_view *view,
+                           const Daisystep__Gossip__Datagram *datagram);
+
 /* fleet_relay.c */
 void ds_fleet_relay_tick (struct ds_fleet_view *view, uint64_t now_ms);
 void ds_fleet_receive_summary (struct ds_fleet_view *view,
                                struct ds_fleet_peer *sender,
                                const Daisystep__Gossip__Summary *summary,
-                               uint64_t now_ms);
+                               bool same_era, uint64_t now_ms);
 void ds_fleet_introduce (struct ds_fleet_view *view,
                          struct ds_fleet_peer *member);
 
@@ -231,6 +237,7 @@
 void ds_fleet_update_eligibility (struct ds_fleet_view *view, uint64_t now_ms);
 void ds_fleet_receive_tokens (struct ds_fleet_view *view,
                               struct ds_fleet_peer *member,
-                              const Daisystep__Gossip__Datagram *datagram);
+                              const Daisystep__Gossip__Datagram *datagram,
+                              bool same_era);
 
 #endif
--- a/src/entry/ledger_client.c
+++ b/src/entry/ledger_client.c
@@ -21,6 +21,9 @@
 #define CONFLICT_DOUBLINGS_MAX 5
 /* Shortest interval of this host's updates of a page.  */
 #define UPDATE_INTERVAL_MIN_MS 60
+/* Part of the hold of a page in which the hosts that have seen it raise it, at
+   random times: the rest is for conflicts among them.  */
+#define RAISE_DELAY_DIVISOR 2
 /* Time without a response after which the store may be unavailable.  */
 #define SLOW_CALL_MS 60
 
@@ -52,8 +55,25 @@
   uint64_t called_ms; /* start of the current call */
   uint32_t conflicts; /* consecutive */
   bool store_responds;
+  struct ds_ledger_restore restore;
+  uint64_t read_era; /* of the store, when PAGE was read */
+  uint64_t page_era; /* in which the page was completed */
 };
 
+/* What build_update has made.  */
+enum build_result
+{
+  BUILD_FAILED,
+  BUILD_UNCHANGED, /* the page is held, and nothing has to be written */
+  BUILD_UPDATE
+};
+
+static const struct ds_store_era *
+store_era (const struct ds_ledger_client *client)
+{
+  return ds_store_client_era (client->options.store);
+}
+
 /* Counts and logs REVISION of the page, which cannot be read, unless that has
    been done before.  */
 static void
@@ -104,6 +124,7 @@
   client->page = json_incref (object->spec);
   client->revision = object->revision;
   client->page_known = true;
+  client->read_era = store_era (client)->era;
   talloc_free (object);
   return true;
 }
@@ -151,8 +172,12 @@
 {
   struct ds_ledger_page *page;
 
+  client->page_era = 0;
   if (client->page == NULL || decode_page (&page, client) != 0)
     return;
+  client->page_era = page->era;
+  ds_ledger_restore_observe (&client->restore, page, store_era (client),
+                             now_ms);
   for (size_t i = 0; i < client->count; i++)
     ds_allotment_observe (client->allotments[i], page, now_ms);
   talloc_free (page);
@@ -212,7 +237,11 @@
       /* With an invalid response, the update is applied but the revision is
          unknown.  */
       if (!accept_object (client, result->body))
-        client->page_known = false;
+        {
+          json_decref (client->page);
+          client->page = json_incref (client->update_spec);
+          client->page_known = false;
+        }
       confirm_all (client);
       observe_page (client, now_ms);
       client->conflicts = 0;
@@ -263,6 +292,7 @@
       client->page = NULL;
       client->revision = 0;
       client->page_known = true;
+      client->read_era = store_era (client)->era;
       break;
     default:
       client->not_before_ms = now_ms + REFUSED_BACKOFF_MS;
@@ -286,7 +316,15 @@
                            && result->outcome != DS_STORE_REFUSED;
   if (result->outcome == DS_STORE_UNKNOWN)
     client->options.on_timeout (client->options.user_data);
-  if (state == CALL_WRITE)
+  if (state == CALL_WRITE && result->sent_era != store_era (client)->era)
+    {
+      /* The store has returned from an older copy since the update was sent,
+         so it may hold it or not, whatever it responded.  */
+      client->page_known = false;
+      client->unresolved = true;
+      log_update (client, result);
+    }
+  else if (state == CALL_WRITE)
     {
       on_written (client, result, now_ms);
       log_update (client, result);
@@ -296,18 +334,46 @@
   client->options.on_response (client->options.user_data);
 }
 
-/* Builds the next update from the page as last read; false when it is invalid
-   or memory is short.  */
-static bool
-build_update (struct ds_ledger_client *client, bool closing)
+static void
+log_raise (const struct ds_ledger_client *client,
+           const struct ds_ledger_restore_result *result)
+{
+  struct ds_decision_line line;
+
+  ds_metric_add (DS_METRIC_LEDGER_RAISES, 1);
+  ds_metric_add (DS_METRIC_TOKENS_HELD_BACK, (int64_t)result->held_back);
+  line = ds_decision_line_begin ("ledger_raised", DS_STR_EMPTY);
+  ds_decision_line_add_text (&line, "page", ds_str_from_c (client->name));
+  ds_decision_line_add_number (&line, "era", (int64_t)store_era (client)->era);
+  ds_decision_line_add_number (&line, "held", result->held);
+  ds_decision_line_add_number (&line, "tokens", (int64_t)result->raised);
+  ds_decision_line_add_number (&line, "held_back", (int64_t)result->held_back);
+  ds_decision_line_end (&line);
+}
+
+/* Builds the next update from the page as last read.  It fails when the page
+   is invalid or memory is short.  */
+static enum build_result
+build_update (struct ds_ledger_client *client, bool closing, uint64_t now_ms)
 {
+  struct ds_ledger_restore_result restored;
   struct ds_ledger_page *page;
   int status = decode_page (&page, client);
 
   if (status != 0)
-    return false;
+    return BUILD_FAILED;
+  status = ds_ledger_restore_apply (&client->restore, page, store_era (client),
+                                    client->options.policy->max_fraction,
+                                    now_ms, &restored);
+  if (status != 0 || (restored.held && !restored.changed))
+    {
+      talloc_free (page);
+      return status != 0 ? BUILD_FAILED : BUILD_UNCHANGED;
+    }
+  if (restored.changed)
+    log_raise (client, &restored);
   client->number++;
-  for (size_t i = 0; i < client->count && status == 0; i++)
+  for (size_t i = 0; i < client->count && status == 0 && !restored.held; i++)
     status = ds_allotment_apply (client->allotments[i], page,
                                  client->options.policy, closing);
   ds_ledger_page_remove_old_writers (page, client->options.writer);
@@ -322,7 +388,7 @@
   else
     withdraw_all (client);
   talloc_free (page);
-  return status == 0;
+  return status == 0 ? BUILD_UPDATE : BUILD_FAILED;
 }
 
 /* Reads the page if it is unknown, else writes the changes of the accounts,
@@ -339,12 +405,22 @@
 
   if (client->state != CALL_NONE || client->not_before_ms > now_ms)
     return;
+  if (client->restore.read_again
+      && ds_ledger_client_needs_raise (client, now_ms))
+    {
+      client->restore.read_again = false;
+      client->page_known = client->unresolved && client->page_known;
+    }
+  if (ds_ledger_client_is_held (client, now_ms) && !client->unresolved
+      && !ds_ledger_client_needs_raise (client, now_ms))
+    return;
   client->state = CALL_READ;
   if (client->page_known)
     {
       /* An update with unknown outcome is sent again unchanged: the store
          applies it at most once, since it is conditional on the revision.  */
-      if (!client->unresolved && !build_update (client, closing))
+      if (!client->unresolved
+          && build_update (client, closing, now_ms) != BUILD_UPDATE)
         {
           client->state = CALL_NONE;
           client->not_before_ms = now_ms + REFUSED_BACKOFF_MS;
@@ -376,6 +452,79 @@
   return 0;
 }
 
+/* Keeps what this host has seen of the accounts, now that the store has
+   returned from an older copy.  What others have reported is in the
+   allotments.  Nothing is written before the page has been read again.  */
+void
+ds_ledger_client_begin_era (struct ds_ledger_client *client, uint64_t now_ms)
+{
+  struct ds_ledger_page *copy = NULL;
+  uint32_t delay_ms = store_era (client)->hold_ms / RAISE_DELAY_DIVISOR;
+  int status = 0;
+
+  if (client->page != NULL)
+    status = decode_page (&copy, client);
+  if (status == 0)
+    status = ds_ledger_restore_begin (&client->restore, client, copy,
+                                      client->read_era, now_ms,
+                                      (uint32_t)random () % (delay_ms + 1));
+  for (size_t i = 0; i < client->count && status == 0; i++)
+    {
+      const struct ds_allotment *allotment = client->allotments[i];
+      struct ds_ledger_report report = {
+        .workspace = allotment->workspace,
+        .reporter = allotment->ledger_reporter,
+        .limit = allotment->limit,
+        .version = allotment->version,
+        .settled = allotment->ledger_settled,
+        .ungranted = allotment->ledger_ungranted,
+      };
+
+      if (allotment->known && report.reporter != 0)
+        status
+            = ds_ledger_restore_add_report (&client->restore, client, &report);
+    }
+  if (status != 0)
+    report_unreadable (client, client->revision, "cannot keep what was seen");
+  talloc_free (copy);
+  client->page_known = false;
+  client->conflicts = 0;
+}
+
+/* True if the page grants nothing yet, since other hosts may still have to
+   raise it.  */
+bool
+ds_ledger_client_is_held (const struct ds_ledger_client *client,
+                          uint64_t now_ms)
+{
+  return client->page_known
+         && ds_store_era_is_held (store_era (client), client->page_era,
+                                  now_ms);
+}
+
+/* True if this host is to raise the page to what it has seen.  */
+bool
+ds_ledger_client_needs_raise (struct ds_ledger_client *client, uint64_t now_ms)
+{
+  uint64_t held_back = ds_ledger_restore_check_reports (
+      &client->restore, store_era (client),
+      client->options.policy->max_fraction, &client->options.peers, now_ms);
+
+  if (held_back > 0)
+    {
+      struct ds_decision_line line
+          = ds_decision_line_begin ("tokens_held_back", DS_STR_EMPTY);
+
+      ds_metric_add (DS_METRIC_TOKENS_HELD_BACK, (int64_t)held_back);
+      ds_decision_line_add_text (&line, "page", ds_str_from_c (client->name));
+      ds_decision_line_add_number (&line, "era",
+                                   (int64_t)store_era (client)->era);
+      ds_decision_line_add_number (&line, "tokens", (int64_t)held_back);
+      ds_decision_line_end (&line);
+    }
+  return ds_ledger_restore_is_due (&client->restore, now_ms);
+}
+
 /* Creates a client for a page without reading it.  */
 int
 ds_ledger_client_new (struct ds_ledger_client **out, TALLOC_CTX *owner,
--- a/src/entry/ledger_client.h
+++ b/src/entry/ledger_client.h
@@ -2,19 +2,21 @@
 #define DS_ENTRY_LEDGER_CLIENT_H
 
 #include "core/allotment.h"
+#include "core/ledger_restore.h"
 #include "entry/store_client.h"
 
 struct ds_ledger_client;
 
 /* INDEX is the page's number, WRITER this incarnation of the host.
-   ON_RESPONSE is called after each call; if that had no response, ON_TIMEOUT
-   is called first.  */
+   PEERS tells which hosts still run.  ON_RESPONSE is called after each
+   call; if that had no response, ON_TIMEOUT is called first.  */
 struct ds_ledger_client_options
 {
   struct ds_store_client *store;
   struct ds_str writer;
   const struct ds_allotment_policy *policy;
   uint32_t index;
+  struct ds_ledger_restore_peers peers;
   void (*on_response) (void *user_data);
   void (*on_timeout) (void *user_data);
   void *user_data;
@@ -31,6 +33,12 @@
 void ds_ledger_client_update (struct ds_ledger_client *client, uint64_t now_ms,
                               bool closing);
 bool ds_ledger_client_is_unresolved (const struct ds_ledger_client *client);
+void ds_ledger_client_begin_era (struct ds_ledger_client *client,
+                                 uint64_t now_ms);
+bool ds_ledger_client_is_held (const struct ds_ledger_client *client,
+                               uint64_t now_ms);
+bool ds_ledger_client_needs_raise (struct ds_ledger_client *client,
+                                   uint64_t now_ms);
 uint64_t ds_ledger_client_updated_ms (const struct ds_ledger_client *client);
 
 #endif
--- a/src/entry/registration.c
+++ b/src/entry/registration.c
@@ -7,10 +7,14 @@
 #include "platform/names.h"
 
 #include <jansson.h>
+#include <stdlib.h>
 
 /* Delay before a failed registration is retried.  */
 #define REGISTER_RETRY_MS 500
 #define CALL_TIMEOUT_MS 1000
+/* Time after the store has returned from an older copy in which the hosts, one
+   after another, look whether it still has their registrations.  */
+#define CHECK_SPREAD_MS 5000
 /* Largest processor share that settings can lead to: of a link of 1,000,000
    Mbit/s, in percent of a core.  */
 #define CAPACITY_MAX 500000
@@ -20,6 +24,7 @@
   REGISTER_CREATE,
   REGISTER_REPLACE,
   REGISTER_LIST,
+  REGISTER_CHECK, /* whether a restored store has the registration */
   REGISTERED
 };
 
@@ -32,6 +37,7 @@
   struct ds_store_pending_call *pending;
   enum step step;
   bool retry_scheduled;
+  bool check_scheduled;
 };
 
 static void run_step (struct ds_registration *registration);
@@ -124,6 +130,38 @@
   return true;
 }
 
+/* Whether BODY is the object that this process has written.  */
+static bool
+is_own_object (struct ds_registration *registration, struct ds_str body)
+{
+  struct ds_error error = DS_ERROR_NONE;
+  struct ds_store_object *object;
+  bool is_own;
+
+  if (ds_store_object_decode (&object, registration, body, &error) != 0)
+    return false;
+  is_own = (uint64_t)json_integer_value (
+               json_object_get (object->spec, "incarnation"))
+           == registration->self.incarnation;
+  talloc_free (object);
+  return is_own;
+}
+
+/* Handles the result of REGISTER_CHECK.  */
+static void
+on_checked (struct ds_registration *registration,
+            const struct ds_store_result *result)
+{
+  if (result->outcome == DS_STORE_NOT_FOUND)
+    registration->step = REGISTER_CREATE;
+  else if (result->outcome != DS_STORE_OK)
+    schedule_retry (registration);
+  else
+    registration->step = is_own_object (registration, result->body)
+                             ? REGISTERED
+                             : REGISTER_REPLACE;
+}
+
 static void
 on_step_done (const struct ds_store_result *result, void *user_data)
 {
@@ -149,6 +187,9 @@
       else
         schedule_retry (registration);
       break;
+    case REGISTER_CHECK:
+      on_checked (registration, result);
+      break;
     default:
       if (result->outcome == DS_STORE_OK
           && add_hosts (registration, result->body))
@@ -177,6 +218,9 @@
     {
     case REGISTERED:
       return;
+    case REGISTER_CHECK:
+      store_call.verb = DS_STORE_GET;
+      break;
     case REGISTER_LIST:
       store_call.verb = DS_STORE_LIST;
       store_call.after = DS_STR_EMPTY;
@@ -226,3 +270,28 @@
   *out = registration;
   return 0;
 }
+
+static void
+on_check (void *user_data)
+{
+  struct ds_registration *registration = user_data;
+
+  registration->check_scheduled = false;
+  if (registration->step != REGISTERED)
+    return;
+  registration->step = REGISTER_CHECK;
+  run_step (registration);
+}
+
+/* Writes the registration again if the store, which has returned from an older
+   copy, has lost it.  Only this host does so.  */
+void
+ds_registration_begin_era (struct ds_registration *registration)
+{
+  if (registration->check_scheduled)
+    return;
+  registration->check_scheduled = true;
+  (void)ds_timer_add (registration->ev, registration,
+                      (uint32_t)random () % CHECK_SPREAD_MS, on_check,
+                      registration);
+}
--- a/src/entry/registration.h
+++ b/src/entry/registration.h
@@ -12,5 +12,6 @@
                            struct ds_store_client *store,
                            struct ds_fleet_view *fleet,
                            const struct ds_fleet_self *self);
+void ds_registration_begin_era (struct ds_registration *registration);
 
 #endif
--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -3,6 +3,7 @@
 #include "io/clock.h"
 #include "io/http_connection.h"
 #include "io/timer.h"
+#include "platform/names.h"
 
 /* The store accepts a connection within milliseconds.  After a lost SYN, a new
    attempt is sooner than the system's retransmission after one second.  Longer
@@ -46,6 +47,10 @@
   uint64_t succeeded_ms; /* end of the last successful call; 0 for none */
   uint32_t connect_timeout_ms;
   bool unreachable; /* the last call that ended failed */
+  struct ds_store_era era;
+  bool is_first_start; /* no host of the fleet ran before this process */
+  ds_store_era_fn *on_era;
+  void *era_user_data;
 };
 
 /* A call in progress.  */
@@ -57,6 +62,8 @@
   uint64_t extended_ms; /* beyond the time that the call was given */
   bool progress;        /* bytes have arrived since the timer was set */
   bool timed_out;
+  bool outdated; /* the response is from an earlier era */
+  uint64_t sent_era;
   struct ds_byte_buffer body;
   ds_store_done_fn *on_done;
   void *user_data;
@@ -175,6 +182,7 @@
   struct ds_store_result result = {
     .outcome = outcome,
     .status = outcome == DS_STORE_UNKNOWN ? 0 : pending->status,
+    .sent_era = pending->sent_era,
     .timed_out = pending->timed_out,
     .body = ds_byte_buffer_content (&pending->body),
   };
@@ -198,6 +206,37 @@
   talloc_free (pending);
 }
 
+/* Takes over an era that the store or another host has named.  */
+static enum ds_store_era_change
+observe_era (struct ds_store_client *client, uint64_t reported, bool from_peer)
+{
+  struct ds_store_era *era = &client->era;
+  uint64_t now_ms = ds_clock_ms ();
+  enum ds_store_era_change change
+      = ds_store_era_observe (era, reported, now_ms);
+
+  if (change == DS_STORE_ERA_FIRST && client->is_first_start)
+    era->detected_ms = now_ms > era->hold_ms ? now_ms - era->hold_ms : 0;
+  if ((change == DS_STORE_ERA_FIRST || change == DS_STORE_ERA_NEWER)
+      && client->on_era != NULL)
+    client->on_era (change, from_peer, client->era_user_data);
+  return change;
+}
+
+/* The era in HEAD: 0 without one, as in all responses of a store that has
+   never returned from an older copy.  A response without one says nothing
+   about later eras.  */
+static uint64_t
+era_of (const struct ds_store_client *client, const struct ds_http_head *head)
+{
+  uint64_t reported;
+
+  if (ds_str_to_u64 (&reported, ds_http_head_find (head, DS_HEADER_STORE_ERA))
+      != 0)
+    return client->era.era;
+  return reported;
+}
+
 /* The store's responses name no call; it sends one for each.  */
 static enum ds_http_answer
 on_head (const struct ds_http_head *head, void *user_data)
@@ -206,6 +245,9 @@
 
   pending->status = head->status;
   pending->progress = true;
+  pending->outdated
+      = observe_era (pending->client, era_of (pending->client, head), false)
+        == DS_STORE_ERA_OLDER;
   return DS_HTTP_ANSWER_OWN;
 }
 
@@ -226,7 +268,11 @@
 {
   struct ds_store_pending_call *pending = user_data;
 
-  complete_call (pending, outcome_from_status (pending->status));
+  /* What the store said before its newest return says nothing of what it holds
+     now, whether the call was executed or not.  */
+  complete_call (pending, pending->outdated
+                              ? DS_STORE_UNKNOWN
+                              : outcome_from_status (pending->status));
 }
 
 static void
@@ -250,7 +296,8 @@
   /* Nothing was sent: the call cannot have been executed.  */
   ds_metric_add (DS_METRIC_PLATFORM_ERRORS, 1);
   TALLOC_FREE (pending->timer);
-  pending->on_done (&(struct ds_store_result){ .outcome = DS_STORE_REFUSED },
+  pending->on_done (&(struct ds_store_result){ .outcome = DS_STORE_REFUSED,
+                                               .sent_era = pending->sent_era },
                     pending->user_data);
   talloc_free (pending);
 }
@@ -333,6 +380,7 @@
   pending->client = client;
   pending->on_done = on_done;
   pending->user_data = user_data;
+  pending->sent_era = client->era.era;
   status = ds_store_call_encode (&head, &body, pending, call,
                                  client->address_text);
   if (status == 0)
@@ -374,6 +422,35 @@
   return pending->status != 0;
 }
 
+/* Calls ON_ERA when the era of the store becomes known or changes.  Ledger
+   pages of earlier eras are held for HOLD_MS, except by hosts of a fleet that
+   is started for the first time.  */
+void
+ds_store_client_watch_era (struct ds_store_client *client, uint32_t hold_ms,
+                           bool is_first_start, ds_store_era_fn *on_era,
+                           void *user_data)
+{
+  client->era.hold_ms = hold_ms;
+  client->is_first_start = is_first_start;
+  client->on_era = on_era;
+  client->era_user_data = user_data;
+}
+
+/* The newest era of the store that this host knows.  */
+const struct ds_store_era *
+ds_store_client_era (const struct ds_store_client *client)
+{
+  return &client->era;
+}
+
+/* Takes over the era that another host knows; 0 for none.  */
+void
+ds_store_client_hear_era (struct ds_store_client *client, uint64_t era)
+{
+  if (era > 0)
+    (void)observe_era (client, era, true);
+}
+
 /* Sets whether the link of this host delays its connections.  */
 void
 ds_store_client_set_slow_link (struct ds_store_client *client, bool slow)
--- a/src/entry/store_client.h
+++ b/src/entry/store_client.h
@@ -1,6 +1,7 @@
 #ifndef DS_ENTRY_STORE_CLIENT_H
 #define DS_ENTRY_STORE_CLIENT_H
 
+#include "core/store_era.h"
 #include "daisystep/error.h"
 #include "platform/store_codec.h"
 
@@ -20,14 +21,20 @@
 struct ds_store_result
 {
   enum ds_store_outcome outcome;
-  unsigned status; /* of the response; 0 without one */
-  bool timed_out;  /* no response within the time of the call */
+  unsigned status;   /* of the response; 0 without one */
+  uint64_t sent_era; /* of the store, as known when the call was sent */
+  bool timed_out;    /* no response within the time of the call */
   struct ds_str body;
 };
 
 typedef void ds_store_done_fn (const struct ds_store_result *result,
                                void *user_data);
 
+/* Called when a first or newer era of the store becomes known, before the
+   result of the call that says so.  */
+typedef void ds_store_era_fn (enum ds_store_era_change change, bool from_peer,
+                              void *user_data);
+
 struct ds_store_client;
 struct ds_store_pending_call;
 
@@ -45,6 +52,12 @@
 void ds_store_client_set_slow_link (struct ds_store_client *client, bool slow);
 bool ds_store_client_is_reachable (const struct ds_store_client *client);
 uint64_t ds_store_client_succeeded_ms (const struct ds_store_client *client);
+void ds_store_client_watch_era (struct ds_store_client *client,
+                                uint32_t hold_ms, bool is_first_start,
+                                ds_store_era_fn *on_era, void *user_data);
+const struct ds_store_era *
+ds_store_client_era (const struct ds_store_client *client);
+void ds_store_client_hear_era (struct ds_store_client *client, uint64_t era);
 const char *ds_store_outcome_name (enum ds_store_outcome outcome);
 uint64_t ds_store_client_calls (const struct ds_store_client *client);
 
--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -39,6 +39,7 @@
   struct ds_str after; /* where the current list continues */
   uint64_t revision;   /* of the known state */
   uint64_t list_revision;
+  uint64_t era;             /* of the store, in which the revisions count */
   uint64_t object_revision; /* the highest of an object or its removal */
   struct ds_watch_place place;
   uint64_t asked_ms;     /* start of the last call */
@@ -195,6 +196,28 @@
   ds_decision_line_end (&line);
 }
 
+/* Whether the store has returned from an older copy since the list began that
+   the known state, or the list that continues, is from.  */
+static bool
+is_of_earlier_era (const struct ds_store_watcher *watcher)
+{
+  return ds_store_client_era (watcher->store)->era != watcher->era
+         && !(watcher->listing && watcher->after.length == 0);
+}
+
+/* Begins a list in the present era, in which the known revisions mean
+   nothing.  */
+static void
+list_in_new_era (struct ds_store_watcher *watcher)
+{
+  log_restart (watcher, "new era of the store");
+  watcher->listing = true;
+  watcher->checking = false;
+  watcher->after = DS_STR_EMPTY;
+  watcher->revision = 0;
+  watcher->object_revision = 0;
+}
+
 static void
 on_done (const struct ds_store_result *result, void *user_data)
 {
@@ -206,6 +229,12 @@
   bool several;
 
   watcher->pending = NULL;
+  if (is_of_earlier_era (watcher))
+    {
+      list_in_new_era (watcher);
+      start_call (watcher);
+      return;
+    }
   if (result->outcome == DS_STORE_HISTORY_EXPIRED)
     {
       watcher->listing = true;
@@ -242,6 +271,8 @@
   changed = was_connected && !watcher->listing && page->count > 0;
   several = changed && page->count > 1;
   watcher->idle = !watcher->listing && page->count == 0;
+  if (watcher->listing && watcher->after.length == 0)
+    watcher->era = ds_store_client_era (watcher->store)->era;
   apply_page (watcher, page);
   talloc_free (page);
   if (!watcher->listing && watcher->handlers.on_applied != NULL)
@@ -349,6 +380,24 @@
   return true;
 }
 
+/* Begins a list if the store has returned from an older copy.  A call whose
+   response has begun to arrive does so when it ends.  */
+void
+ds_store_watcher_check_era (struct ds_store_watcher *watcher)
+{
+  if (!is_of_earlier_era (watcher)
+      || (watcher->pending != NULL
+          && ds_store_pending_call_has_response (watcher->pending)))
+    return;
+  list_in_new_era (watcher);
+  if (watcher->call_scheduled)
+    return;
+  if (watcher->pending != NULL)
+    ds_store_pending_call_cancel (watcher->pending);
+  watcher->pending = NULL;
+  start_call (watcher);
+}
+
 /* Checks the connection after another call to the store had no response.  A
    waiting watch cannot tell an idle store from an unreachable one, so it is
    restarted with a short wait.  */
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -35,6 +35,7 @@
 void ds_store_watcher_probe (struct ds_store_watcher *watcher);
 bool ds_store_watcher_check (struct ds_store_watcher *watcher,
                              const char *reason);
+void ds_store_watcher_check_era (struct ds_store_watcher *watcher);
 bool ds_store_watcher_is_change (const struct ds_store_watcher *watcher,
                                  const struct ds_store_object *object);
 bool ds_store_watcher_has_listed (const struct ds_store_watcher *watcher);
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -1467,7 +1467,7 @@
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[28] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[29] =
 {
   {
     "host",
@@ -1805,6 +1805,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
@@ -1828,6 +1840,7 @@
   3,   /* field[3] = region */
   25,   /* field[25] = replica_revision */
   7,   /* field[7] = sequence */
+  28,   /* field[28] = store_era */
   20,   /* field[20] = strained */
   18,   /* field[18] = summary */
   26,   /* field[26] = suspects */
@@ -1836,10 +1849,11 @@
   11,   /* field[11] = transfers */
   2,   /* field[2] = zone */
 };
-static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[1 + 1] =
+static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 33, 28 },
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -1849,10 +1863,10 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  28,
+  29,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
-  1,  daisystep__gossip__datagram__number_ranges,
+  2,  daisystep__gossip__datagram__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -348,10 +348,16 @@
   Daisystep__Gossip__Suspect **suspects;
   size_t n_departures;
   Daisystep__Gossip__Departure **departures;
+  /*
+   * Newest era of the store that the sender knows; 0 for none, and from hosts
+   * of an earlier version. Revisions, departures and what the holdings say of
+   * the ledger are of this era.
+   */
+  uint64_t store_era;
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
--- a/tests/standins/platform_store.c
+++ b/tests/standins/platform_store.c
@@ -49,7 +49,7 @@
   json_int_t watches;
   json_int_t ledger_reads;
   json_int_t ledger_writes;
-  json_int_t era; /* negative: responses have no such header */
+  json_int_t era;         /* negative: responses have no such header */
   json_t *copied_objects; /* null without a copy */
   json_t *copied_events;
   json_int_t copied_revision;
@@ -434,9 +434,9 @@
   json_t *counts;
 
   pthread_mutex_lock (&store->lock);
-  counts = json_pack ("{s:I,s:I,s:I}", "watches", store->watches,
-                      "ledger_reads", store->ledger_reads, "ledger_writes",
-                      store->ledger_writes);
+  counts
+      = json_pack ("{s:I,s:I,s:I}", "watches", store->watches, "ledger_reads",
+                   store->ledger_reads, "ledger_writes", store->ledger_writes);
   pthread_mutex_unlock (&store->lock);
   return standin_respond_json (request, MHD_HTTP_OK, NULL, counts);
 }
@@ -578,9 +578,10 @@
 int
 main (int argc, char **argv)
 {
-  struct store store
-      = { .objects = json_object (), .events = json_array (), .revision = 1,
-          .era = -1 };
+  struct store store = { .objects = json_object (),
+                         .events = json_array (),
+                         .revision = 1,
+                         .era = -1 };
   struct standin_arguments arguments;
   int status = EXIT_FAILURE;
 
