--- a/src/core/ledger_restore.c
+++ b/src/core/ledger_restore.c
@@ -5,12 +5,14 @@
    page is read and written once or twice more by the hosts that have a copy of
    it, and by no other host.
 
-   In one era the updates of a page follow one another, so of two sums of an
-   account that were seen in it the greater one covers both.  The page in a new
-   era goes back to one of these updates.  Until it is completed nothing is
-   drawn, so the greatest sum that a host has seen covers all draws that are
-   known.  A sum of an earlier era that comes after the completion adds what it
-   exceeds the sum at the completion by.  */
+   A page is completed in an era of the store before anything is drawn from it
+   in that era.  The updates from one completion to the next follow one
+   another, so of two sums that an account had between them the greater one
+   covers both. When the store returns from a copy, the page goes back to one
+   of these updates, or to one before an earlier completion.  Until it is
+   completed again, it is raised to the greatest sums that running hosts have
+   seen.  A sum from before a completion that arrives after it adds what it
+   exceeds the sum at the completion, the base, by.  */
 
 static uint64_t
 committed (const struct ds_ledger_account *account)
@@ -33,53 +35,152 @@
   account->granted = committed_sum - settled;
 }
 
-/* Adds the account SEEN to MARKS, or raises the one that is there.  */
+/* The base of ACCOUNT in the first era after ERA in which it was completed;
+   null if the account is younger.  */
+static struct ds_ledger_base *
+find_base (struct ds_ledger_account *account, uint64_t era)
+{
+  for (size_t i = 0; i < account->base_count; i++)
+    if (account->bases[i].era > era)
+      return &account->bases[i];
+  return NULL;
+}
+
+/* Makes ERA, in which the account had the sum COMMITTED_SUM, the newest base.
+   The oldest makes room for it.  */
+static void
+add_base (struct ds_ledger_account *account, uint64_t era,
+          uint64_t committed_sum)
+{
+  if (account->base_count == DS_LEDGER_BASES)
+    {
+      for (size_t i = 1; i < DS_LEDGER_BASES; i++)
+        account->bases[i - 1] = account->bases[i];
+      account->base_count--;
+    }
+  account->bases[account->base_count++]
+      = (struct ds_ledger_base){ .era = era, .committed = committed_sum };
+}
+
+static void
+adopt_limit (struct ds_ledger_account *account,
+             const struct ds_ledger_account *seen)
+{
+  if (seen->version <= account->version)
+    return;
+  account->version = seen->version;
+  account->limit = seen->limit;
+}
+
+/* Raises ACCOUNT, of a page that was completed in PAGE_ERA, to what was SEEN
+   after a completion in SEEN_ERA.  */
+static void
+raise_account (struct ds_ledger_account *account, uint64_t page_era,
+               const struct ds_ledger_account *seen, uint64_t seen_era)
+{
+  struct ds_ledger_base *base = find_base (account, seen_era);
+  uint64_t sum = base != NULL ? base->committed : 0;
+
+  adopt_limit (account, seen);
+  if (page_era <= seen_era)
+    {
+      raise_to (account, seen->settled, committed (seen));
+      return;
+    }
+  if (committed (seen) > sum)
+    {
+      account->granted += committed (seen) - sum;
+      if (base != NULL)
+        base->committed = committed (seen);
+      else
+        add_base (account, page_era, committed (seen));
+    }
+  raise_to (account, seen->settled, committed (account));
+}
+
+/* Raises the bases of ACCOUNT to those of SEEN, of a page that was completed
+   in the same eras.  */
+static void
+raise_bases (struct ds_ledger_account *account,
+             const struct ds_ledger_account *seen)
+{
+  for (size_t i = 0; i < seen->base_count; i++)
+    {
+      const struct ds_ledger_base *base = &seen->bases[i];
+      struct ds_ledger_base *own = find_base (account, base->era - 1);
+
+      if (own == NULL)
+        add_base (account, base->era, base->committed);
+      else if (own->era == base->era && own->committed < base->committed)
+        own->committed = base->committed;
+    }
+}
+
+/* Replaces ACCOUNT by what was SEEN after a later completion, and raises that
+   to what the account was in PAGE_ERA.  */
+static void
+replace_account (struct ds_ledger_account *account, uint64_t page_era,
+                 const struct ds_ledger_account *seen, uint64_t seen_era)
+{
+  struct ds_ledger_account before = *account;
+
+  *account = *seen;
+  account->workspace = before.workspace;
+  raise_account (account, seen_era, &before, page_era);
+}
+
+/* Raises PAGE to what was SEEN.  */
 static int
-add_mark (struct ds_ledger_page *marks, const struct ds_ledger_account *seen)
+merge (struct ds_ledger_page *page, const struct ds_ledger_page *seen)
 {
-  struct ds_ledger_account *mark
-      = ds_ledger_page_find_or_add (marks, seen->workspace);
+  uint64_t era = page->era;
 
-  if (mark == NULL)
-    return DS_ENOMEM;
-  raise_to (mark, seen->settled, committed (seen));
-  if (seen->version > mark->version)
+  for (size_t i = 0; i < seen->account_count; i++)
     {
-      mark->version = seen->version;
-      mark->limit = seen->limit;
+      const struct ds_ledger_account *mark = &seen->accounts[i];
+      struct ds_ledger_account *account
+          = ds_ledger_page_find_or_add (page, mark->workspace);
+
+      if (account == NULL)
+        return DS_ENOMEM;
+      if (seen->era > era)
+        replace_account (account, era, mark, seen->era);
+      else
+        raise_account (account, era, mark, seen->era);
+      if (seen->era == era)
+        raise_bases (account, mark);
     }
+  if (seen->era > era)
+    page->era = seen->era;
   return 0;
 }
 
 /* Begins a new era, detected at NOW_MS.  COPY is the page as this host last
-   had it in COPY_ERA, or null; the host is to raise the page DELAY_MS later.
-   Marks of an earlier era that are not in the page yet stay: since then, this
-   host has drawn nothing from the page.  */
+   had it, or null; the host is to raise the page DELAY_MS later.  What it has
+   seen in earlier eras and is not known to be in the page stays.  */
 int
 ds_ledger_restore_begin (struct ds_ledger_restore *restore, TALLOC_CTX *owner,
-                         const struct ds_ledger_page *copy, uint64_t copy_era,
-                         uint64_t now_ms, uint32_t delay_ms)
+                         const struct ds_ledger_page *copy, uint64_t now_ms,
+                         uint32_t delay_ms)
 {
-  int status = 0;
-
+  /* Hosts that reach the store have raised the page to their reports.  */
+  if (restore->reports_checked && restore->raise_ms == 0)
+    {
+      TALLOC_FREE (restore->reports);
+      restore->report_count = 0;
+    }
   restore->read_again = false;
   restore->reports_checked = false;
   restore->delay_ms = delay_ms;
-  if (restore->marks != NULL)
-    {
-      if (restore->raise_ms > 0)
-        restore->raise_ms = now_ms + delay_ms + 1;
-      return 0;
-    }
-  restore->marks_era = copy_era;
+  if (copy == NULL && restore->raise_ms == 0)
+    return 0;
+  restore->raise_ms = now_ms + delay_ms + 1;
   if (copy == NULL)
     return 0;
-  if (ds_ledger_page_new (&restore->marks, owner) != 0)
+  if (restore->marks == NULL
+      && ds_ledger_page_new (&restore->marks, owner) != 0)
     return DS_ENOMEM;
-  restore->raise_ms = now_ms + delay_ms + 1;
-  for (size_t i = 0; i < copy->account_count && status == 0; i++)
-    status = add_mark (restore->marks, &copy->accounts[i]);
-  return status;
+  return merge (restore->marks, copy);
 }
 
 /* Adds what another host has reported in the era that ended, after
@@ -90,16 +191,6 @@
                               TALLOC_CTX *owner,
                               const struct ds_ledger_report *report)
 {
-  uint64_t sum = report->limit > report->ungranted
-                     ? report->limit - report->ungranted
-                     : 0;
-  struct ds_ledger_account seen = {
-    .workspace = report->workspace,
-    .limit = report->limit,
-    .version = report->version,
-    .settled = report->settled,
-    .granted = sum > report->settled ? sum - report->settled : 0,
-  };
   struct ds_ledger_report *grown
       = talloc_realloc (owner, restore->reports, struct ds_ledger_report,
                         (unsigned)restore->report_count + 1);
@@ -107,14 +198,11 @@
   if (grown == NULL)
     return DS_ENOMEM;
   restore->reports = grown;
-  if (restore->marks == NULL
-      && ds_ledger_page_new (&restore->marks, owner) != 0)
-    return DS_ENOMEM;
   grown[restore->report_count] = *report;
   grown[restore->report_count].workspace
-      = ds_str_copy (restore->marks, report->workspace);
+      = ds_str_copy (grown, report->workspace);
   restore->report_count++;
-  return add_mark (restore->marks, &seen);
+  return 0;
 }
 
 /* Whether this host is to call the store to raise the page.  */
@@ -125,86 +213,28 @@
   return restore->raise_ms > 0 && now_ms >= restore->raise_ms;
 }
 
-/* The base of ACCOUNT in the first era after ERA in which it was completed;
-   null if the account is younger.  */
-static struct ds_ledger_base *
-find_base (struct ds_ledger_account *account, uint64_t era)
-{
-  for (size_t i = 0; i < account->base_count; i++)
-    if (account->bases[i].era > era)
-      return &account->bases[i];
-  return NULL;
-}
-
-/* Makes ERA, in which the account had the sum COMMITTED_SUM, the newest base.
-   The oldest makes room for it.  */
-static void
-add_base (struct ds_ledger_account *account, uint64_t era,
-          uint64_t committed_sum)
-{
-  if (account->base_count == DS_LEDGER_BASES)
-    {
-      for (size_t i = 1; i < DS_LEDGER_BASES; i++)
-        account->bases[i - 1] = account->bases[i];
-      account->base_count--;
-    }
-  account->bases[account->base_count++]
-      = (struct ds_ledger_base){ .era = era, .committed = committed_sum };
-}
-
-/* Raises the account of MARK in PAGE to what was seen in MARKS_ERA.  */
-static int
-raise_account (struct ds_ledger_page *page,
-               const struct ds_ledger_account *mark, uint64_t marks_era)
-{
-  struct ds_ledger_account *account
-      = ds_ledger_page_find_or_add (page, mark->workspace);
-  struct ds_ledger_base *base;
-  uint64_t sum = 0;
-
-  if (account == NULL)
-    return DS_ENOMEM;
-  if (mark->version > account->version)
-    {
-      account->version = mark->version;
-      account->limit = mark->limit;
-    }
-  if (page->era <= marks_era)
-    {
-      raise_to (account, mark->settled, committed (mark));
-      return 0;
-    }
-  base = find_base (account, marks_era);
-  if (base != NULL)
-    sum = base->committed;
-  if (committed (mark) > sum)
-    {
-      account->granted += committed (mark) - sum;
-      if (base != NULL)
-        base->committed = committed (mark);
-      else
-        add_base (account, page->era, committed (mark));
-    }
-  raise_to (account, mark->settled, committed (account));
-  return 0;
-}
-
 /* Sums over the accounts of a page, none of which a raise lowers.  */
 struct sums
 {
   uint64_t committed;
   uint64_t settled;
+  uint64_t bases;
+  uint64_t era;
 };
 
 static struct sums
 sum_up (const struct ds_ledger_page *page)
 {
-  struct sums sums = { 0 };
+  struct sums sums = { .era = page->era };
 
   for (size_t i = 0; i < page->account_count; i++)
     {
-      sums.committed += committed (&page->accounts[i]);
-      sums.settled += page->accounts[i].settled;
+      const struct ds_ledger_account *account = &page->accounts[i];
+
+      sums.committed += committed (account);
+      sums.settled += account->settled;
+      for (size_t k = 0; k < account->base_count; k++)
+        sums.bases += account->bases[k].committed;
     }
   return sums;
 }
@@ -212,7 +242,8 @@
 static bool
 differ (struct sums a, struct sums b)
 {
-  return a.committed != b.committed || a.settled != b.settled;
+  return a.committed != b.committed || a.settled != b.settled
+         || a.bases != b.bases || a.era != b.era;
 }
 
 /* What a host that ended may have drawn of UNGRANTED tokens since it was last
@@ -226,8 +257,8 @@
 
 /* Determines, in the second half of the hold, which of the hosts that reported
    accounts still run.  For one that does not reach the store, this host raises
-   the page.  For one that is silent, the marks also get what it may have drawn
-   after its last report.  Returns the number of these tokens.  */
+   the page.  For one that is silent, it also holds back what that host may
+   have drawn after its last report.  Returns the number of these tokens.  */
 uint64_t
 ds_ledger_restore_check_reports (struct ds_ledger_restore *restore,
                                  const struct ds_store_era *era,
@@ -243,21 +274,18 @@
   restore->reports_checked = true;
   for (size_t i = 0; i < restore->report_count; i++)
     {
-      const struct ds_ledger_report *report = &restore->reports[i];
-      struct ds_ledger_account *mark
-          = ds_ledger_page_find_or_add (restore->marks, report->workspace);
+      struct ds_ledger_report *report = &restore->reports[i];
       enum ds_reporter_state state = peers->state (
           report->reporter, era->detected_ms, peers->user_data);
-      uint64_t tokens = hold_back_of (report->ungranted, max_fraction);
 
       if (state == DS_REPORTER_CONNECTED)
         continue;
       restore->raise_ms = now_ms + restore->delay_ms;
       restore->read_again = true;
-      if (state == DS_REPORTER_CUT_OFF || mark == NULL)
+      if (state == DS_REPORTER_CUT_OFF || report->held_back > 0)
         continue;
-      mark->granted += tokens;
-      held_back += tokens;
+      report->held_back = hold_back_of (report->ungranted, max_fraction);
+      held_back += report->held_back;
     }
   return held_back;
 }
@@ -291,17 +319,38 @@
   return held_back;
 }
 
+/* Raises PAGE to what this host and those that reported to it have seen.  */
 static int
 raise_all (const struct ds_ledger_restore *restore,
            struct ds_ledger_page *page)
 {
-  const struct ds_ledger_page *marks = restore->marks;
-  int status = 0;
+  if (restore->marks != NULL && merge (page, restore->marks) != 0)
+    return DS_ENOMEM;
+  for (size_t i = 0; i < restore->report_count; i++)
+    {
+      const struct ds_ledger_report *report = &restore->reports[i];
+      struct ds_ledger_account seen = {
+        .limit = report->limit,
+        .version = report->version,
+        .settled = report->settled,
+      };
+      struct ds_ledger_account *account
+          = ds_ledger_page_find_or_add (page, report->workspace);
+      uint64_t sum = report->limit + report->held_back;
+
+      if (account == NULL)
+        return DS_ENOMEM;
+      sum = sum > report->ungranted ? sum - report->ungranted : 0;
+      seen.granted = sum > report->settled ? sum - report->settled : 0;
+      raise_account (account, page->era, &seen, report->era);
+    }
+  return 0;
+}
 
-  for (size_t i = 0; marks != NULL && i < marks->account_count && status == 0;
-       i++)
-    status = raise_account (page, &marks->accounts[i], restore->marks_era);
-  return status;
+static bool
+is_empty (const struct ds_ledger_restore *restore)
+{
+  return restore->marks == NULL && restore->report_count == 0;
 }
 
 /* Forgets what was seen in earlier eras.  */
@@ -326,7 +375,7 @@
 
   if (page->era == era->era)
     restore->completed_era = era->era;
-  if (restore->marks == NULL || raise_all (restore, page) != 0)
+  if (is_empty (restore) || raise_all (restore, page) != 0)
     return;
   if (differ (sum_up (page), before) || !has_witness)
     return;
@@ -363,7 +412,7 @@
   status = raise_all (restore, page);
   if (status != 0)
     return status;
-  if (restore->marks != NULL && page->witness_era < era->era)
+  if (!is_empty (restore) && page->witness_era < era->era)
     {
       page->witness_era = era->era;
       result->changed = true;
--- a/src/core/ledger_restore.h
+++ b/src/core/ledger_restore.h
@@ -4,16 +4,19 @@
 #include "core/ledger_page.h"
 #include "core/store_era.h"
 
-/* What the home of a budget has reported of an account.  REPORTER identifies
-   the incarnation of the host.  */
+/* What the home of a budget has reported of an account in ERA of the store.
+   REPORTER identifies the incarnation of the host.  HELD_BACK is what it may
+   have drawn after the report.  */
 struct ds_ledger_report
 {
   struct ds_str workspace;
   uint64_t reporter;
+  uint64_t era;
   uint64_t limit;
   uint64_t version;
   uint64_t settled;
   uint64_t ungranted;
+  uint64_t held_back;
 };
 
 /* What is known of a host that has reported an account.  */
@@ -33,12 +36,12 @@
 };
 
 /* What one host knows of a ledger page from before the store returned from an
-   older copy.  MARKS holds, for each account, the greatest sums that the host
-   has seen; it is null once they are in the page.  */
+   older copy.  MARKS holds the greatest sums of each account that the host has
+   seen itself.  It is null, and there is no report, once they are in the
+   page.  */
 struct ds_ledger_restore
 {
   struct ds_ledger_page *marks;
-  uint64_t marks_era;     /* in which MARKS were seen */
   uint64_t completed_era; /* the newest in which the page was complete */
   uint64_t raise_ms;      /* when the page is to be raised; 0 for never */
   bool
@@ -61,8 +64,7 @@
 int ds_ledger_restore_begin (struct ds_ledger_restore *restore,
                              TALLOC_CTX *owner,
                              const struct ds_ledger_page *copy,
-                             uint64_t copy_era, uint64_t now_ms,
-                             uint32_t delay_ms);
+                             uint64_t now_ms, uint32_t delay_ms);
 int ds_ledger_restore_add_report (struct ds_ledger_restore *restore,
                                   TALLOC_CTX *owner,
                                   const struct ds_ledger_report *report);
--- a/src/core/store_era.c
+++ b/src/core/store_era.c
@@ -17,6 +17,7 @@
   if (was_known && reported < era->era)
     return DS_STORE_ERA_OLDER;
   era->known = true;
+  era->previous = era->era;
   era->era = reported;
   era->detected_ms = now_ms;
   if (!was_known)
--- a/src/core/store_era.h
+++ b/src/core/store_era.h
@@ -18,6 +18,7 @@
 struct ds_store_era
 {
   uint64_t era;
+  uint64_t previous; /* the one known before */
   uint64_t detected_ms;
   uint64_t restored_ms; /* when a newer one was last detected; 0 for never */
   uint32_t hold_ms;
--- a/src/entry/ledger_client.c
+++ b/src/entry/ledger_client.c
@@ -56,7 +56,6 @@
   uint32_t conflicts; /* consecutive */
   bool store_responds;
   struct ds_ledger_restore restore;
-  uint64_t read_era; /* of the store, when PAGE was read */
   uint64_t page_era; /* in which the page was completed */
 };
 
@@ -124,7 +123,6 @@
   client->page = json_incref (object->spec);
   client->revision = object->revision;
   client->page_known = true;
-  client->read_era = store_era (client)->era;
   talloc_free (object);
   return true;
 }
@@ -292,7 +290,6 @@
       client->page = NULL;
       client->revision = 0;
       client->page_known = true;
-      client->read_era = store_era (client)->era;
       break;
     default:
       client->not_before_ms = now_ms + REFUSED_BACKOFF_MS;
@@ -411,6 +408,8 @@
       client->restore.read_again = false;
       client->page_known = client->unresolved && client->page_known;
     }
+  if (ds_store_client_may_miss_era (client->options.store))
+    client->page_known = false;
   if (ds_ledger_client_is_held (client, now_ms) && !client->unresolved
       && !ds_ledger_client_needs_raise (client, now_ms))
     return;
@@ -465,8 +464,7 @@
   if (client->page != NULL)
     status = decode_page (&copy, client);
   if (status == 0)
-    status = ds_ledger_restore_begin (&client->restore, client, copy,
-                                      client->read_era, now_ms,
+    status = ds_ledger_restore_begin (&client->restore, client, copy, now_ms,
                                       (uint32_t)random () % (delay_ms + 1));
   for (size_t i = 0; i < client->count && status == 0; i++)
     {
@@ -474,6 +472,7 @@
       struct ds_ledger_report report = {
         .workspace = allotment->workspace,
         .reporter = allotment->ledger_reporter,
+        .era = store_era (client)->previous,
         .limit = allotment->limit,
         .version = allotment->version,
         .settled = allotment->ledger_settled,
@@ -487,6 +486,10 @@
   if (status != 0)
     report_unreadable (client, client->revision, "cannot keep what was seen");
   talloc_free (copy);
+  /* Tokens that an update of unknown outcome returned may have been drawn by
+     another host in the lost part, which the copy does not show.  */
+  for (size_t i = 0; i < client->count; i++)
+    client->allotments[i]->update.returned = 0;
   client->page_known = false;
   client->conflicts = 0;
 }
--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -48,6 +48,7 @@
   uint32_t connect_timeout_ms;
   bool unreachable; /* the last call that ended failed */
   struct ds_store_era era;
+  bool sends_era;      /* the store does, in its responses */
   bool is_first_start; /* no host of the fleet ran before this process */
   ds_store_era_fn *on_era;
   void *era_user_data;
@@ -227,13 +228,14 @@
    never returned from an older copy.  A response without one says nothing
    about later eras.  */
 static uint64_t
-era_of (const struct ds_store_client *client, const struct ds_http_head *head)
+era_of (struct ds_store_client *client, const struct ds_http_head *head)
 {
   uint64_t reported;
 
   if (ds_str_to_u64 (&reported, ds_http_head_find (head, DS_HEADER_STORE_ERA))
       != 0)
     return client->era.era;
+  client->sends_era = true;
   return reported;
 }
 
@@ -443,6 +445,15 @@
   return &client->era;
 }
 
+/* True if the store may have returned from an older copy without this host
+   knowing, since its last call failed.  Revisions are issued again, so a write
+   on the condition of an old one could then replace something newer.  */
+bool
+ds_store_client_may_miss_era (const struct ds_store_client *client)
+{
+  return client->sends_era && client->unreachable;
+}
+
 /* Takes over the era that another host knows; 0 for none.  */
 void
 ds_store_client_hear_era (struct ds_store_client *client, uint64_t era)
--- a/src/entry/store_client.h
+++ b/src/entry/store_client.h
@@ -57,6 +57,7 @@
                                 ds_store_era_fn *on_era, void *user_data);
 const struct ds_store_era *
 ds_store_client_era (const struct ds_store_client *client);
+bool ds_store_client_may_miss_era (const struct ds_store_client *client);
 void ds_store_client_hear_era (struct ds_store_client *client, uint64_t era);
 const char *ds_store_outcome_name (enum ds_store_outcome outcome);
 uint64_t ds_store_client_calls (const struct ds_store_client *client);
--- a/tests/test_entry_restore.c
+++ b/tests/test_entry_restore.c
@@ -120,6 +120,138 @@
 }
 END_TEST
 
+/* Guards against grants of a home that ended in the lost seconds, which are
+   granted again although other hosts have heard of them.  */
+START_TEST (a_host_killed_in_the_lost_seconds_exceeds_no_budget)
+{
+  send_traffic (HOSTS, 500);
+  post_control ("/standin/copy", "");
+  send_traffic (HOSTS, COPY_AGE_MS - 1000);
+  (void)test_process_signal (entry_hosts[_i], SIGKILL);
+  (void)test_process_wait (entry_hosts[_i], ENTRY_WAIT_MS);
+  entry_start_host (_i, "z");
+  test_sleep_ms (100);
+  restore ();
+  entry_wait_ready (_i);
+  send_traffic (HOSTS, HOLD_MS);
+  use_up (HOSTS);
+  ck_assert_int_ge (used, PREPAID / 2);
+}
+END_TEST
+
+/* Guards against grants while the hold of a first return is over and a second
+   one has just taken the raised pages back.  */
+START_TEST (two_returns_in_a_row_exceed_no_budget)
+{
+  send_traffic (HOSTS, 500);
+  post_control ("/standin/copy", "");
+  send_traffic (HOSTS, COPY_AGE_MS);
+  restore ();
+  send_traffic (HOSTS, 1000);
+  restore ();
+  send_traffic (HOSTS, HOLD_MS);
+  restore ();
+  send_traffic (HOSTS, HOLD_MS);
+  use_up (HOSTS);
+  ck_assert_int_ge (used, PREPAID * 8L / 10);
+}
+END_TEST
+
+/* Guards against a host that knows neither of the return nor of what was done
+   since, and writes on the condition of revisions that were issued again.  */
+START_TEST (a_host_that_stood_still_exceeds_no_budget)
+{
+  send_traffic (HOSTS, 500);
+  post_control ("/standin/copy", "");
+  send_traffic (HOSTS, COPY_AGE_MS);
+  (void)test_process_signal (entry_hosts[HOSTS - 1], SIGSTOP);
+  restore ();
+  send_traffic (HOSTS - 1, HOLD_MS + 1000);
+  (void)test_process_signal (entry_hosts[HOSTS - 1], SIGCONT);
+  send_traffic (HOSTS, 500);
+  use_up (HOSTS);
+  ck_assert_int_ge (used, PREPAID / 2);
+}
+END_TEST
+
+static bool
+serves_route (int host, const char *path)
+{
+  char id[32];
+
+  (void)snprintf (id, sizeof id, "route-%d", serial++);
+  return entry_request (host, "GET", path, id, NULL)->status == 200;
+}
+
+/* Guards against hosts that go back to an older configuration, or drop
+   replicas that have not registered again yet, and against watches from
+   revisions of the old era that miss what is written in the new one.  */
+START_TEST (configuration_and_replicas_of_the_lost_seconds_stay)
+{
+  entry_put_replica (1, "draining");
+  post_control ("/standin/copy", "");
+  entry_put_config_with_route (PREPAID, "/new/");
+  for (int i = 0; i < 5; i++)
+    entry_put_replica (0, "draining");
+  entry_restart_replica (1);
+  test_sleep_ms (2500);
+  for (int i = 0; i < HOSTS; i++)
+    ck_assert (serves_route (i, "/new/1"));
+  restore ();
+  /* The restored store has the older configuration, and replica 1 as one that
+     drains.  */
+  entry_restart_replica (1);
+  test_sleep_ms (1500);
+  for (int i = 0; i < HOSTS; i++)
+    ck_assert (serves_route (i, "/new/1"));
+  entry_put_config_with_route (PREPAID, "/newer/");
+  test_sleep_ms (2000);
+  for (int i = 0; i < HOSTS; i++)
+    ck_assert (serves_route (i, "/newer/1"));
+}
+END_TEST
+
+/* Guards against a host that no new host finds, since its registration was
+   lost, and against one whose registration is written by others.  */
+START_TEST (a_lost_registration_is_written_again)
+{
+  char path[64];
+  struct test_http_call call
+      = { .address = entry_store->address, .path = path };
+
+  post_control ("/standin/copy", "");
+  entry_start_host (HOSTS, "z");
+  entry_wait_ready (HOSTS);
+  restore ();
+  (void)snprintf (path, sizeof path, ENTRY_OBJECTS "daisystep-hosts/host-%d",
+                  HOSTS);
+  ck_assert_int_eq (test_http (&call)->status, 404);
+  test_sleep_ms (6000);
+  ck_assert_int_eq (test_http (&call)->status, 200);
+}
+END_TEST
+
+/* Guards against calls that are added for a store that sends no era: three
+   hosts read the page once each at most when they start.  */
+START_TEST (a_store_without_an_era_gets_no_further_call)
+{
+  json_t *counts;
+  json_int_t reads;
+
+  post_control ("/standin/era", "-1");
+  test_sleep_ms (300);
+  counts = test_get_json (entry_store->address, "/standin/counts");
+  reads = json_integer_value (json_object_get (counts, "ledger_reads"));
+  json_decref (counts);
+  send_traffic (HOSTS, 3000);
+  counts = test_get_json (entry_store->address, "/standin/counts");
+  ck_assert_int_le (
+      json_integer_value (json_object_get (counts, "ledger_reads")) - reads,
+      HOSTS);
+  json_decref (counts);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -132,6 +264,15 @@
   tcase_set_timeout (test_case, 90);
   tcase_add_test (test_case,
                   a_restore_without_a_failed_host_grants_no_token_twice);
+  tcase_add_loop_test (test_case,
+                       a_host_killed_in_the_lost_seconds_exceeds_no_budget, 0,
+                       HOSTS);
+  tcase_add_test (test_case, two_returns_in_a_row_exceed_no_budget);
+  tcase_add_test (test_case, a_host_that_stood_still_exceeds_no_budget);
+  tcase_add_test (test_case,
+                  configuration_and_replicas_of_the_lost_seconds_stay);
+  tcase_add_test (test_case, a_lost_registration_is_written_again);
+  tcase_add_test (test_case, a_store_without_an_era_gets_no_further_call);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
