--- a/src/entry/store_client.c
+++ b/src/entry/store_client.c
@@ -207,26 +207,24 @@
   talloc_free (pending);
 }
 
-/* Takes over an era that the store or another host has named.  */
-static enum ds_store_era_change
-observe_era (struct ds_store_client *client, uint64_t reported, bool from_peer)
+/* Handles a CHANGE of the era that the store or another host has named.  */
+static void
+handle_era_change (struct ds_store_client *client,
+                   enum ds_store_era_change change, bool from_peer,
+                   uint64_t now_ms)
 {
   struct ds_store_era *era = &client->era;
-  uint64_t now_ms = ds_clock_ms ();
-  enum ds_store_era_change change
-      = ds_store_era_observe (era, reported, now_ms);
 
   if (change == DS_STORE_ERA_FIRST && client->is_first_start)
     era->detected_ms = now_ms > era->hold_ms ? now_ms - era->hold_ms : 0;
-  if ((change == DS_STORE_ERA_FIRST || change == DS_STORE_ERA_NEWER)
+  if (change != DS_STORE_ERA_SAME && change != DS_STORE_ERA_OLDER
       && client->on_era != NULL)
     client->on_era (change, from_peer, client->era_user_data);
-  return change;
 }
 
 /* The era in HEAD: 0 without one, as in all responses of a store that has
-   never returned from an older copy.  A response without one says nothing
-   about later eras.  */
+   never returned from an older copy.  If the store sends eras, a response
+   without one says nothing.  */
 static uint64_t
 era_of (struct ds_store_client *client, const struct ds_http_head *head)
 {
@@ -234,7 +232,7 @@
 
   if (ds_str_to_u64 (&reported, ds_http_head_find (head, DS_HEADER_STORE_ERA))
       != 0)
-    return client->era.era;
+    return client->sends_era ? client->era.era : 0;
   client->sends_era = true;
   return reported;
 }
@@ -244,12 +242,15 @@
 on_head (const struct ds_http_head *head, void *user_data)
 {
   struct ds_store_pending_call *pending = user_data;
+  struct ds_store_client *client = pending->client;
+  uint64_t now_ms = ds_clock_ms ();
+  enum ds_store_era_change change = ds_store_era_observe (
+      &client->era, era_of (client, head), pending->sent_era, now_ms);
 
   pending->status = head->status;
   pending->progress = true;
-  pending->outdated
-      = observe_era (pending->client, era_of (pending->client, head), false)
-        == DS_STORE_ERA_OLDER;
+  pending->outdated = change == DS_STORE_ERA_OLDER;
+  handle_era_change (client, change, false, now_ms);
   return DS_HTTP_ANSWER_OWN;
 }
 
@@ -458,8 +459,12 @@
 void
 ds_store_client_hear_era (struct ds_store_client *client, uint64_t era)
 {
-  if (era > 0)
-    (void)observe_era (client, era, true);
+  uint64_t now_ms = ds_clock_ms ();
+
+  /* A store that sends no era has none that a host could know.  */
+  if (era > 0 && (client->sends_era || !client->era.known))
+    handle_era_change (client, ds_store_era_hear (&client->era, era, now_ms),
+                       true, now_ms);
 }
 
 /* Sets whether the link of this host delays its connections.  */
--- a/src/entry/store_restore.c
+++ b/src/entry/store_restore.c
@@ -15,8 +15,9 @@
 
 /* Handles the first era that becomes known, or the return of the store from an
    older copy: keeps what this host has seen of the ledger, forgets the
-   revisions, and has its own objects checked. The watches begin lists with the
-   next tick.  */
+   revisions, and has its own objects checked.  The watches begin lists with
+   the next tick.  The same is done when the store refutes an era that another
+   host has reported.  */
 void
 ds_store_restore_on_era (enum ds_store_era_change change, bool from_peer,
                          void *user_data)
@@ -30,12 +31,16 @@
       ds_fleet_view_set_store_era (restore->fleet, era);
       return;
     }
-  line = ds_decision_line_begin ("store_restored", DS_STR_EMPTY);
+  line = ds_decision_line_begin (change == DS_STORE_ERA_REFUTED
+                                     ? "store_era_refuted"
+                                     : "store_restored",
+                                 DS_STR_EMPTY);
   ds_decision_line_add_number (&line, "era", (int64_t)era);
   ds_decision_line_add_text (&line, "source",
                              from_peer ? DS_STR ("peer") : DS_STR ("store"));
   ds_decision_line_end (&line);
-  ds_metric_add (DS_METRIC_STORE_RESTORES, 1);
+  if (change == DS_STORE_ERA_NEWER)
+    ds_metric_add (DS_METRIC_STORE_RESTORES, 1);
   ds_budget_manager_begin_era (restore->budgets, ds_clock_ms ());
   ds_fleet_view_set_store_era (restore->fleet, era);
   ds_replica_set_forget_reports (restore->replicas);
--- a/tests/test_ledger_restore.c
+++ b/tests/test_ledger_restore.c
@@ -163,7 +163,7 @@
     .ungranted = host->allotment.ledger_ungranted,
   };
 
-  if (ds_store_era_observe (&host->era, era, now_ms) != DS_STORE_ERA_NEWER)
+  if (ds_store_era_observe (&host->era, era, 0, now_ms) != DS_STORE_ERA_NEWER)
     return;
   if (host->has_page)
     copy = decode (host->page);
--- a/tests/test_store_era.c
+++ b/tests/test_store_era.c
@@ -22,7 +22,7 @@
   for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
     {
       ck_assert_int_eq (
-          ds_store_era_observe (&era, steps[i].reported, 100 + i),
+          ds_store_era_observe (&era, steps[i].reported, 0, 100 + i),
           steps[i].change);
       ck_assert_uint_eq (era.era, steps[i].era);
       ck_assert_uint_eq (era.restored_ms, i < 3 ? 0 : 103);
@@ -36,18 +36,41 @@
 {
   struct ds_store_era era = { .hold_ms = 2000 };
 
-  (void)ds_store_era_observe (&era, 0, 1000);
+  (void)ds_store_era_observe (&era, 0, 0, 1000);
   ck_assert (!ds_store_era_is_held (&era, 0, 1000));
-  (void)ds_store_era_observe (&era, 1, 5000);
+  (void)ds_store_era_observe (&era, 1, 0, 5000);
   ck_assert (ds_store_era_is_held (&era, 0, 6999));
   ck_assert (!ds_store_era_is_held (&era, 1, 5000));
   ck_assert (!ds_store_era_is_held (&era, 0, 7000));
   /* A second return begins the hold again.  */
-  (void)ds_store_era_observe (&era, 2, 6500);
+  (void)ds_store_era_observe (&era, 2, 1, 6500);
   ck_assert (ds_store_era_is_held (&era, 1, 8499));
 }
 END_TEST
 
+/* Guards against a host that is cut off from the store for good by another one
+   that reports an era which the store has never had.  */
+START_TEST (the_store_refutes_a_wrong_report)
+{
+  struct ds_store_era era = { .hold_ms = 2000 };
+
+  (void)ds_store_era_observe (&era, 1, 0, 1000);
+  ck_assert_int_eq (ds_store_era_hear (&era, 9, 2000), DS_STORE_ERA_NEWER);
+  /* A response to a call from before the report says nothing against it.  */
+  ck_assert_int_eq (ds_store_era_observe (&era, 1, 1, 2001),
+                    DS_STORE_ERA_OLDER);
+  ck_assert_int_eq (ds_store_era_observe (&era, 1, 9, 2002),
+                    DS_STORE_ERA_REFUTED);
+  ck_assert_uint_eq (era.era, 1);
+  ck_assert_int_eq (ds_store_era_hear (&era, 9, 2003), DS_STORE_ERA_SAME);
+  ck_assert_int_eq (ds_store_era_hear (&era, 2, 2004), DS_STORE_ERA_NEWER);
+  ck_assert_int_eq (ds_store_era_observe (&era, 2, 2, 2005),
+                    DS_STORE_ERA_SAME);
+  ck_assert_int_eq (ds_store_era_observe (&era, 1, 2, 2006),
+                    DS_STORE_ERA_OLDER);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -58,6 +81,7 @@
 
   tcase_add_test (test_case, eras_only_increase);
   tcase_add_test (test_case, pages_of_earlier_eras_are_held);
+  tcase_add_test (test_case, the_store_refutes_a_wrong_report);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_store_watcher.c
+++ b/tests/test_store_watcher.c
@@ -192,6 +192,30 @@
 }
 END_TEST
 
+/* Guards against one host that reports an era which the store has never had, and
+   so makes another one discard all that the store says.  */
+START_TEST (a_wrong_era_of_another_host_costs_few_calls)
+{
+  struct wrong_host wrong;
+  json_int_t before;
+  long accepted_ms;
+
+  ck_assert_int_eq (test_post (entry_store->address, "/standin/era", "1"), 200);
+  entry_put_config (PREPAID);
+  test_sleep_ms (1000);
+  before = count_watches ();
+  init_wrong_host (&wrong);
+  wrong.datagram.store_era = 1000;
+  send_wrong_reports (&wrong, CONTACT_MS);
+  ck_assert_int_le (count_watches () - before, CALLS_MAX);
+  entry_put_config_with_route (PREPAID, "/new/");
+  accepted_ms = now_ms ();
+  ck_assert_int_le (wait_for_route ("/new/1") - accepted_ms, CONTACT_MS);
+  entry_wait_served (0);
+  (void)close (wrong.socket_fd);
+}
+END_TEST
+
 /* Guards against one host that reports replicas as gone, again and again, and
    takes them out of service at another that can ask the store.  */
 START_TEST (a_wrong_departure_of_another_host_ends_soon)
@@ -289,6 +313,7 @@
   tcase_add_test (test_case,
                   a_drain_whose_watch_response_is_lost_takes_effect);
   tcase_add_test (test_case, a_wrong_revision_of_another_host_costs_few_calls);
+  tcase_add_test (test_case, a_wrong_era_of_another_host_costs_few_calls);
   tcase_add_test (test_case, a_wrong_departure_of_another_host_ends_soon);
   tcase_add_loop_test (
       test_case, a_removal_counts_at_once_while_others_are_turned_away, 0, 2);
