--- a/tests/test_ledger_restore.c
+++ b/tests/test_ledger_restore.c
@@ -531,6 +531,136 @@
 }
 END_TEST
 
+static struct ds_ledger_page *
+page_with (uint64_t settled, uint64_t granted)
+{
+  struct ds_ledger_page *page = decode (NULL);
+  struct ds_ledger_account *account
+      = ds_ledger_page_find_or_add (page, DS_STR ("north"));
+
+  account->limit = LIMIT;
+  account->version = 1;
+  account->settled = settled;
+  account->granted = granted;
+  return page;
+}
+
+static struct ds_ledger_restore_result
+apply (struct ds_ledger_restore *restore, struct ds_ledger_page *page,
+       const struct ds_store_era *era, uint64_t at_ms)
+{
+  struct ds_ledger_restore_result result;
+
+  ck_assert_int_eq (
+      ds_ledger_restore_apply (restore, page, era, PART, at_ms, &result), 0);
+  return result;
+}
+
+/* Guards against a page that grants tokens, or passes for complete, before the
+   other hosts had time to raise it, and against sums that go back.  */
+START_TEST (a_page_is_raised_in_the_hold_and_completed_after_it)
+{
+  struct ds_store_era era
+      = { .era = 1, .detected_ms = 1000, .hold_ms = HOLD_MS, .known = true };
+  struct ds_ledger_restore restore = { 0 };
+  struct ds_ledger_page *page = page_with (100, 50);
+  struct ds_ledger_restore_result result;
+
+  ck_assert_int_eq (ds_ledger_restore_begin (&restore, owner,
+                                             page_with (300, 20), 1000, 500),
+                    0);
+  ck_assert (!ds_ledger_restore_is_due (&restore, 1499));
+  ck_assert (ds_ledger_restore_is_due (&restore, 1501));
+  result = apply (&restore, page, &era, 1501);
+  ck_assert (result.held && result.changed);
+  ck_assert_uint_eq (page->accounts[0].settled, 300);
+  ck_assert_uint_eq (sum_of (page), 320);
+  ck_assert_uint_eq (page->era, 0);
+  ds_ledger_restore_observe (&restore, page, &era, 1510);
+  ck_assert (!ds_ledger_restore_is_due (&restore, 1000 + HOLD_MS - 1));
+  ck_assert (ds_ledger_restore_is_due (&restore, 1000 + HOLD_MS));
+  result = apply (&restore, page, &era, 1000 + HOLD_MS);
+  ck_assert (!result.held);
+  ck_assert_uint_eq (result.held_back, 0);
+  ck_assert_uint_eq (page->era, 1);
+  ds_ledger_restore_observe (&restore, page, &era, 4000);
+  ck_assert (!ds_ledger_restore_is_due (&restore, 100000));
+}
+END_TEST
+
+/* Guards against draws that are lost since others have drawn as much after the
+   completion, and against draws that are added twice.  */
+START_TEST (what_a_late_host_has_seen_is_added_once)
+{
+  struct ds_store_era era
+      = { .era = 1, .detected_ms = 1000, .hold_ms = HOLD_MS, .known = true };
+  struct ds_ledger_restore first = { 0 };
+  struct ds_ledger_restore late = { 0 };
+  struct ds_ledger_page *page = page_with (0, 100);
+
+  ck_assert_int_eq (
+      ds_ledger_restore_begin (&first, owner, page_with (0, 100), 1000, 0), 0);
+  ck_assert_int_eq (
+      ds_ledger_restore_begin (&late, owner, page_with (0, 150), 1000, 0), 0);
+  (void)apply (&first, page, &era, 1000 + HOLD_MS);
+  page->accounts[0].granted += 80;
+  ck_assert_uint_eq (apply (&late, page, &era, 4000).raised, 50);
+  ck_assert_uint_eq (apply (&late, page, &era, 4001).raised, 0);
+  ck_assert_uint_eq (sum_of (page), 230);
+}
+END_TEST
+
+/* Guards against tokens that a host may have drawn before it ended and that
+   are granted again, and against tokens that are held back although it runs.
+ */
+START_TEST (tokens_of_a_silent_reporter_are_held_back)
+{
+  static const uint64_t heard_ms[] = { 1500, 900 };
+  static const uint64_t held_back[] = { 0, (uint64_t)(PART * 300000) };
+  struct ds_store_era era
+      = { .era = 1, .detected_ms = 1000, .hold_ms = HOLD_MS, .known = true };
+  struct ds_ledger_restore restore = { 0 };
+  struct ds_ledger_report report = { .workspace = DS_STR ("north"),
+                                     .reporter = 1,
+                                     .limit = LIMIT,
+                                     .settled = 1000,
+                                     .ungranted = 300000 };
+  struct ds_ledger_page *page = page_with (0, 100);
+
+  ids = 0;
+  start_host (&hosts[0]);
+  hosts[0].heard_ms = heard_ms[_i];
+  ck_assert_int_eq (ds_ledger_restore_begin (&restore, owner, NULL, 1000, 0),
+                    0);
+  ck_assert_int_eq (ds_ledger_restore_add_report (&restore, owner, &report),
+                    0);
+  ck_assert_uint_eq (
+      ds_ledger_restore_check_reports (&restore, &era, PART, &peers, 1999), 0);
+  ck_assert_uint_eq (
+      ds_ledger_restore_check_reports (&restore, &era, PART, &peers, 2000),
+      held_back[_i]);
+  ck_assert (ds_ledger_restore_is_due (&restore, 2001) == (_i == 1));
+  (void)apply (&restore, page, &era, 2001);
+  ck_assert_uint_eq (sum_of (page), 100000 + held_back[_i]);
+}
+END_TEST
+
+/* Guards against a fleet that has ended and grants again what it drew after
+   the copy.  */
+START_TEST (a_page_that_no_host_has_seen_holds_tokens_back)
+{
+  struct ds_store_era era
+      = { .era = 1, .detected_ms = 1000, .hold_ms = HOLD_MS, .known = true };
+  struct ds_ledger_restore restore = { 0 };
+  struct ds_ledger_page *page = page_with (0, 100000);
+
+  ck_assert (apply (&restore, page, &era, 1500).held);
+  ck_assert_uint_eq (apply (&restore, page, &era, 3000).held_back,
+                     (uint64_t)(PART * 300000));
+  ck_assert_uint_eq (page->era, 1);
+}
+END_TEST
+
 static void
 set_up (void)
 {
@@ -553,6 +683,12 @@
 
   tcase_add_checked_fixture (test_case, set_up, tear_down);
   tcase_set_timeout (test_case, 60);
+  tcase_add_test (test_case,
+                  a_page_is_raised_in_the_hold_and_completed_after_it);
+  tcase_add_test (test_case, what_a_late_host_has_seen_is_added_once);
+  tcase_add_loop_test (test_case, tokens_of_a_silent_reporter_are_held_back, 0,
+                       2);
+  tcase_add_test (test_case, a_page_that_no_host_has_seen_holds_tokens_back);
   tcase_add_loop_test (test_case, returns_of_the_store_grant_no_token_twice, 0,
                        60);
   tcase_add_loop_test (
