--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -13,8 +13,8 @@
 #include "entry/evacuation_watch.h"
 #include "entry/exchange.h"
 #include "entry/fleet_view.h"
-#include "entry/registration.h"
 #include "entry/replica_log.h"
+#include "entry/store_restore.h"
 #include "entry/store_subjects.h"
 #include "entry/store_watcher.h"
 #include "entry/token_holdings.h"
@@ -38,13 +38,6 @@
 /* Interval of checks of the settings file, which may change without a
    signal.  */
 #define SETTINGS_CHECK_MS 2000
-/* Replicas whose registrations expired in a store outage register again within
-   two seconds of its end, which is known to a gossip interval.  */
-#define REREGISTRATION_MS (2000 + DS_GOSSIP_INTERVAL_MS)
-/* Registrations do not expire in a shorter outage.  */
-#define OUTAGE_MIN_MS 600
-/* A deletion this soon after an outage may be such an expiry.  */
-#define RECONNECTION_WINDOW_MS 2500
 /* Divisors of the time in which a configuration must take effect, and in which
    a draining replica may get requests: changes are batched for this part.  The
    rest covers a slow response and the reading of a large configuration.  */
@@ -93,8 +86,8 @@
   struct ds_store_watcher *replica_watcher;
   struct ds_store_subjects subjects;
   struct ds_evacuation_watch *evacuations; /* null without the setting */
-  struct ds_registration *registration;
   struct ds_crash_store *crash_store;
+  struct ds_store_restore restore;
 
   struct ds_replica_set *replicas;
   struct ds_fleet_view *fleet;
@@ -110,8 +103,6 @@
 
   uint64_t next_tick_ms;     /* when the next tick is due */
   uint64_t store_checked_ms; /* because other hosts have lost the store */
-  uint64_t trouble_since_ms; /* since when it may be out; or 0 */
-  uint64_t outage_ms;        /* when it was last seen out; 0 for never */
   uint64_t stopping_ms;      /* time of SIGTERM; 0 before */
   bool stopped;
 };
@@ -273,34 +264,10 @@
   ds_replica_set_begin_list (entry->replicas);
 }
 
-/* Notes an outage of the store: the calls of this host have failed for a
-   while. That others are turned away is no outage for this host.  */
-static void
-note_outage (struct ds_entry *entry, uint64_t now_ms)
-{
-  if (ds_store_client_is_reachable (entry->store))
-    entry->trouble_since_ms = 0;
-  else if (entry->trouble_since_ms == 0
-           || ds_store_client_succeeded_ms (entry->store)
-                  >= entry->trouble_since_ms)
-    entry->trouble_since_ms = now_ms;
-  else if (now_ms - entry->trouble_since_ms >= OUTAGE_MIN_MS)
-    entry->outage_ms = now_ms;
-}
-
-/* Returns when a missing replica counts as removed: 0 for at once, or later if
-   its registration may have expired in a store outage.  */
 static uint64_t
-removal_time (const struct ds_entry *entry)
+removal_ms (const struct ds_entry *entry)
 {
-  uint64_t now_ms = ds_clock_ms ();
-
-  if (entry->outage_ms == 0
-      || now_ms - entry->outage_ms > RECONNECTION_WINDOW_MS)
-    return 0;
-  return entry->outage_ms + REREGISTRATION_MS > now_ms
-             ? entry->outage_ms + REREGISTRATION_MS
-             : 0;
+  return ds_store_restore_removal_ms (&entry->restore, ds_clock_ms ());
 }
 
 static void
@@ -308,7 +275,7 @@
 {
   struct ds_entry *entry = user_data;
 
-  ds_replica_set_end_list (entry->replicas, removal_time (entry));
+  ds_replica_set_end_list (entry->replicas, removal_ms (entry));
   publish_state (entry);
 }
 
@@ -339,7 +306,7 @@
       = { .revision = object->revision, .gone = gone };
 
   if (replica == NULL || !ds_replica_is_available (replica)
-      || (object->deleted && removal_time (entry) > 0))
+      || (object->deleted && removal_ms (entry) > 0))
     return;
   departure.replica = replica->hash;
   ds_fleet_view_announce_departure (entry->fleet, &departure);
@@ -401,7 +368,7 @@
     {
       announce_departure (entry, object, true);
       ds_replica_set_remove (entry->replicas, object->name,
-                             removal_time (entry));
+                             removal_ms (entry));
       ds_replica_log (object, DS_STR ("gone"), NULL, NULL);
     }
   else if (object->problem != NULL)
@@ -551,6 +518,22 @@
   return ds_fleet_view_unmet_tokens (entry->fleet, workspace);
 }
 
+static enum ds_reporter_state
+reporter_state (uint64_t id, uint64_t since_ms, void *user_data)
+{
+  const struct ds_entry *entry = user_data;
+
+  return ds_fleet_view_reporter_state (entry->fleet, id, since_ms);
+}
+
+static void
+on_peer_era (uint64_t era, void *user_data)
+{
+  struct ds_entry *entry = user_data;
+
+  ds_store_client_hear_era (entry->store, era);
+}
+
 static void
 on_tokens (void *user_data)
 {
@@ -727,7 +710,7 @@
   ds_replica_set_remove_expired (entry->replicas, now_ms);
   ds_connection_pool_close_expired (entry->exchanges.pool, now_ms);
   count_hosts (entry, now_ms);
-  note_outage (entry, now_ms);
+  ds_store_restore_note_outage (&entry->restore, now_ms);
   ds_store_subjects_update (&entry->subjects, entry->fleet, now_ms);
   if (entry->evacuations != NULL)
     {
@@ -738,7 +721,7 @@
     }
   if (ds_cold_starts_tick (entry->exchanges.cold_starts,
                            entry->exchanges.config, now_ms))
-    ds_registration_settle (entry->registration);
+    ds_registration_settle (entry->restore.registration);
   ds_budget_manager_tick (entry->budgets, now_ms);
   ds_fleet_view_set_ledger_reachable (
       entry->fleet, ds_store_client_is_reachable (entry->store));
@@ -831,6 +814,7 @@
     .on_holdings = on_peer_holdings,
     .on_suspect = on_peer_suspect,
     .on_departure = on_peer_departure,
+    .on_store_era = on_peer_era,
     .user_data = entry,
   };
 
@@ -841,6 +825,13 @@
       != 0)
     return error->code;
   entry->exchanges.fleet = entry->fleet;
+  entry->restore = (struct ds_store_restore){ .store = entry->store,
+                                              .fleet = entry->fleet,
+                                              .budgets = entry->budgets,
+                                              .replicas = entry->replicas };
+  ds_store_client_watch_era (
+      entry->store, (uint32_t)entry->settings->restore_hold_ms,
+      entry->settings->first_start, ds_store_restore_on_era, &entry->restore);
   entry->addresses = (struct ds_address_service){
     .fleet = entry->fleet,
     .config = &entry->exchanges.config,
@@ -879,6 +870,7 @@
       .unmet = unmet_tokens,
       .release_moment = release_moment,
       .writer_ends = writer_ends,
+      .reporter_state = reporter_state,
       .on_tokens = on_tokens,
       .on_store_timeout = probe_store,
       .user_data = entry,
@@ -1138,11 +1130,12 @@
   (void)tevent_add_signal (entry->ev, entry, SIGINT, 0, on_term, entry);
   (void)tevent_add_signal (entry->ev, entry, SIGHUP, 0, on_hup, entry);
   if (ds_crash_store_new (&entry->crash_store, entry, &crashes) != 0
-      || ds_registration_start (&entry->registration, entry, entry->ev,
+      || ds_registration_start (&entry->restore.registration, entry, entry->ev,
                                 entry->store, entry->fleet,
                                 entry->exchanges.cold_starts, &self)
              != 0)
     return DS_ENOMEM;
+  entry->restore.crashes = entry->crash_store;
   on_tick (entry);
   while (!entry->stopped)
     if (tevent_loop_once (entry->ev) != 0)
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -51,6 +51,7 @@
   double drain_ms;
   double cold_overage;
   double cold_slack;
+  double restore_hold_ms;
   uint64_t log_lines_per_s;
   double cpu_share; /* of a core */
   double cpu_cores; /* speed of that core */
--- a/src/entry/fleet_relay.c
+++ b/src/entry/fleet_relay.c
@@ -675,13 +675,14 @@
     }
 }
 
-/* Handles the summary of a zone or of the fleet that has arrived from the
-   relay SENDER at HEARD_MS.  */
+/* Handles the summary of a zone or of the fleet that has arrived at HEARD_MS
+   from the relay SENDER, which knows the SAME_ERA of the store or another
+   one.  */
 void
 ds_fleet_receive_summary (struct ds_fleet_view *view,
                           struct ds_fleet_peer *sender,
                           const Daisystep__Gossip__Summary *summary,
-                          uint64_t heard_ms)
+                          bool same_era, uint64_t heard_ms)
 {
   struct ds_str zone = ds_str_from_c (summary->zone);
   uint64_t now_ms = ds_clock_ms ();
@@ -697,8 +698,9 @@
     receive_hosts (view, summary->other_hosts, summary->other_ages,
                    summary->n_other_hosts, false, heard_ms);
   receive_conditions (view, summary);
-  ds_fleet_receive_departures (view, sender, summary->departures,
-                               summary->n_departures);
+  if (same_era)
+    ds_fleet_receive_departures (view, sender, summary->departures,
+                                 summary->n_departures);
   ds_fleet_record_parts (view, summary->reads, summary->n_reads, now_ms);
   /* A relay sums up what the hosts of its zone report to it.  */
   if (zone.length > 0 || view->relay_rank < 0)
--- a/src/proto/gossip.pb-c.c
+++ b/src/proto/gossip.pb-c.c
@@ -1764,7 +1764,7 @@
   (ProtobufCMessageInit) daisystep__gossip__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[33] =
+static const ProtobufCFieldDescriptor daisystep__gossip__datagram__field_descriptors[34] =
 {
   {
     "host",
@@ -2126,6 +2126,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Daisystep__Gossip__Datagram, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "wall_ms",
     35,
@@ -2166,7 +2178,7 @@
 static const unsigned daisystep__gossip__datagram__field_indices_by_name[] = {
   10,   /* field[10] = asks */
   4,   /* field[4] = caller_address */
-  32,   /* field[32] = capacities */
+  33,   /* field[33] = capacities */
   19,   /* field[19] = capacity */
   24,   /* field[24] = config_revision */
   9,   /* field[9] = crashes */
@@ -2182,28 +2194,30 @@
   21,   /* field[21] = leaving */
   16,   /* field[16] = ledger_near */
   8,   /* field[8] = loads */
-  31,   /* field[31] = median_wall_ms */
+  32,   /* field[32] = median_wall_ms */
   17,   /* field[17] = partial */
   15,   /* field[15] = reads */
   13,   /* field[13] = ready */
   3,   /* field[3] = region */
   25,   /* field[25] = replica_revision */
   7,   /* field[7] = sequence */
+  30,   /* field[30] = store_era */
   20,   /* field[20] = strained */
   18,   /* field[18] = summary */
   26,   /* field[26] = suspects */
   22,   /* field[22] = to_incarnation */
   12,   /* field[12] = transfer_acks */
   11,   /* field[11] = transfers */
-  30,   /* field[30] = wall_ms */
+  31,   /* field[31] = wall_ms */
   2,   /* field[2] = zone */
 };
-static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[3 + 1] =
+static const ProtobufCIntRange daisystep__gossip__datagram__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 30, 28 },
-  { 35, 30 },
-  { 0, 33 }
+  { 33, 30 },
+  { 35, 31 },
+  { 0, 34 }
 };
 const ProtobufCMessageDescriptor daisystep__gossip__datagram__descriptor =
 {
@@ -2213,10 +2227,10 @@
   "Daisystep__Gossip__Datagram",
   "daisystep.gossip",
   sizeof(Daisystep__Gossip__Datagram),
-  33,
+  34,
   daisystep__gossip__datagram__field_descriptors,
   daisystep__gossip__datagram__field_indices_by_name,
-  3,  daisystep__gossip__datagram__number_ranges,
+  4,  daisystep__gossip__datagram__number_ranges,
   (ProtobufCMessageInit) daisystep__gossip__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
