Fit released grants, evacuations and cold replicas to a new era of the store

Cause: records of releases in a restored page are those of a copy: tokens that were reclaimed and drawn again in the lost part could be reclaimed twice. Hosts compared evacuations by revisions of different eras, and listed registered hosts while the registrations of some were lost, so that they chose different senders. Change: nothing is reclaimed from a page that is not completed in the present era, and its completion removes the records. All hosts wait before sending to cold replicas as newly registered ones do; "settled" in a registration counts in the era that is written beside it. A registration that was in progress when the era changed is checked later instead of never. A watch of an earlier era reports no revision.

--- a/src/core/cold_limit.c
+++ b/src/core/cold_limit.c
@@ -116,6 +116,19 @@
   return 0;
 }
 
+/* Forgets the set of hosts and that this host is registered: the store has
+   returned from an older copy, which may lack registrations.  A host that
+   lists them before they are written again would choose other senders, so all
+   hosts wait as after a first registration.  */
+void
+ds_cold_limit_begin_era (struct ds_cold_limit *limit)
+{
+  limit->host_count = 0;
+  limit->set_version++;
+  limit->registered_ms = 0;
+  limit->settled = false;
+}
+
 /* Returns the time until every list in use has this host, which is
    registered.  */
 static uint64_t
--- a/src/core/cold_limit.h
+++ b/src/core/cold_limit.h
@@ -72,6 +72,7 @@
 int ds_cold_limit_set_hosts (struct ds_cold_limit *limit, TALLOC_CTX *owner,
                              const uint64_t *hosts, size_t count,
                              uint64_t asked_ms);
+void ds_cold_limit_begin_era (struct ds_cold_limit *limit);
 bool ds_cold_limit_is_settled (const struct ds_cold_limit *limit,
                                uint64_t now_ms);
 bool ds_cold_limit_needs_list (const struct ds_cold_limit *limit,
--- a/src/core/evacuation.c
+++ b/src/core/evacuation.c
@@ -29,6 +29,7 @@
   uint64_t confirmed_ms;    /* by the store, to the host that reported it */
   uint64_t refuted_ms;      /* when a report was last found wrong; or 0 */
   uint64_t ended_ms;        /* of the last evacuation that ended; or 0 */
+  uint64_t kept_until_ms;   /* a restored store does not have it; or 0 */
 };
 
 struct ds_evacuations
@@ -37,6 +38,7 @@
   size_t count;
   uint64_t known_revision; /* of the store, by the host's own watch */
   uint64_t responded_ms;   /* when the own watch last had a response */
+  uint64_t keep_ms;        /* until when those missing in a list stay */
   bool listed;             /* at least once */
 };
 
@@ -51,7 +53,7 @@
 static bool
 is_in_force (const struct zone *zone)
 {
-  return zone->watched || zone->report_revision > 0;
+  return zone->watched || zone->report_revision > 0 || zone->kept_until_ms > 0;
 }
 
 static struct zone *
@@ -97,6 +99,25 @@
     set->zones[i].listed = false;
 }
 
+/* Begins an era of the store, which has returned from an older copy. Revisions
+   of earlier eras say nothing: reports stay until they expire or this host's
+   watch has a response.  The operator writes again what the store has lost, so
+   an evacuation that is missing in a list stays until KEEP_MS.  */
+void
+ds_evacuations_begin_era (struct ds_evacuations *set, uint64_t keep_ms)
+{
+  set->known_revision = 0;
+  set->keep_ms = keep_ms;
+  for (size_t i = 0; i < set->count; i++)
+    {
+      struct zone *zone = &set->zones[i];
+
+      zone->revision = 0;
+      if (zone->report_revision > 0)
+        zone->report_revision = 1;
+    }
+}
+
 /* Adds the evacuation of ZONE that the host's own watch shows at REVISION.
    Returns whether the watch did not show one before.  */
 bool
@@ -111,6 +132,7 @@
   is_new = !zone->watched;
   zone->watched = true;
   zone->listed = true;
+  zone->kept_until_ms = 0;
   zone->revision = revision;
   return is_new;
 }
@@ -131,7 +153,8 @@
   return true;
 }
 
-/* Ends a full list: evacuations that it did not contain have ended.  */
+/* Ends a full list: evacuations that it did not contain have ended, or are
+   kept if the store may have lost them.  */
 void
 ds_evacuations_end_list (struct ds_evacuations *set, uint64_t now_ms)
 {
@@ -139,6 +162,8 @@
     if (set->zones[i].watched && !set->zones[i].listed)
       {
         set->zones[i].watched = false;
+        if (now_ms < set->keep_ms)
+          set->zones[i].kept_until_ms = set->keep_ms;
         note_end (&set->zones[i], now_ms);
       }
   set->listed = true;
@@ -163,10 +188,13 @@
               && zone->report_since_ms >= asked_ms))
         continue;
       if (zone->report_revision > revision)
-        zone->refuted_ms = now_ms;
-      else if (!zone->watched)
-        zone->ended_ms = now_ms;
+        {
+          zone->refuted_ms = now_ms;
+          zone->report_revision = 0;
+          continue;
+        }
       zone->report_revision = 0;
+      note_end (zone, now_ms);
     }
 }
 
@@ -210,7 +238,8 @@
   return is_new;
 }
 
-/* Ends reports that no host has confirmed for too long.  */
+/* Ends reports that no host has confirmed for too long, and evacuations that
+   were kept and have not been written again.  */
 void
 ds_evacuations_expire (struct ds_evacuations *set, uint64_t now_ms)
 {
@@ -218,6 +247,11 @@
     {
       struct zone *zone = &set->zones[i];
 
+      if (zone->kept_until_ms > 0 && now_ms >= zone->kept_until_ms)
+        {
+          zone->kept_until_ms = 0;
+          note_end (zone, now_ms);
+        }
       if (zone->report_revision == 0
           || now_ms - zone->confirmed_ms < REPORT_MS)
         continue;
@@ -244,7 +278,7 @@
 
       if (zone->watched && set->responded_ms > confirmed_ms)
         confirmed_ms = set->responded_ms;
-      if (!is_in_force (zone) || now_ms - confirmed_ms >= REPORT_MS)
+      if ((!zone->watched && !reported) || now_ms - confirmed_ms >= REPORT_MS)
         continue;
       out[used++] = (struct ds_evacuation_report){
         .zone = zone->name,
--- a/src/core/ledger_restore.c
+++ b/src/core/ledger_restore.c
@@ -291,7 +291,9 @@
 }
 
 /* Completes PAGE in ERA: from now on it grants tokens.  If no host that runs
-   has seen it before, each account holds back what its home may have drawn. */
+   has seen it before, each account holds back what its home may have drawn.
+   The records of releases are those of a copy; each holder writes its own
+   again with its next update.  */
 static uint64_t
 complete (struct ds_ledger_page *page, uint64_t era, double max_fraction)
 {
@@ -316,6 +318,7 @@
       add_base (account, era, committed (account));
     }
   page->era = era;
+  page->release_count = 0;
   return held_back;
 }
 
--- a/src/entry/cold_starts.c
+++ b/src/entry/cold_starts.c
@@ -26,6 +26,7 @@
   struct ds_replica_set *replicas;
   struct ds_cold_limit limit;
   struct ds_store_pending_call *pending;
+  bool outdated; /* the list in progress began in an earlier era */
   GArray *names; /* hashes of the names on the pages read so far */
   struct ds_str after;
   uint64_t asked_ms;  /* for the first page */
@@ -157,13 +158,28 @@
 {
   struct ds_cold_starts *starts = user_data;
 
+  bool outdated = starts->outdated;
+
   starts->pending = NULL;
-  if (result->outcome == DS_STORE_OK && read_page (starts, result->body))
+  starts->outdated = false;
+  if (!outdated && result->outcome == DS_STORE_OK
+      && read_page (starts, result->body))
     return;
   end_list (starts);
   starts->retry_ms = ds_clock_ms () + RETRY_MS;
 }
 
+/* Begins an era of the store: a list of an earlier one does not count, and
+   this host sends nothing to cold replicas until its registration has been
+   found or written again and is in all lists.  */
+void
+ds_cold_starts_begin_era (struct ds_cold_starts *starts)
+{
+  ds_cold_limit_begin_era (&starts->limit);
+  starts->settle_ms = 0;
+  starts->outdated = starts->pending != NULL;
+}
+
 static bool
 ask_for_page (struct ds_cold_starts *starts)
 {
--- a/src/entry/cold_starts.h
+++ b/src/entry/cold_starts.h
@@ -20,6 +20,7 @@
                         const struct ds_entry_settings *settings);
 void ds_cold_starts_set_registered (struct ds_cold_starts *starts,
                                     bool settled, uint64_t now_ms);
+void ds_cold_starts_begin_era (struct ds_cold_starts *starts);
 void ds_cold_starts_set_watcher (struct ds_cold_starts *starts,
                                  struct ds_store_watcher *replica_watcher);
 void ds_cold_starts_note_evacuations (struct ds_cold_starts *starts,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -828,7 +828,9 @@
   entry->restore = (struct ds_store_restore){ .store = entry->store,
                                               .fleet = entry->fleet,
                                               .budgets = entry->budgets,
-                                              .replicas = entry->replicas };
+                                              .replicas = entry->replicas,
+                                              .cold_starts
+                                              = entry->exchanges.cold_starts };
   ds_store_client_watch_era (
       entry->store, (uint32_t)entry->settings->restore_hold_ms,
       entry->settings->first_start, ds_store_restore_on_era, &entry->restore);
@@ -922,6 +924,7 @@
     return ds_error_set (error, DS_ENOMEM, "watch the store", "store",
                          "out of memory");
   entry->exchanges.evacuations = ds_evacuation_watch_set (entry->evacuations);
+  entry->restore.evacuations = entry->evacuations;
   return 0;
 }
 
--- a/src/entry/evacuation_watch.c
+++ b/src/entry/evacuation_watch.c
@@ -171,6 +171,15 @@
   return ds_evacuations_is_listed (watch->set);
 }
 
+/* Begins an era of the store; evacuations that it does not have stay until
+   KEEP_MS.  The watch lists again with the next tick.  */
+void
+ds_evacuation_watch_begin_era (struct ds_evacuation_watch *watch,
+                               uint64_t keep_ms)
+{
+  ds_evacuations_begin_era (watch->set, keep_ms);
+}
+
 /* Ends reports that are too old.  */
 void
 ds_evacuation_watch_expire (struct ds_evacuation_watch *watch, uint64_t now_ms)
--- a/src/entry/evacuation_watch.h
+++ b/src/entry/evacuation_watch.h
@@ -27,6 +27,8 @@
 const struct ds_evacuations *
 ds_evacuation_watch_set (const struct ds_evacuation_watch *watch);
 bool ds_evacuation_watch_has_listed (const struct ds_evacuation_watch *watch);
+void ds_evacuation_watch_begin_era (struct ds_evacuation_watch *watch,
+                                    uint64_t keep_ms);
 void ds_evacuation_watch_expire (struct ds_evacuation_watch *watch,
                                  uint64_t now_ms);
 
--- a/src/entry/ledger_client.c
+++ b/src/entry/ledger_client.c
@@ -90,7 +90,9 @@
 
 /* Decodes the page as last read, or creates an empty one if none exists.  What
    writers that have ended have not released is part of what is left: the next
-   update returns it.  */
+   update returns it.  In a page that no host has completed in the present era
+   of the store the records are of a copy: what they name may have been
+   returned and drawn again in the lost part.  */
 static int
 decode_page (struct ds_ledger_page **out, struct ds_ledger_client *client)
 {
@@ -107,6 +109,8 @@
       report_unreadable (client, client->revision, error.message);
       return status;
     }
+  if ((*out)->era != store_era (client)->era)
+    return 0;
   ends = client->options.writer_ends (client->options.user_data);
   client->reclaimed
       = ds_ledger_page_reclaim (*out, client->options.writer, &ends);
--- a/src/entry/registration.c
+++ b/src/entry/registration.c
@@ -41,6 +41,7 @@
   bool settled; /* the entry says that all hosts know it */
   bool retry_scheduled;
   bool check_scheduled;
+  bool outdated; /* the call in progress was sent in an earlier era */
 };
 
 static void run_step (struct ds_registration *registration);
@@ -133,7 +134,8 @@
   return true;
 }
 
-/* Whether the entry in BODY, of an earlier incarnation, is settled.  */
+/* Whether the entry in BODY, of an earlier incarnation, is settled in the
+   present era of the store: in an earlier one, lists may lack it.  */
 static bool
 says_settled (struct ds_registration *registration, struct ds_str body)
 {
@@ -143,7 +145,10 @@
 
   if (ds_store_object_decode (&object, registration, body, &error) != 0)
     return false;
-  settled = json_is_true (json_object_get (object->spec, "settled"));
+  settled = json_is_true (json_object_get (object->spec, "settled"))
+            && (uint64_t)json_integer_value (
+                   json_object_get (object->spec, "settled_era"))
+                   == ds_store_client_era (registration->store)->era;
   talloc_free (object);
   return settled;
 }
@@ -174,10 +179,14 @@
     registration->step = REGISTER_CREATE;
   else if (result->outcome != DS_STORE_OK)
     schedule_retry (registration);
+  else if (!is_own_object (registration, result->body))
+    registration->step = REGISTER_REPLACE;
   else
-    registration->step = is_own_object (registration, result->body)
-                             ? REGISTERED
-                             : REGISTER_REPLACE;
+    {
+      registration->step = REGISTERED;
+      ds_cold_starts_set_registered (registration->cold_starts, false,
+                                     ds_clock_ms ());
+    }
 }
 
 static void
@@ -185,9 +194,14 @@
 {
   struct ds_registration *registration = user_data;
 
+  bool outdated = registration->outdated;
+
   registration->pending = NULL;
   registration->retry_scheduled = false;
-  if (result->outcome == DS_STORE_OK && registration->step != REGISTER_LIST
+  registration->outdated = false;
+  /* Whether a restored store has the entry is checked.  */
+  if (result->outcome == DS_STORE_OK && !outdated
+      && registration->step != REGISTER_LIST
       && registration->step != REGISTER_CHECK)
     ds_cold_starts_set_registered (registration->cold_starts,
                                    registration->settled, ds_clock_ms ());
@@ -216,7 +230,7 @@
         schedule_retry (registration);
       break;
     case REGISTER_SETTLE:
-      registration->settled = result->outcome == DS_STORE_OK;
+      registration->settled = result->outcome == DS_STORE_OK && !outdated;
       registration->step = REGISTERED;
       break;
     case REGISTER_CHECK:
@@ -270,7 +284,14 @@
                         (json_int_t)self->incarnation, "capacity",
                         (json_int_t)self->capacity);
       if (registration->settled)
-        (void)json_object_set_new (spec, "settled", json_true ());
+        {
+          uint64_t era = ds_store_client_era (registration->store)->era;
+
+          (void)json_object_set_new (spec, "settled", json_true ());
+          if (era > 0)
+            (void)json_object_set_new (spec, "settled_era",
+                                       json_integer ((json_int_t)era));
+        }
       store_call.spec = spec;
       break;
     }
@@ -320,6 +341,17 @@
   run_step (registration);
 }
 
+static void on_check (void *user_data);
+
+static void
+schedule_check (struct ds_registration *registration)
+{
+  registration->check_scheduled = true;
+  (void)ds_timer_add (registration->ev, registration,
+                      (uint32_t)random () % CHECK_SPREAD_MS, on_check,
+                      registration);
+}
+
 static void
 on_check (void *user_data)
 {
@@ -327,7 +359,11 @@
 
   registration->check_scheduled = false;
   if (registration->step != REGISTERED)
-    return;
+    {
+      /* What is in progress may have been written in an earlier era.  */
+      schedule_check (registration);
+      return;
+    }
   registration->step = REGISTER_CHECK;
   run_step (registration);
 }
@@ -337,10 +373,8 @@
 void
 ds_registration_begin_era (struct ds_registration *registration)
 {
-  if (registration->check_scheduled)
-    return;
-  registration->check_scheduled = true;
-  (void)ds_timer_add (registration->ev, registration,
-                      (uint32_t)random () % CHECK_SPREAD_MS, on_check,
-                      registration);
+  registration->settled = false;
+  registration->outdated = registration->pending != NULL;
+  if (!registration->check_scheduled)
+    schedule_check (registration);
 }
--- a/src/entry/store_restore.c
+++ b/src/entry/store_restore.c
@@ -43,6 +43,10 @@
   ds_budget_manager_begin_era (restore->budgets, ds_clock_ms ());
   ds_fleet_view_set_store_era (restore->fleet, era);
   ds_replica_set_forget_reports (restore->replicas);
+  ds_cold_starts_begin_era (restore->cold_starts);
+  if (restore->evacuations != NULL)
+    ds_evacuation_watch_begin_era (restore->evacuations,
+                                   ds_clock_ms () + REREGISTRATION_MS);
   if (restore->registration != NULL)
     ds_registration_begin_era (restore->registration);
   if (restore->crashes != NULL)
--- a/src/entry/store_subjects.c
+++ b/src/entry/store_subjects.c
@@ -66,7 +66,8 @@
 }
 
 /* Paces the watches by the number of hosts, begins lists in a new era of the
-   store, and checks the watches that are behind other hosts.  Call it in each gossip interval.  */
+   store, and checks the watches that are behind other hosts.  Call it in each
+   gossip interval.  */
 void
 ds_store_subjects_update (struct ds_store_subjects *subjects,
                           struct ds_fleet_view *fleet, uint64_t now_ms)
--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -452,12 +452,13 @@
 uint64_t
 ds_store_watcher_object_revision (const struct ds_store_watcher *watcher)
 {
-  return watcher->object_revision;
+  return is_of_earlier_era (watcher) ? 0 : watcher->object_revision;
 }
 
-/* Revision of the store that the known state corresponds to.  */
+/* Revision of the store that the known state corresponds to; 0 if it is of an
+   earlier era.  */
 uint64_t
 ds_store_watcher_revision (const struct ds_store_watcher *watcher)
 {
-  return watcher->revision;
+  return is_of_earlier_era (watcher) ? 0 : watcher->revision;
 }
--- a/tests/test_cold_limit.c
+++ b/tests/test_cold_limit.c
@@ -412,6 +412,31 @@
 }
 END_TEST
 
+/* Guards against hosts that choose other senders from lists which lack the
+   registrations that a restored store has lost.  */
+START_TEST (a_new_era_makes_a_settled_host_wait)
+{
+  struct ds_cold_limit limit = lone_host ();
+  struct ds_cold_state state = { .observed_ms = 0 };
+
+  limit.settled = true;
+  (void)ds_cold_state_observe (&state, 20000, 1, 15000);
+  ck_assert_uint_eq (
+      ds_cold_limit_wait_ms (&limit, &RULE, &state, 5, 0, 16000), 0);
+  ds_cold_limit_begin_era (&limit);
+  ck_assert (ds_cold_limit_needs_list (&limit, 16000));
+  ck_assert_uint_gt (
+      ds_cold_limit_wait_ms (&limit, &RULE, &state, 5, 0, 16000), 0);
+  limit.registered_ms = 16000;
+  ck_assert_int_eq (
+      ds_cold_limit_set_hosts (&limit, owner, &limit.self, 1, 16000), 0);
+  ck_assert_uint_gt (
+      ds_cold_limit_wait_ms (&limit, &RULE, &state, 5, 0, 24000), 0);
+  ck_assert (!ds_cold_limit_is_settled (&limit, 26250));
+  ck_assert (ds_cold_limit_is_settled (&limit, 26251));
+}
+END_TEST
+
 /* Guards against a less urgent request that takes the turn of a more urgent
    one which was told to come back for it, and against one that waits for an
    urgent request which does not return.  */
@@ -452,6 +477,7 @@
                        sizeof limits / sizeof limits[0]);
   tcase_add_test (core, what_is_known_of_a_replica_ages);
   tcase_add_test (core, a_host_without_a_current_list_sends_nothing);
+  tcase_add_test (core, a_new_era_makes_a_settled_host_wait);
   tcase_add_test (core, the_most_urgent_request_goes_first);
   suite_add_tcase (suite, core);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_entry_cold.c
+++ b/tests/test_entry_cold.c
@@ -138,6 +138,42 @@
 }
 END_TEST
 
+static void
+post_control (const char *path, const char *body)
+{
+  ck_assert_int_eq (test_post (entry_store->address, path, body), 200);
+}
+
+/* Guards against hosts that choose other senders than before when the store
+   has lost registrations, and against one that starts after its return and
+   does not wait since the copy of its registration is settled.  */
+START_TEST (after_a_return_of_the_store_hosts_wait_before_cold_replicas)
+{
+  json_t *entry;
+
+  start (60000);
+  post_control ("/standin/era", "0");
+  TEST_WAIT_UNTIL (send_lookup (0)->status == 200);
+  TEST_WAIT_UNTIL ((entry = test_get_json (entry_store->address, ENTRY_OBJECTS
+                                           "daisystep-hosts/host-0"))
+                       != NULL
+                   && json_is_true (test_json_at (entry, "spec/settled")));
+  post_control ("/standin/copy", "");
+  post_control ("/standin/restore", "");
+  test_sleep_ms (1500);
+  expect_refusal (0);
+  expect_refusal (1);
+  test_process_kill (entry_hosts[0]);
+  entry_start_host (0, "z");
+  entry_wait_ready (0);
+  test_sleep_ms (1500);
+  expect_refusal (0);
+  TEST_WAIT_UNTIL (send_lookup (0)->status == 200);
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    check_times (i);
+}
+END_TEST
+
 /* Guards against requests to a cold replica, or refusals, while a warm one
    serves.  */
 START_TEST (others_go_to_warm_replicas)
@@ -197,6 +233,8 @@
   tcase_add_checked_fixture (core, NULL, tear_down);
   tcase_set_timeout (core, 120);
   tcase_add_test (core, cold_replicas_get_what_they_can_take);
+  tcase_add_test (core,
+                  after_a_return_of_the_store_hosts_wait_before_cold_replicas);
   tcase_add_test (core, others_go_to_warm_replicas);
   tcase_add_test (core, a_replica_whose_connection_breaks_may_be_cold);
   suite_add_tcase (suite, core);
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -13,6 +13,7 @@
   DELETE,     /* the own watch shows its removal */
   APPLY,      /* a response up to REVISION to a call begun at ASKED_MS */
   REPORT,     /* another host reports REVISION, confirmed AGE_MS ago */
+  ERA,        /* the store has returned from an older copy */
   WAIT
 };
 
@@ -55,6 +56,9 @@
     case APPLY:
       ds_evacuations_apply (set, step->revision, step->asked_ms, step->now_ms);
       break;
+    case ERA:
+      ds_evacuations_begin_era (set, step->now_ms + 2200);
+      break;
     case REPORT:
       (void)ds_evacuations_report (set, &report, step->now_ms);
       break;
@@ -126,6 +130,37 @@
       { 62500, REPORT, 100, 0, true } },
     8,
     0 },
+  /* Lost by the store and not written again in time.  */
+  { { { 50000, PUT, 60, 0, true },
+      { 50000, LIST_EMPTY, 61, 49990, false },
+      { 51000, PUT, 62, 0, true },
+      { 52000, ERA, 0, 0, true },
+      { 52100, LIST_EMPTY, 40, 52050, true },
+      { 54199, WAIT, 0, 0, true },
+      { 54200, WAIT, 0, 0, false } },
+    7,
+    54200 },
+  /* Lost and written again with a revision that is lower than before.  */
+  { { { 50000, LIST_EMPTY, 61, 49990, false },
+      { 51000, PUT, 62, 0, true },
+      { 52000, ERA, 0, 0, true },
+      { 52100, LIST_EMPTY, 40, 52050, true },
+      { 53000, PUT, 41, 0, true },
+      { 53000, APPLY, 41, 52100, true },
+      { 55000, WAIT, 0, 0, true },
+      { 56000, DELETE, 42, 0, false } },
+    8,
+    56000 },
+  /* Cut off: what was reported stays until the report expires, and reports of
+     the new era count though their revisions are lower.  */
+  { { { 50000, LIST_EMPTY, 61, 49990, false },
+      { 51000, REPORT, 62, 0, true },
+      { 52000, ERA, 0, 0, true },
+      { 60000, REPORT, 41, 0, true },
+      { 89999, WAIT, 0, 0, true },
+      { 90000, WAIT, 0, 0, false } },
+    6,
+    90000 },
 };
 
 START_TEST (zones_are_evacuated_as_the_store_and_reports_say)
--- a/tests/test_ledger_restore.c
+++ b/tests/test_ledger_restore.c
@@ -1,3 +1,4 @@
+#include "core/grant_release.h"
 #include "core/ledger_restore.h"
 
 #include <check.h>
@@ -21,6 +22,9 @@
                                                    .minimum = 3000,
                                                    .cushion_s = 1 };
 
+static const struct ds_release_policy release
+    = { .span_ms = 8000, .usable_ms = 1200 };
+
 /* A host with its copy of the page, and an update whose outcome it may not
    know.  */
 struct host
@@ -30,6 +34,7 @@
   struct ds_ledger_restore restore;
   char name[32];
   uint64_t id;
+  uint64_t started_ms;
   uint64_t number;
   uint64_t revision;
   uint64_t written_era;
@@ -69,6 +74,7 @@
 static bool completed;
 static uint64_t completed_sum;
 static bool with_failures;
+static uint64_t reclaimed;
 
 static struct ds_str
 writer_name (const struct host *host)
@@ -207,14 +213,44 @@
   host->page_known = false;
 }
 
+/* A writer that is not the present process of its host ended when that
+   started.  */
+static bool
+find_end (struct ds_str writer, uint64_t *end_ms, void *user_data)
+{
+  (void)user_data;
+  for (int i = 0; i < HOSTS; i++)
+    if (writer.length > 6 && writer.data[5] - '0' == i
+        && !ds_str_equal (writer, writer_name (&hosts[i])))
+      {
+        *end_ms = hosts[i].started_ms;
+        return true;
+      }
+  return false;
+}
+
+/* Decodes the copy of HOST and reclaims from it as decode_page of a ledger
+   client does.  */
+static struct ds_ledger_page *
+decode_own (const struct host *host)
+{
+  struct ds_ledger_page *page = decode (host->page);
+  struct ds_writer_ends ends = { .now_ms = now_ms, .find = find_end };
+
+  if (page->era == host->era.era)
+    reclaimed += ds_ledger_page_reclaim (page, writer_name (host), &ends);
+  return page;
+}
+
 /* HOST reads the page and resolves its update.  */
 static void
 read_page (struct host *host)
 {
-  struct ds_ledger_page *page = decode (store.page);
+  struct ds_ledger_page *page;
 
   json_decref (host->page);
   host->page = json_incref (store.page);
+  page = decode_own (host);
   host->has_page = store.page != NULL;
   host->page_known = true;
   host->revision = store.revision;
@@ -240,7 +276,8 @@
 build_update (struct host *host)
 {
   struct ds_ledger_restore_result result;
-  struct ds_ledger_page *page = decode (host->page);
+  struct ds_ledger_page *page = decode_own (host);
+  struct ds_release_moment moment = { .now_ms = now_ms, .wall_ms = now_ms };
 
   ck_assert_int_eq (ds_ledger_restore_apply (&host->restore, page, &host->era,
                                              PART, now_ms, &result),
@@ -252,8 +289,14 @@
     }
   host->number++;
   if (!result.held)
-    ck_assert_int_eq (
-        ds_allotment_apply (&host->allotment, page, &policy, false), 0);
+    {
+      ck_assert_int_eq (
+          ds_allotment_apply (&host->allotment, page, &policy, false), 0);
+      ck_assert_int_eq (ds_allotment_lock (&host->allotment, page,
+                                           writer_name (host), &release,
+                                           &moment, false),
+                        0);
+    }
   ck_assert_int_eq (ds_ledger_page_set_update_number (page, writer_name (host),
                                                       host->number),
                     0);
@@ -342,7 +385,7 @@
   json_decref (host->written);
   talloc_free (host->restore.marks);
   talloc_free (host->restore.reports);
-  *host = (struct host){ .id = ++ids };
+  *host = (struct host){ .id = ++ids, .started_ms = now_ms };
   (void)snprintf (host->name, sizeof host->name, "host-%d#%d",
                   (int)(host - hosts), (int)host->id);
   host->era.hold_ms = HOLD_MS;
@@ -475,6 +518,7 @@
       int choice = rand () % 1000;
 
       now_ms += (uint64_t)rand () % 40;
+      ds_allotment_release (&host->allotment, now_ms);
       /* Its watches and its datagrams tell a host of a new era.  */
       if (!host->cut_from_store && now_ms - host->called_ms > WATCH_MS)
         learn_era (host, store.era);
@@ -645,6 +689,53 @@
 }
 END_TEST
 
+/* Guards against records of releases from a copy by which tokens are reclaimed
+   that were returned and drawn again in the lost part.  */
+START_TEST (a_completed_page_has_no_records_of_a_copy)
+{
+  struct ds_store_era era
+      = { .era = 1, .detected_ms = 1000, .hold_ms = HOLD_MS, .known = true };
+  struct ds_ledger_restore restore = { 0 };
+  struct ds_ledger_page *page = page_with (0, 100000);
+  struct ds_release_schedule record
+      = { .tokens = 5000, .start_ms = 900, .span_ms = 8000 };
+
+  ck_assert_int_eq (ds_ledger_page_set_release (page, DS_STR ("north"),
+                                                DS_STR ("host-1#1"), &record),
+                    0);
+  (void)apply (&restore, page, &era, 1500);
+  ck_assert_uint_eq (page->release_count, 1);
+  (void)apply (&restore, page, &era, 3000);
+  ck_assert_uint_eq (page->release_count, 0);
+  /* Records of the present era stay.  */
+  ck_assert_int_eq (ds_ledger_page_set_release (page, DS_STR ("north"),
+                                                DS_STR ("host-1#1"), &record),
+                    0);
+  (void)apply (&restore, page, &era, 3100);
+  ck_assert_uint_eq (page->release_count, 1);
+}
+END_TEST
+
+/* Guards against locked tokens that become usable, or a count that wraps
+   around, when the outcome of an update that returns them is given up.  */
+START_TEST (locked_tokens_of_a_dropped_update_are_given_up)
+{
+  struct ds_allotment allotment = { .workspace = DS_STR ("north"),
+                                    .free = 1000,
+                                    .home = DS_HOME_SELF,
+                                    .lock = { .locked = 9000 } };
+  struct ds_ledger_page *page = page_with (0, 10000);
+
+  ds_allotment_set_limit (&allotment, LIMIT, 1);
+  ck_assert_int_eq (ds_allotment_apply (&allotment, page, &policy, true), 0);
+  ck_assert_uint_gt (allotment.lock.returned, 0);
+  ds_allotment_drop_returned (&allotment);
+  ds_allotment_withdraw (&allotment);
+  ck_assert_uint_le (allotment.free, 1000);
+  ck_assert_uint_eq (allotment.lock.locked, 0);
+}
+END_TEST
+
 /* Guards against a fleet that has ended and grants again what it drew after
    the copy.  */
 START_TEST (a_page_that_no_host_has_seen_holds_tokens_back)
@@ -689,6 +780,8 @@
   tcase_add_loop_test (test_case, tokens_of_a_silent_reporter_are_held_back, 0,
                        2);
   tcase_add_test (test_case, a_page_that_no_host_has_seen_holds_tokens_back);
+  tcase_add_test (test_case, a_completed_page_has_no_records_of_a_copy);
+  tcase_add_test (test_case, locked_tokens_of_a_dropped_update_are_given_up);
   tcase_add_loop_test (test_case, returns_of_the_store_grant_no_token_twice, 0,
                        60);
   tcase_add_loop_test (
