--- a/src/core/allotment.c
+++ b/src/core/allotment.c
@@ -372,6 +372,16 @@
   allotment->update = (struct ds_allotment_update){ .in_flight = false };
 }
 
+/* Gives up the tokens, usable or locked, that an update of unknown outcome
+   returns: the store has returned from an older copy, and another host may
+   have drawn them in the lost part, which the copy does not show.  */
+void
+ds_allotment_drop_returned (struct ds_allotment *allotment)
+{
+  allotment->update.returned = 0;
+  allotment->lock.returned = 0;
+}
+
 /* Updates the ledger_* members from PAGE, read at NOW_MS, and the limit if the
    page's is newer.  */
 void
@@ -387,5 +397,6 @@
   allotment->ledger_ungranted = ds_ledger_account_ungranted (account);
   allotment->ledger_settled = account->settled;
   allotment->ledger_observed_ms = now_ms;
+  allotment->ledger_reporter = 0;
   allotment->known = true;
 }
--- a/src/entry/budget_manager.h
+++ b/src/entry/budget_manager.h
@@ -2,6 +2,7 @@
 #define DS_ENTRY_BUDGET_MANAGER_H
 
 #include "core/allotment.h"
+#include "core/ledger_restore.h"
 #include "daisystep/routing_config.h"
 #include "entry/store_client.h"
 
@@ -19,8 +20,9 @@
    returns their reports.  PENDING counts unacknowledged transfers.
    UNMET returns what the peers need at once and have not got from this host.
    RELEASE_MOMENT and WRITER_ENDS are as for a ledger client.
-   ON_TOKENS reports that tokens have arrived, ON_STORE_TIMEOUT a call without
-   response.  */
+   REPORTER_STATE tells what has been heard of the host with an id of
+   peer_state since a time.  ON_TOKENS reports that tokens have arrived,
+   ON_STORE_TIMEOUT a call without response.  */
 struct ds_budget_peers
 {
   enum ds_allotment_home (*home) (uint32_t page, void *user_data);
@@ -35,6 +37,8 @@
   uint64_t (*unmet) (struct ds_str workspace, void *user_data);
   struct ds_release_moment (*release_moment) (void *user_data);
   struct ds_writer_ends (*writer_ends) (void *user_data);
+  enum ds_reporter_state (*reporter_state) (uint64_t id, uint64_t since_ms,
+                                            void *user_data);
   void (*on_tokens) (void *user_data);
   void (*on_store_timeout) (void *user_data);
   void *user_data;
@@ -64,6 +68,8 @@
                                    uint32_t settle_ms);
 void ds_budget_manager_tick (struct ds_budget_manager *manager,
                              uint64_t now_ms);
+void ds_budget_manager_begin_era (struct ds_budget_manager *manager,
+                                  uint64_t now_ms);
 void ds_budget_manager_close (struct ds_budget_manager *manager);
 bool ds_budget_manager_is_closed (const struct ds_budget_manager *manager);
 uint64_t ds_budget_manager_give (struct ds_budget_manager *manager,
--- a/src/entry/fleet_datagram.c
+++ b/src/entry/fleet_datagram.c
@@ -44,6 +44,7 @@
   datagram->config_revision = view->store_revisions[DS_STORE_CONFIG];
   datagram->replica_revision = view->store_revisions[DS_STORE_REPLICAS];
   datagram->evacuation_revision = view->store_revisions[DS_STORE_EVACUATIONS];
+  datagram->store_era = view->store_era;
 }
 
 /* Adds HOLDING to DATAGRAM, which has room for DS_HOLDINGS_MAX.  */
@@ -545,6 +546,7 @@
   struct ds_fleet_peer *member;
   uint64_t now_ms = ds_clock_ms ();
   uint64_t heard_ms = now_ms > age_ms ? now_ms - age_ms : 1;
+  bool same_era;
 
   if (ds_socket_address_parse (&address,
                                ds_str_from_c (datagram->gossip_address))
@@ -558,11 +560,16 @@
   if (age_ms < CLOCK_AGE_MAX_MS)
     ds_fleet_clock_receive (&view->clock, member->short_id, datagram->wall_ms,
                             datagram->median_wall_ms, now_ms);
-  ds_fleet_receive_revision (view, DS_STORE_CONFIG, datagram->config_revision);
-  ds_fleet_receive_revision (view, DS_STORE_REPLICAS,
-                             datagram->replica_revision);
-  ds_fleet_receive_revision (view, DS_STORE_EVACUATIONS,
-                             datagram->evacuation_revision);
+  same_era = ds_fleet_receive_era (view, datagram);
+  if (same_era)
+    {
+      ds_fleet_receive_revision (view, DS_STORE_CONFIG,
+                                 datagram->config_revision);
+      ds_fleet_receive_revision (view, DS_STORE_REPLICAS,
+                                 datagram->replica_revision);
+      ds_fleet_receive_revision (view, DS_STORE_EVACUATIONS,
+                                 datagram->evacuation_revision);
+    }
   ds_fleet_receive_load (view, member, datagram, heard_ms);
   if (!datagram->partial)
     receive_loads (member, datagram);
@@ -571,10 +578,14 @@
       view, (struct ds_capacity_source){ .id = member->short_id },
       datagram->capacities, datagram->n_capacities, now_ms);
   receive_suspects (view, member, datagram, now_ms);
-  ds_fleet_receive_departures (view, member, datagram->departures,
-                               datagram->n_departures);
-  ds_fleet_receive_evacuations (view, member, datagram, age_ms);
+  if (same_era)
+    {
+      ds_fleet_receive_departures (view, member, datagram->departures,
+                                   datagram->n_departures);
+      ds_fleet_receive_evacuations (view, member, datagram, age_ms);
+    }
   if (datagram->summary != NULL)
-    ds_fleet_receive_summary (view, member, datagram->summary, heard_ms);
-  ds_fleet_receive_tokens (view, member, datagram);
+    ds_fleet_receive_summary (view, member, datagram->summary, same_era,
+                              heard_ms);
+  ds_fleet_receive_tokens (view, member, datagram, same_era);
 }
--- a/src/entry/store_subjects.c
+++ b/src/entry/store_subjects.c
@@ -65,8 +65,9 @@
     watch->checked_ms = now_ms;
 }
 
-/* Paces the watches by the number of hosts, and checks those that are behind
-   other hosts.  Call it in each gossip interval.  */
+/* Paces the watches by the number of hosts, begins lists in a new era of the
+   store, and checks the watches that are behind other hosts.  Call it in each
+   gossip interval.  */
 void
 ds_store_subjects_update (struct ds_store_subjects *subjects,
                           struct ds_fleet_view *fleet, uint64_t now_ms)
@@ -81,6 +82,7 @@
         continue;
       place.interval_ms = watch->interval_ms;
       ds_store_watcher_set_place (watch->watcher, &place);
+      ds_store_watcher_check_era (watch->watcher);
       compare_revisions (watch, fleet, (enum ds_store_subject)subject, now_ms);
     }
 }
--- a/src/proto/gossip.pb-c.h
+++ b/src/proto/gossip.pb-c.h
@@ -463,6 +463,12 @@
    * As config_revision, of an evacuation.
    */
   uint64_t evacuation_revision;
+  /*
+   * Newest era of the store that the sender knows; 0 for none, and from hosts
+   * of an earlier version. Revisions, departures and what the holdings say of
+   * the ledger are of this era.
+   */
+  uint64_t store_era;
   /*
    * The sender's wall clock in milliseconds, and the median of those that it
    * receives; 0 if they are few.
@@ -478,7 +484,7 @@
 };
 #define DAISYSTEP__GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&daisystep__gossip__datagram__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL }
 
 
 /* Daisystep__Gossip__ReplicaLoad methods */
