--- a/src/core/grant_release.c
+++ b/src/core/grant_release.c
@@ -86,6 +86,26 @@
   return usable > needed ? usable : needed;
 }
 
+/* The time over which LOCKED tokens become usable.
+
+   Load: a home is cut off from the store for eight seconds and holds tokens
+   for five.  Over a fixed span it rejected requests while it held tokens for
+   them.  */
+static uint64_t
+release_span_ms (const struct ds_allotment *allotment,
+                 const struct ds_release_policy *policy, uint64_t locked)
+{
+  double demand = allotment->demand + allotment->peer_demand;
+  double rate = demand * (double)policy->rate_percent / 100 / 1000;
+  double span_ms;
+
+  if (rate <= 0)
+    return policy->span_ms;
+  span_ms = (double)locked / rate + 1;
+  return span_ms < (double)policy->span_ms ? (uint64_t)span_ms
+                                           : policy->span_ms;
+}
+
 /* Locks the part of ALLOTMENT that the home of a budget keeps for an outage of
    the store, as part of the update that ds_allotment_apply has built, and
    records in PAGE when it becomes usable.  Without a wall-clock time the
@@ -117,8 +137,8 @@
       lock->locked += more - lock->drawn;
     }
   lock->proposed = (struct ds_release_schedule){ .tokens = wanted,
-                                                 .start_ms = moment->now_ms,
-                                                 .span_ms = policy->span_ms };
+                                                 .start_ms = moment->now_ms };
+  lock->proposed.span_ms = release_span_ms (allotment, policy, wanted);
   record = lock->proposed;
   record.start_ms = moment->wall_ms;
   return ds_ledger_page_set_release (page, allotment->workspace, writer,
--- a/src/core/grant_release.h
+++ b/src/core/grant_release.h
@@ -30,11 +30,13 @@
 };
 
 /* SPAN_MS 0 locks nothing.  The tokens usable at once cover the demand of
-   USABLE_MS.  */
+   USABLE_MS.  The others become usable at RATE_PERCENT of the demand, or over
+   SPAN_MS if that takes less time; 0 for no rate.  */
 struct ds_release_policy
 {
   uint64_t span_ms;
   uint64_t usable_ms;
+  uint64_t rate_percent;
 };
 
 /* When an update is built: the monotonic time, and a wall-clock time that is
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -589,6 +589,7 @@
 {
   return (struct ds_release_policy){
     .span_ms = budget->release.span_ms,
+    .rate_percent = budget->release.rate_percent,
     .usable_ms = budget->release.usable_ms,
   };
 }
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -51,6 +51,7 @@
 static const struct ds_field release_fields[] = {
   NUMBER (struct ds_release_settings, span_ms, 0, 600000, 0),
   NUMBER (struct ds_release_settings, usable_ms, 0, 600000, 2400),
+  NUMBER (struct ds_release_settings, rate_percent, 0, 10000, 0),
 };
 
 static const struct ds_field budget_fields[] = {
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -18,6 +18,7 @@
 {
   uint64_t span_ms;
   uint64_t usable_ms;
+  uint64_t rate_percent; /* of the demand; 0 for none */
 };
 
 /* Share of a prepaid budget that a host holds.  */
--- a/tests/test_grant_release.c
+++ b/tests/test_grant_release.c
@@ -694,6 +694,46 @@
 }
 END_TEST
 
+/* Guards against a home that is cut off from the store and rejects requests
+   while it holds tokens for them: it holds five seconds of demand, and the
+   span is meant for thirteen.  */
+START_TEST (a_partitioned_home_serves_the_usual_demand)
+{
+  const uint64_t demand = 1000;
+  struct ds_release_policy by_rate
+      = { .span_ms = 13000, .usable_ms = 1600, .rate_percent = 110 };
+  struct ds_release_policy over_span = { .span_ms = 13000, .usable_ms = 1600 };
+  struct ds_release_moment moment = { .now_ms = 1000, .wall_ms = 5000 };
+  const struct ds_release_policy *policies[] = { &over_span, &by_rate };
+  uint64_t served_ms[2] = { 0, 0 };
+
+  for (int i = 0; i < 2; i++)
+    {
+      struct ds_allotment allotment = { .workspace = DS_STR ("w"),
+                                        .home = DS_HOME_SELF,
+                                        .demand = (double)demand,
+                                        .free = 5 * demand };
+      struct ds_ledger_page *page;
+
+      ck_assert_int_eq (ds_ledger_page_new (&page, scratch), 0);
+      ck_assert_ptr_nonnull (
+          ds_ledger_page_find_or_add (page, allotment.workspace));
+      ck_assert_int_eq (ds_allotment_lock (&allotment, page, DS_STR ("a#1"),
+                                           policies[i], &moment, false),
+                        0);
+      allotment.lock.confirmed = allotment.lock.proposed;
+      for (uint64_t now_ms = 1000; now_ms < 9000; now_ms += 100)
+        {
+          ds_allotment_release (&allotment, now_ms);
+          if (ds_allotment_reserve (&allotment, demand / 10))
+            served_ms[i] += 100;
+        }
+    }
+  ck_assert_uint_ge (served_ms[1], 4900);
+  ck_assert_uint_lt (served_ms[0], 4500);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -711,6 +751,7 @@
   tcase_add_test (test_case, fleet_time_needs_three_clocks_and_no_pause);
   tcase_add_test (test_case, medians_of_relays_replace_their_clocks);
   tcase_add_test (test_case, a_writer_that_may_run_keeps_its_tokens);
+  tcase_add_test (test_case, a_partitioned_home_serves_the_usual_demand);
   tcase_add_test (test_case, pages_keep_their_format);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
