--- a/review/harness-2/site.c
+++ b/review/harness-2/site.c
@@ -553,6 +553,26 @@
   return ended;
 }
 
+/* The most memory that host I has taken, in KB, without its sockets; 0 if it
+   has ended.  */
+long
+site_peak_kb (int i)
+{
+  char path[64];
+  char line[256];
+  long kb = 0;
+  FILE *file;
+
+  (void)snprintf (path, sizeof path, "/proc/%d/status", (int)hosts[i]->pid);
+  file = fopen (path, "r");
+  while (file != NULL && fgets (line, sizeof line, file) != NULL)
+    if (sscanf (line, "VmHWM: %ld kB", &kb) == 1)
+      break;
+  if (file != NULL)
+    (void)fclose (file);
+  return kb;
+}
+
 /* The number of the last update of the ledger by host I, as the store has it;
    0 for none.  */
 long
--- a/review/harness-2/site.h
+++ b/review/harness-2/site.h
@@ -115,6 +115,7 @@
 void site_wait_ready (int i);
 void site_signal_host (int i, int number);
 bool site_wait_host (int i, int timeout_ms);
+long site_peak_kb (int i);
 long site_ledger_updates (int i);
 void site_control_store (const char *path, const char *body);
 void site_restore_store (int away_ms);
