--- a/review/harness-2/site.c
+++ b/review/harness-2/site.c
@@ -281,12 +281,32 @@
                          server->service, "address", server->address, "zone",
                          server->zone, "version", "1", "slots", 64, "state",
                          state, "cold_remaining_ms", 0, "sequence", ++sequence,
-                         "born", (json_int_t)1796000000000),
+                         "born",
+                         (json_int_t)1796000000000 + server->starts * 1000),
               !server->exists);
   server->exists = true;
   site_record ("the store has acknowledged %s as %s", server->id, state);
 }
 
+static pthread_mutex_t servers_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Replaces the first of the connections of SERVER that is FROM by TO.  */
+static bool
+replace_connection (struct site_server *server, int from, int to)
+{
+  bool found = false;
+
+  (void)pthread_mutex_lock (&servers_lock);
+  for (int i = 0; i < SITE_CONNECTIONS_MAX && !found; i++)
+    if (server->fds[i] == from)
+      {
+        server->fds[i] = to;
+        found = true;
+      }
+  (void)pthread_mutex_unlock (&servers_lock);
+  return found;
+}
+
 /* One connection to a replica.  */
 struct connection
 {
@@ -369,6 +389,7 @@
       if (sscanf (head, "%15s %127s", request.method, request.path) != 2)
         break;
       find_header (request.id, sizeof request.id, head, "Request-Id");
+      find_header (request.parts, sizeof request.parts, head, "Prompt-Prefix");
       find_header (length, sizeof length, head, "Content-Length");
       request.body_bytes = strtoull (length, NULL, 10);
       request.body_missing = request.body_bytes;
@@ -380,6 +401,7 @@
           || !site_read_body (connection->fd, &request))
         break;
     }
+  (void)replace_connection (connection->server, connection->fd, -1);
   (void)close (connection->fd);
   free (head);
   free (connection);
@@ -422,24 +444,70 @@
       *connection
           = (struct connection){ .server = listener->server, .fd = fd };
       (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      (void)replace_connection (listener->server, -1, fd);
       start_thread (serve_connection, connection);
     }
   return NULL;
 }
 
+static void
+start_listening (struct site_server *server)
+{
+  struct listener *listener = malloc (sizeof *listener);
+
+  server->starts++;
+  server->listen_fd = listen_on (server->address);
+  *listener = (struct listener){ .server = server, .fd = server->listen_fd };
+  start_thread (accept_connections, listener);
+}
+
 /* Starts the replica on threads of its own and registers it as ready.  */
 void
 site_start_server (struct site_server *server)
 {
-  struct listener *listener = malloc (sizeof *listener);
-
+  memset (server->fds, -1, sizeof server->fds);
   format_address (server->address, 200 + server_count++, PORT_SERVER);
-  *listener = (struct listener){ .server = server,
-                                 .fd = listen_on (server->address) };
-  start_thread (accept_connections, listener);
+  start_listening (server);
   site_register_server (server, "ready");
 }
 
+struct restart
+{
+  struct site_server *server;
+  long away_ms;
+};
+
+static void *
+restart_server (void *closure)
+{
+  struct restart *restart = closure;
+
+  site_sleep_ms (restart->away_ms);
+  start_listening (restart->server);
+  site_register_server (restart->server, "ready");
+  free (restart);
+  return NULL;
+}
+
+/* Ends the replica as a crash of its process does: all its connections and its
+   listener.  It starts again AWAY_MS later, as another lifetime.  */
+void
+site_crash_server (struct site_server *server, long away_ms)
+{
+  struct restart *restart = malloc (sizeof *restart);
+
+  *restart = (struct restart){ .server = server, .away_ms = away_ms };
+  (void)shutdown (server->listen_fd, SHUT_RDWR);
+  (void)close (server->listen_fd);
+  server->listen_fd = -1;
+  (void)pthread_mutex_lock (&servers_lock);
+  for (int i = 0; i < SITE_CONNECTIONS_MAX; i++)
+    if (server->fds[i] >= 0)
+      (void)shutdown (server->fds[i], SHUT_RDWR);
+  (void)pthread_mutex_unlock (&servers_lock);
+  start_thread (restart_server, restart);
+}
+
 static void
 caller_address (char *out, int i)
 {
@@ -640,7 +708,7 @@
 bool
 site_send_format (int fd, const char *format, ...)
 {
-  char text[1024];
+  char text[2048];
   va_list arguments;
   int length;
 
@@ -690,13 +758,14 @@
              fd,
              "%s %s HTTP/1.1\r\nHost: d.example\r\nRequest-Id: %s\r\n"
              "Authorization: Bearer key-1\r\nDeadline-Ms: 10000\r\n"
-             "%s%s%s%s%s%sContent-Length: %zu\r\n\r\n",
+             "%s%s%s%s%sContent-Length: %zu\r\n\r\n",
              call->method, call->path, call->id,
              call->tokens != NULL ? "Model: m\r\nToken-Count: " : "",
              call->tokens != NULL ? call->tokens : "",
              call->tokens != NULL ? "\r\nPrompt-Prefix: " : "",
-             call->tokens != NULL ? "5c1e07a2:100,91bd3f06:" : "",
-             call->tokens != NULL ? "100" : "",
+             call->tokens == NULL  ? ""
+             : call->parts != NULL ? call->parts
+                                   : "5c1e07a2:100,91bd3f06:100",
              call->tokens != NULL ? "\r\n" : "", call->body_bytes)
          && site_send (fd, body, call->body_bytes);
   free (body);
--- a/review/harness-2/site.h
+++ b/review/harness-2/site.h
@@ -14,6 +14,7 @@
 #define SITE_ADDRESS_BYTES 48
 #define SITE_ID_BYTES 64
 #define SITE_LAST_BYTES 64
+#define SITE_CONNECTIONS_MAX 512
 
 /* Exit codes of a case.  */
 enum site_result
@@ -57,6 +58,9 @@
   bool answers_unread; /* ANSWER is called before the body is read */
   char address[SITE_ADDRESS_BYTES];
   bool exists; /* in the store */
+  int starts;
+  int listen_fd;                 /* -1 while the replica is away */
+  int fds[SITE_CONNECTIONS_MAX]; /* of its connections; -1 for a free place */
 };
 
 /* A request as a replica receives it.  */
@@ -68,6 +72,7 @@
   uint64_t body_bytes;   /* declared */
   uint64_t body_missing; /* not read yet */
   uint64_t arrived_ms;
+  char parts[1024]; /* Prompt-Prefix */
 };
 
 /* A request of a caller.  */
@@ -76,6 +81,7 @@
   const char *method;
   const char *path;
   const char *id;
+  const char *parts;  /* Prompt-Prefix; null for two ordinary ones */
   const char *tokens; /* Token-Count; null for none */
   size_t body_bytes;
   size_t read_per_s;  /* bytes of the answer; 0 for no limit */
@@ -110,6 +116,7 @@
 void site_open (const struct site_profile *profile);
 void site_write_config (long prepaid);
 void site_start_server (struct site_server *server);
+void site_crash_server (struct site_server *server, long away_ms);
 void site_register_server (struct site_server *server, const char *state);
 void site_start_host (int i, bool first_start);
 void site_wait_ready (int i);
