--- a/review/6/case.c
+++ b/review/6/case.c
@@ -23,8 +23,10 @@
 /* Time in which a host has the answer of the store.  */
 #define ANSWER_MS 30
 #define WARM_UP_MS 2500
-/* The freeze lasts from the copy to the return of the store.  */
-#define COPY_AGE_MS 1800
+/* From the copy to the freeze, and from the freeze to the time at which the
+   store is away.  */
+#define BEFORE_FREEZE_MS 500
+#define FROZEN_MS 1500
 #define AWAY_MS 300
 /* Time in which requests are sent after the trouble.  */
 #define AFTER_MS 15000
@@ -123,15 +125,16 @@
   site_finish (SITE_NOT_RUN, "no host writes the ledger");
 }
 
-/* Freezes WRITER from the copy to the return of the store.  */
+/* Freezes WRITER soon after the copy, until the return of the store.  */
 static void
 freeze_and_restore (int writer)
 {
   site_sleep_ms (ANSWER_MS);
   site_control_store ("/standin/copy", "");
+  site_sleep_ms (BEFORE_FREEZE_MS);
   if (site_trouble ())
     site_signal_host (writer, SIGSTOP);
-  site_sleep_ms (COPY_AGE_MS);
+  site_sleep_ms (FROZEN_MS);
   site_record ("before the store is away: used %ld of %ld", used, PREPAID);
   if (!site_trouble ())
     return;
