Free only names that were allocated when a list continues

What callers saw: while an entry of another writer made the list of replicas longer than one page, all hosts ended by themselves (SIGABRT) a few milliseconds after each start, and almost no request was served.

Cause: when a list continues on another page, the watcher frees the name after which the current page began. For the first page that is DS_STR_EMPTY, whose data is a string constant, and talloc aborts the process. It happens with any second page; the entry's name only makes the list longer. The stand-in of the store answered every list in one page, so this never ran in a test.

Change: set_after frees the name only if it was allocated; all places that restart a list use it, so that the name of an abandoned list is freed as well. The stand-in sorts lists by name, has pages of a given length, and takes entries with any bytes in their names.

Evidence: test_entry_lists starts real hosts beside such an entry, with 17 names, three bodies and six places in the pages.

--- a/src/entry/store_watcher.c
+++ b/src/entry/store_watcher.c
@@ -36,7 +36,7 @@
   const char *kind;
   struct ds_store_watcher_handlers handlers;
   struct ds_store_pending_call *pending;
-  struct ds_str after; /* where the current list continues */
+  struct ds_str after; /* where the current list continues; owned */
   uint64_t revision;   /* of the known state */
   uint64_t list_revision;
   uint64_t era;             /* of the store, in which the revisions count */
@@ -103,6 +103,18 @@
                                             watcher->handlers.user_data);
 }
 
+/* Lets the current list continue after NAME, which is copied; empty for its
+   beginning.  */
+static void
+set_after (struct ds_store_watcher *watcher, struct ds_str name)
+{
+  /* The empty string is a constant.  */
+  if (watcher->after.length > 0)
+    talloc_free ((char *)watcher->after.data);
+  watcher->after
+      = name.length > 0 ? ds_str_copy (watcher, name) : DS_STR_EMPTY;
+}
+
 /* Begins a list of the objects as they are.
 
    Load: a configuration of 53 KB changes three times a second.  A host with a
@@ -115,7 +127,7 @@
   if (watcher->listing || !watcher->handlers.list_newest)
     return;
   watcher->listing = true;
-  watcher->after = DS_STR_EMPTY;
+  set_after (watcher, DS_STR_EMPTY);
 }
 
 static void
@@ -169,12 +181,10 @@
     }
   if (page->has_more && page->count > 0)
     {
-      talloc_free ((char *)watcher->after.data);
-      watcher->after
-          = ds_str_copy (watcher, page->objects[page->count - 1].name);
+      set_after (watcher, page->objects[page->count - 1].name);
       return;
     }
-  watcher->after = DS_STR_EMPTY;
+  set_after (watcher, DS_STR_EMPTY);
   watcher->listing = false;
   watcher->listed = true;
   /* The first page's revision: changes during the list are seen again.  */
@@ -213,7 +223,7 @@
   log_restart (watcher, "new era of the store");
   watcher->listing = true;
   watcher->checking = false;
-  watcher->after = DS_STR_EMPTY;
+  set_after (watcher, DS_STR_EMPTY);
   watcher->revision = 0;
   watcher->object_revision = 0;
 }
@@ -238,7 +248,7 @@
   if (result->outcome == DS_STORE_HISTORY_EXPIRED)
     {
       watcher->listing = true;
-      watcher->after = DS_STR_EMPTY;
+      set_after (watcher, DS_STR_EMPTY);
       start_call (watcher);
       return;
     }
--- a/tests/standins/common_server.c
+++ b/tests/standins/common_server.c
@@ -357,6 +357,20 @@
                                       MHD_GET_ARGUMENT_KIND, name);
 }
 
+/* The bytes of a query argument, which may include zero; without data if it is
+   absent.  */
+struct ds_str
+standin_request_query_bytes (const struct standin_request *request,
+                             const char *name)
+{
+  struct ds_str value = { .data = NULL };
+
+  (void)MHD_lookup_connection_value_n (
+      request->connection, MHD_GET_ARGUMENT_KIND, name, strlen (name),
+      &value.data, &value.length);
+  return value;
+}
+
 /* The numeric query argument NAME, or DEFAULT_VALUE if it is absent or not a
    number.  */
 uint64_t
--- a/tests/standins/common_server.h
+++ b/tests/standins/common_server.h
@@ -68,6 +68,9 @@
                                     const char *name);
 const char *standin_request_query (const struct standin_request *request,
                                    const char *name);
+struct ds_str
+standin_request_query_bytes (const struct standin_request *request,
+                             const char *name);
 uint64_t standin_request_query_u64 (const struct standin_request *request,
                                     const char *name, uint64_t default_value);
 bool standin_request_wait (const struct standin_request *request, uint64_t ms);
--- a/tests/standins/platform_store.c
+++ b/tests/standins/platform_store.c
@@ -15,20 +15,31 @@
    are not sent, while the connection stays open), "lapse" (removes the
    registrations of replicas at once) and "compact" (discards the history).
    POST /standin/raw/KIND/NAME writes an object whose spec is the body, byte by
-   byte and unchecked.  GET /standin/counts returns the number of watch
-   requests, of ledger reads and of ledger writes.
-   POST /standin/copy keeps a copy of the objects, the history and the revision
-   counter.  POST /standin/restore returns to it, so that revisions are issued
-   again for other contents and a watch from a later one gets 410.  POST
-   /standin/era with a number as its body makes all responses carry the header
-   Store-Era with that number, which each later restore increases by one.  */
+   byte and unchecked.  POST /standin/entries writes an object with any name:
+   its body has "kind", "name", the bytes of the name in hexadecimal digits,
+   "text", what responses have in place of the name's JSON text, in hexadecimal
+   digits as well, and "spec".  DELETE /daisystep/objects/KIND/raw:DIGITS
+   removes it.
+   Lists are in the bytewise order of the names.  POST /standin/page_items with
+   a number as its body sets the objects of each page; 0 for all.
+   GET /standin/counts returns the number of lists, of watch requests, of
+   ledger reads and of ledger writes. POST /standin/copy keeps a copy of the
+   objects, the history and the revision counter.  POST /standin/restore
+   returns to it, so that revisions are issued again for other contents and a
+   watch from a later one gets 410.  POST /standin/era with a number as its
+   body makes all responses carry the header Store-Era with that number, which
+   each later restore increases by one.  */
 
 #define OBJECTS_PREFIX "/daisystep/objects/"
 #define RAW_PREFIX "/standin/raw/"
 /* Begins the string that stands for an unchecked spec, followed by its bytes
    in hexadecimal digits.  */
 #define RAW_MARK "standin-raw:"
+/* Begins the last part of the key of an object that was written with the bytes
+   of its name, followed by them in hexadecimal digits.  */
+#define RAW_NAME_MARK "raw:"
 #define WATCH_POLL_MS 10
+#define KEY_BYTES 4096
 /* Time for which a call gets no response.  */
 #define SILENCE_MS 60000
 
@@ -46,6 +57,8 @@
   json_int_t lose_answers;
   char lose_kind[64];
   json_int_t lose_watches;
+  uint64_t page_items; /* 0 for all */
+  json_int_t lists;
   json_int_t watches;
   json_int_t ledger_reads;
   json_int_t ledger_writes;
@@ -76,6 +89,8 @@
       json_pack ("{s:b,s:O}", "tombstone", tombstone, "object", object));
 }
 
+/* Writes the object KEY.  NAME is that of its metadata, or stands for bytes.
+ */
 static json_t *
 put_object (struct store *store, const char *key, const char *name,
             json_t *spec)
@@ -108,10 +123,10 @@
   return digit <= '9' ? (unsigned)(digit - '0') : (unsigned)(digit - 'a') + 10;
 }
 
-/* Replaces the strings that stand for unchecked specs in TEXT by their bytes;
-   the result is shorter.  Returns its length.  */
+/* Replaces the strings that stand for unchecked bytes in TEXT by them; the
+   result is shorter.  Returns its length.  */
 static size_t
-insert_raw_specs (char *text)
+insert_raw_bytes (char *text)
 {
   const char *mark;
   const char *from = text;
@@ -141,7 +156,7 @@
   json_decref (body);
   result = standin_respond_text (
       request, MHD_HTTP_OK, NULL,
-      (struct ds_str){ .data = text, .length = insert_raw_specs (text) });
+      (struct ds_str){ .data = text, .length = insert_raw_bytes (text) });
   free (text);
   return result;
 }
@@ -167,27 +182,91 @@
   return result;
 }
 
+/* An object and the bytes of its name, which is its place in lists.  */
+struct named_object
+{
+  struct ds_str name;
+  json_t *object;
+};
+
+/* The bytes of the name at the end of KEY.  */
+static struct ds_str
+name_of_key (TALLOC_CTX *owner, const char *key)
+{
+  const char *name = strchr (key, '/') + 1;
+  char *bytes;
+  size_t length;
+
+  if (strncmp (name, RAW_NAME_MARK, strlen (RAW_NAME_MARK)) != 0)
+    return ds_str_from_c (name);
+  name += strlen (RAW_NAME_MARK);
+  length = strlen (name) / 2;
+  bytes = talloc_size (owner, length + 1);
+  for (size_t i = 0; i < length; i++)
+    bytes[i]
+        = (char)(hex_value (name[2 * i]) << 4 | hex_value (name[2 * i + 1]));
+  return (struct ds_str){ .data = bytes, .length = length };
+}
+
+static int
+compare_names (const void *a, const void *b)
+{
+  const struct named_object *left = a;
+  const struct named_object *right = b;
+
+  return ds_str_compare (left->name, right->name);
+}
+
+/* Adds the objects of KIND whose names come after AFTER to ITEMS, as many as a
+   page has.  Returns whether there are more.  The lock is held.  */
+static bool
+fill_page (const struct store *store, struct standin_request *request,
+           const char *kind, struct ds_str after, json_t *items)
+{
+  struct named_object *objects
+      = talloc_array (request, struct named_object,
+                      (unsigned)json_object_size (store->objects) + 1);
+  size_t count = 0;
+  const char *key;
+  json_t *object;
+
+  json_object_foreach (store->objects, key, object)
+  {
+    struct ds_str name = name_of_key (request, key);
+
+    if (is_of_kind (object, kind)
+        && (after.data == NULL || ds_str_compare (name, after) > 0))
+      objects[count++]
+          = (struct named_object){ .name = name, .object = object };
+  }
+  qsort (objects, count, sizeof objects[0], compare_names);
+  for (size_t i = 0; i < count; i++)
+    {
+      if (store->page_items > 0 && i == store->page_items)
+        return true;
+      json_array_append (items, objects[i].object);
+    }
+  return false;
+}
+
 static enum MHD_Result
 list_objects (struct store *store, struct standin_request *request,
               const char *kind)
 {
   json_t *items = json_array ();
-  const char *key;
-  json_t *object;
   json_int_t revision;
+  bool has_more;
 
   pthread_mutex_lock (&store->lock);
-  json_object_foreach (store->objects, key, object)
-  {
-    if (is_of_kind (object, kind))
-      json_array_append (items, object);
-  }
+  store->lists++;
+  has_more = fill_page (store, request, kind,
+                        standin_request_query_bytes (request, "after"), items);
   revision = store->revision;
   add_era (store, request);
   pthread_mutex_unlock (&store->lock);
-  return respond_objects (request,
-                          json_pack ("{s:o,s:b,s:I}", "items", items,
-                                     "has_more", 0, "current_rev", revision));
+  return respond_objects (request, json_pack ("{s:o,s:b,s:I}", "items", items,
+                                              "has_more", has_more,
+                                              "current_rev", revision));
 }
 
 /* The events of KIND after the revision SINCE, or null if that part of the
@@ -288,7 +367,7 @@
             ? path_name
             : json_string_value (json_object_get (metadata, "name"));
   json_t *base_revision = json_object_get (metadata, "revision");
-  char key[256];
+  char key[KEY_BYTES];
   json_t *current;
   json_t *response;
   unsigned status = MHD_HTTP_OK;
@@ -337,7 +416,7 @@
 read_object (struct store *store, struct standin_request *request,
              const char *kind, const char *name)
 {
-  char key[256];
+  char key[KEY_BYTES];
   json_t *object;
 
   (void)snprintf (key, sizeof key, "%s/%s", kind, name);
@@ -370,7 +449,7 @@
 delete_object (struct store *store, struct standin_request *request,
                const char *kind, const char *name)
 {
-  char key[256];
+  char key[KEY_BYTES];
 
   (void)snprintf (key, sizeof key, "%s/%s", kind, name);
   pthread_mutex_lock (&store->lock);
@@ -434,9 +513,9 @@
   json_t *counts;
 
   pthread_mutex_lock (&store->lock);
-  counts
-      = json_pack ("{s:I,s:I,s:I}", "watches", store->watches, "ledger_reads",
-                   store->ledger_reads, "ledger_writes", store->ledger_writes);
+  counts = json_pack ("{s:I,s:I,s:I,s:I}", "lists", store->lists, "watches",
+                      store->watches, "ledger_reads", store->ledger_reads,
+                      "ledger_writes", store->ledger_writes);
   pthread_mutex_unlock (&store->lock);
   return standin_respond_json (request, MHD_HTTP_OK, NULL, counts);
 }
@@ -468,6 +547,42 @@
   return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
 }
 
+/* Writes an object by the bytes of its name.  */
+static enum MHD_Result
+write_entry (struct store *store, struct standin_request *request)
+{
+  json_t *body = json_loadb (request->body, request->body_length, 0, NULL);
+  const char *kind = json_string_value (json_object_get (body, "kind"));
+  const char *digits = json_string_value (json_object_get (body, "name"));
+  const char *text = json_string_value (json_object_get (body, "text"));
+  json_t *spec = json_object_get (body, "spec");
+  char *key;
+  char *name;
+
+  if (kind == NULL || digits == NULL || text == NULL || spec == NULL)
+    {
+      json_decref (body);
+      return standin_respond_error (request, MHD_HTTP_BAD_REQUEST,
+                                    "kind, name, text or spec is missing");
+    }
+  key = talloc_asprintf (request, "%s/" RAW_NAME_MARK "%s", kind, digits);
+  name = talloc_asprintf (request, RAW_MARK "%s", text);
+  pthread_mutex_lock (&store->lock);
+  json_decref (put_object (store, key, name, spec));
+  pthread_mutex_unlock (&store->lock);
+  json_decref (body);
+  return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
+static enum MHD_Result
+set_page_items (struct store *store, struct standin_request *request)
+{
+  pthread_mutex_lock (&store->lock);
+  store->page_items = strtoul (request->body, NULL, 10);
+  pthread_mutex_unlock (&store->lock);
+  return standin_respond_json (request, MHD_HTTP_OK, NULL, json_object ());
+}
+
 static enum MHD_Result
 set_era (struct store *store, struct standin_request *request)
 {
@@ -525,6 +640,10 @@
     return set_faults (store, request);
   if (standin_request_matches (request, "GET", "/standin/counts"))
     return get_counts (store, request);
+  if (standin_request_matches (request, "POST", "/standin/entries"))
+    return write_entry (store, request);
+  if (standin_request_matches (request, "POST", "/standin/page_items"))
+    return set_page_items (store, request);
   if (standin_request_matches (request, "POST", "/standin/era"))
     return set_era (store, request);
   if (standin_request_matches (request, "POST", "/standin/copy"))
--- /dev/null
+++ b/tests/test_entry_lists.c
@@ -0,0 +1,394 @@
+#include "support/entry_site.h"
+
+#include <check.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define PREPAID 1000000
+#define REQUESTS 6
+/* Lists of one start, at most: configuration, replicas and hosts, with a page
+   for each of up to four objects and a repetition of each page.  */
+#define LISTS_MAX 24
+/* Time limit of a host's end after SIGTERM; its grace period is 8 s.  */
+#define STOP_MS 20000
+/* Number of an address that nothing listens on.  */
+#define UNUSED_ADDRESS 7
+
+/* A name that another writer may give to an entry.  */
+struct odd_name
+{
+  struct ds_str bytes;
+};
+
+#define NAME(literal)                                                         \
+  {                                                                           \
+    .bytes = {.data = (literal), .length = sizeof (literal) - 1 }             \
+  }
+
+static const struct odd_name odd_names[] = {
+  NAME ("&"),
+  NAME ("+"),
+  NAME ("#"),
+  NAME ("%"),
+  NAME (" "),
+  NAME ("a&b+c#d%e f"),
+  NAME ("%2"),
+  NAME ("%41%00"),
+  NAME ("=&after=z"),
+  NAME ("/../x?watch=1"),
+  NAME (";,:@!$'()*[]{}<>|^`~-._"),
+  NAME ("\"\\"),
+  NAME ("\t\n"),
+  NAME ("\r\nTenant: south\r\nX: "),
+  NAME ("\x01\x1f\x7f"),
+  NAME ("a\0b"),
+  NAME ("\xc3\xa4\xe2\x82\xac"),
+};
+#define ODD_NAMES (int)(sizeof odd_names / sizeof odd_names[0])
+
+/* Where an entry is in the lists of replicas, which are i-0 and i-1 besides.
+ */
+struct place
+{
+  const char *page_items;
+  const char *prefix; /* of the entry's name */
+};
+
+static const struct place places[] = {
+  { "2", "a" },   /* a, i-0; i-1 */
+  { "2", "i-0" }, /* i-0, i-0...; i-1 */
+  { "2", "z" },   /* i-0, i-1; z */
+  { "1", "a" },   /* each alone */
+  { "1", "i-0" }, { "1", "z" },
+};
+#define PLACES (sizeof places / sizeof places[0])
+
+enum body
+{
+  BODY_EMPTY,
+  BODY_FULL,
+  BODY_LIVE_ADDRESS, /* that of replica 0 */
+  BODIES
+};
+
+static void
+set_up (void)
+{
+  entry_start_standins (PREPAID);
+}
+
+static void
+tear_down (void)
+{
+  test_processes_clean_up ();
+}
+
+static void
+set_page_items (const char *count)
+{
+  ck_assert_int_eq (
+      test_post (entry_store->address, "/standin/page_items", count), 200);
+}
+
+static char *
+to_hex (struct ds_str bytes)
+{
+  char *out = talloc_zero_array (NULL, char, 2 * (unsigned)bytes.length + 1);
+
+  for (size_t i = 0; i < bytes.length; i++)
+    (void)sprintf (out + 2 * i, "%02x", (unsigned char)bytes.data[i]);
+  return out;
+}
+
+/* The JSON text of a string, with bytes that are no UTF-8 as they are.  */
+static char *
+to_json_text (struct ds_str bytes)
+{
+  char *out = talloc_strdup (NULL, "\"");
+
+  for (size_t i = 0; i < bytes.length; i++)
+    {
+      unsigned char c = (unsigned char)bytes.data[i];
+
+      if (c < ' ' || c == '"' || c == '\\')
+        out = talloc_asprintf_append (out, "\\u%04x", c);
+      else
+        out = talloc_asprintf_append (out, "%c", c);
+    }
+  return talloc_asprintf_append (out, "\"");
+}
+
+static struct ds_str
+bytes_at (const struct odd_name *name, const char *prefix)
+{
+  char *bytes = talloc_strdup (NULL, prefix);
+  size_t length = strlen (prefix);
+
+  bytes = talloc_realloc (NULL, bytes, char,
+                          (unsigned)(length + name->bytes.length) + 1);
+  memcpy (bytes + length, name->bytes.data, name->bytes.length);
+  bytes[length + name->bytes.length] = '\0';
+  return (struct ds_str){ .data = bytes,
+                          .length = length + name->bytes.length };
+}
+
+static json_t *
+make_spec (enum body body)
+{
+  char address[ENTRY_ADDRESS_BYTES];
+
+  if (body == BODY_EMPTY)
+    return json_object ();
+  entry_format_address (address, UNUSED_ADDRESS, 7000);
+  return json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i}", "service", "pool", "zone",
+                    "z", "state", "ready", "address",
+                    body == BODY_FULL ? address : entry_replicas[0]->address,
+                    "slots", 8, "born", 999);
+}
+
+/* Writes an entry of KIND with NAME after PREFIX.  SPEC is released.  */
+static void
+put_entry (const char *kind, const struct odd_name *name, const char *prefix,
+           json_t *spec)
+{
+  struct ds_str bytes = bytes_at (name, prefix);
+  char *text = to_json_text (bytes);
+  char *text_digits = to_hex (ds_str_from_c (text));
+  char *digits = to_hex (bytes);
+  json_t *entry = json_pack ("{s:s,s:s,s:s,s:o}", "kind", kind, "name", digits,
+                             "text", text_digits, "spec", spec);
+  char *body = json_dumps (entry, JSON_COMPACT);
+
+  ck_assert_int_eq (test_post (entry_store->address, "/standin/entries", body),
+                    200);
+  free (body);
+  json_decref (entry);
+  talloc_free (digits);
+  talloc_free (text_digits);
+  talloc_free (text);
+  talloc_free ((char *)bytes.data);
+}
+
+static void
+remove_entry (const char *kind, const struct odd_name *name,
+              const char *prefix)
+{
+  struct ds_str bytes = bytes_at (name, prefix);
+  char *digits = to_hex (bytes);
+  char *path = talloc_asprintf (NULL, ENTRY_OBJECTS "%s/raw:%s", kind, digits);
+  struct test_http_call removal
+      = { .method = "DELETE", .address = entry_store->address, .path = path };
+
+  ck_assert_int_eq (test_http (&removal)->status, 200);
+  talloc_free (path);
+  talloc_free (digits);
+  talloc_free ((char *)bytes.data);
+}
+
+static long
+count_lists (void)
+{
+  json_t *counts = test_get_json (entry_store->address, "/standin/counts");
+  long count = (long)json_integer_value (json_object_get (counts, "lists"));
+
+  json_decref (counts);
+  return count;
+}
+
+/* Fails with the end of the log of HOST if its process has ended.  */
+static void
+expect_running (int host)
+{
+  struct test_process *process = entry_hosts[host];
+  char last[512] = "";
+  char line[512];
+  FILE *file;
+
+  if (!test_process_wait (process, 0))
+    return;
+  file = fopen (process->log_path, "r");
+  while (file != NULL && fgets (line, sizeof line, file) != NULL)
+    memcpy (last, line, sizeof last);
+  ck_abort_msg ("host %d has ended by itself, %s %d: %s", host,
+                WIFSIGNALED (process->status) ? "signal" : "status",
+                WIFSIGNALED (process->status) ? WTERMSIG (process->status)
+                                              : WEXITSTATUS (process->status),
+                last);
+}
+
+static void
+wait_ready (int host)
+{
+  struct test_http_call call = { .address = entry_readiness_addresses[host],
+                                 .path = "/daisystep/readiness" };
+
+  for (int waited = 0; waited < ENTRY_WAIT_MS; waited += ENTRY_POLL_MS)
+    {
+      expect_running (host);
+      if (test_http (&call)->status == 200)
+        return;
+      test_sleep_ms (ENTRY_POLL_MS);
+    }
+  ck_abort_msg ("host %d is not ready", host);
+}
+
+static long
+send_request (int host, const char *method, const char *path)
+{
+  static int number;
+  char id[32];
+
+  (void)snprintf (id, sizeof id, "id-%d", number++);
+  return entry_request (host, method, path, id, NULL)->status;
+}
+
+/* Each of the replicas serves HOST also when the other one has no room.  */
+static void
+expect_service (int host)
+{
+  for (int i = 0; i < REQUESTS; i++)
+    ck_assert_int_eq (send_request (host, "POST", "/book/1"), 200);
+  for (int full = 0; full < ENTRY_REPLICAS; full++)
+    {
+      entry_set_faults (entry_replicas[full], "{\"shed\":100}");
+      ck_assert_int_eq (send_request (host, "GET", "/look/1"), 200);
+      entry_set_faults (entry_replicas[full], "{\"shed\":0}");
+    }
+  expect_running (host);
+}
+
+/* Every run is of the workspace that holds the key.  */
+static void
+expect_no_foreign_run (void)
+{
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    {
+      json_t *runs
+          = test_get_json (entry_replicas[i]->address, "/standin/runs");
+      size_t k;
+      json_t *run;
+
+      json_array_foreach (runs, k, run) ck_assert_str_eq (
+          json_string_value (json_object_get (run, "tenant")), "north");
+      json_decref (runs);
+    }
+}
+
+/* Stops HOST, which ends with status 0 and has written nothing but its log.
+ */
+static void
+stop_cleanly (int host)
+{
+  struct test_process *process = entry_hosts[host];
+  char line[4096];
+  FILE *file;
+
+  expect_running (host);
+  (void)test_process_signal (process, SIGTERM);
+  ck_assert (test_process_wait (process, STOP_MS));
+  ck_assert (WIFEXITED (process->status));
+  ck_assert_int_eq (WEXITSTATUS (process->status), 0);
+  file = fopen (process->log_path, "r");
+  ck_assert_ptr_nonnull (file);
+  while (fgets (line, sizeof line, file) != NULL)
+    ck_assert_msg (line[0] == '{', "not a line of the log: %s", line);
+  (void)fclose (file);
+}
+
+/* Guards against a process that ends, or serves nothing, while an entry of
+   another writer is in a list of several pages.  */
+START_TEST (a_start_beside_an_odd_entry_serves)
+{
+  const struct odd_name *name = &odd_names[_i / (int)PLACES];
+  const struct place *place = &places[_i % (int)PLACES];
+
+  set_page_items (place->page_items);
+  for (enum body body = BODY_EMPTY; body < BODIES; body++)
+    {
+      long lists = count_lists ();
+
+      put_entry ("servers", name, place->prefix, make_spec (body));
+      entry_start_host (0, "z");
+      wait_ready (0);
+      expect_service (0);
+      ck_assert_int_le (count_lists () - lists, LISTS_MAX);
+      remove_entry ("servers", name, place->prefix);
+      test_process_kill (entry_hosts[0]);
+    }
+  expect_no_foreign_run ();
+}
+END_TEST
+
+/* Guards against the same while the host runs: the entry arrives by a watch,
+   then the list is repeated.  */
+START_TEST (an_odd_entry_stops_no_running_host)
+{
+  const struct odd_name *name = &odd_names[_i];
+
+  set_page_items ("1");
+  entry_start_host (0, "z");
+  wait_ready (0);
+  for (enum body body = BODY_EMPTY; body < BODIES; body++)
+    {
+      put_entry ("servers", name, "i-0", make_spec (body));
+      expect_service (0);
+      entry_set_faults (entry_store, "{\"compact\":true}");
+      entry_put_replica (1, "draining");
+      entry_restart_replica (1);
+      expect_service (0);
+    }
+  remove_entry ("servers", name, "i-0");
+  expect_service (0);
+  expect_no_foreign_run ();
+  stop_cleanly (0);
+}
+END_TEST
+
+/* Guards against replicas that are missed on later pages.  */
+START_TEST (all_hosts_start_again_beside_an_odd_entry)
+{
+  set_page_items ("1");
+  put_entry ("servers", &odd_names[5], "i-0", make_spec (BODY_LIVE_ADDRESS));
+  for (int start = 0; start < 2; start++)
+    {
+      for (int host = 0; host < 4; host++)
+        entry_start_host (host, "z");
+      for (int host = 0; host < 4; host++)
+        {
+          wait_ready (host);
+          expect_service (host);
+        }
+      for (int host = 0; host < 4 && start == 0; host++)
+        test_process_kill (entry_hosts[host]);
+    }
+  for (int host = 0; host < 4; host++)
+    stop_cleanly (host);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("entry_lists");
+  TCase *test_case = tcase_create ("entry_lists");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (test_case, set_up, tear_down);
+  tcase_set_timeout (test_case, 90);
+  tcase_add_loop_test (test_case, a_start_beside_an_odd_entry_serves, 0,
+                       ODD_NAMES * (int)PLACES);
+  tcase_add_loop_test (test_case, an_odd_entry_stops_no_running_host, 0,
+                       ODD_NAMES);
+  tcase_add_test (test_case, all_hosts_start_again_beside_an_odd_entry);
+  suite_add_tcase (suite, test_case);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/test_unreadable_entries.c
+++ b/tests/test_unreadable_entries.c
@@ -207,7 +207,8 @@
       (void)snprintf (path, sizeof path, "servers/a-%zu", i);
       put_raw (path, spec);
     }
-  /* The store's stand-in lists them in the order of their creation.  */
+  /* Their names come before those of the replicas, in lists and in the order
+     of creation.  */
   for (int i = 0; i < ENTRY_REPLICAS; i++)
     {
       struct test_http_call removal = { .method = "DELETE",
