--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -171,8 +171,10 @@
   return true;
 }
 
-static bool
-is_field_value (struct ds_str text)
+/* Whether TEXT is the value of a header line: it holds no control character
+   but tabs.  */
+bool
+ds_http_is_field_value (struct ds_str text)
 {
   for (size_t i = 0; i < text.length; i++)
     {
@@ -260,7 +262,7 @@
       while (line->value.length > 0
              && strchr (" \t", line->value.data[line->value.length - 1]))
         line->value.length--;
-      if (!is_token (line->name) || !is_field_value (line->value))
+      if (!is_token (line->name) || !ds_http_is_field_value (line->value))
         return set_error (reader, DS_HTTP_PARSE_ERROR_MALFORMED);
     }
   if (reader->parser.type == HTTP_REQUEST)
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -79,6 +79,7 @@
 bool
 ds_http_header_line_is_hop_by_hop (const struct ds_http_head *head,
                                    const struct ds_http_header_line *line);
+bool ds_http_is_field_value (struct ds_str text);
 const char *ds_http_reason_phrase (unsigned status);
 
 #endif
--- a/tests/test_routing_config.c
+++ b/tests/test_routing_config.c
@@ -200,6 +200,40 @@
 }
 END_TEST
 
+/* Guards against an entry of another writer that is taken for a replica, which
+   no request can name.  */
+START_TEST (names_that_no_header_holds_are_refused)
+{
+  static const struct
+  {
+    struct ds_str id;
+    bool valid;
+  } cases[] = {
+    { DS_STR ("a&b+c#d%e f"), true },
+    { DS_STR ("\xc3\xa4"), true },
+    { DS_STR (""), false },
+    { DS_STR (" i-1"), false },
+    { DS_STR ("i-1 "), false },
+    { DS_STR ("i-1\t"), false },
+    { DS_STR ("i-1\r\nTenant: south"), false },
+    { DS_STR ("i-1\n"), false },
+    { DS_STR ("i\0001"), false },
+    { DS_STR ("i-1\x7f"), false },
+    { DS_STR ("i-1\xff"), false },
+  };
+  struct ds_replica_record record;
+  struct ds_error error;
+  json_t *spec = json_loads ("{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
+                             "\"zone\":\"z\",\"state\":\"ready\"}",
+                             0, NULL);
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    ck_assert_int_eq (ds_replica_decode (&record, cases[i].id, spec, &error),
+                      cases[i].valid ? 0 : DS_EPROTOCOL);
+  json_decref (spec);
+}
+END_TEST
+
 /* Guards against a cold phase that is overlooked, or that a value which is
    none brings about.  */
 START_TEST (cold_phases_are_read)
@@ -346,6 +380,7 @@
   tcase_add_test (test_case,
                   a_configuration_without_version_or_routes_is_refused);
   tcase_add_test (test_case, foreign_replica_entries_are_refused);
+  tcase_add_test (test_case, names_that_no_header_holds_are_refused);
   tcase_add_test (test_case, entries_with_values_out_of_range_are_refused);
   tcase_add_test (test_case, cold_phases_are_read);
   tcase_add_loop_test (test_case, registrations_state_the_remaining_cold_time,
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -95,6 +95,30 @@
 }
 END_TEST
 
+/* Guards against a name in the store that adds headers to a request.  */
+START_TEST (names_of_the_store_stay_within_their_header_lines)
+{
+  struct ds_caller_request request;
+  struct ds_byte_buffer out = { .data = NULL };
+  struct ds_attempt_head attempt = { .request = &request, .head = &head };
+
+  ck_assert_int_eq (ds_wire_read_request (&request, &head), 0);
+  for (int i = 0; i < 2; i++)
+    {
+      struct ds_str *name = i == 0 ? &attempt.replica_id : &attempt.workspace;
+
+      attempt.replica_id = DS_STR ("i-1");
+      attempt.workspace = DS_STR ("north");
+      *name = DS_STR ("i-1\r\nTenant: south");
+      ck_assert_int_eq (ds_wire_write_attempt (owner, &out, &attempt),
+                        DS_EINVAL);
+      *name = DS_STR ("a\0b");
+      ck_assert_int_eq (ds_wire_write_attempt (owner, &out, &attempt),
+                        DS_EINVAL);
+    }
+}
+END_TEST
+
 /* Guards against forwarding a message that two parsers would read
    differently.  */
 START_TEST (a_duplicate_header_is_refused)
@@ -516,6 +540,8 @@
   tcase_add_checked_fixture (test_case, set_up, tear_down);
   tcase_add_test (test_case, a_request_header_is_parsed);
   tcase_add_test (test_case, restricted_headers_are_not_forwarded);
+  tcase_add_test (test_case,
+                  names_of_the_store_stay_within_their_header_lines);
   tcase_add_test (test_case, a_duplicate_header_is_refused);
   tcase_add_test (test_case, a_response_header_is_parsed);
   tcase_add_test (test_case, a_notice_of_leaving_is_parsed);
