Take no entry with a very long name for a replica

What callers saw: while an entry of another writer with a name of 1,500 bytes and a full body stood in the list, requests placed there were refused with 503 "no connection to a replica" without another attempt, until the entry went.

Cause: the line Expect-Instance was written to a buffer of 512 bytes; a longer name failed the request as if memory were short.

Change: an entry whose name is longer than 256 bytes names no replica, since each request would carry it and replicas limit their headers. The line itself is written piece by piece, so that a long name of a workspace is sent as well.

--- a/tests/test_entry_lists.c
+++ b/tests/test_entry_lists.c
@@ -10,6 +10,7 @@
 
 #define PREPAID 1000000
 #define REQUESTS 6
+#define LONG_NAME_BYTES 1500
 /* Lists of one start, at most: configuration, replicas and hosts, with a page
    for each of up to four objects and a repetition of each page.  */
 #define LISTS_MAX 24
@@ -29,6 +30,8 @@
     .bytes = {.data = (literal), .length = sizeof (literal) - 1 }             \
   }
 
+static char long_name[LONG_NAME_BYTES];
+
 static const struct odd_name odd_names[] = {
   NAME ("&"),
   NAME ("+"),
@@ -47,6 +50,7 @@
   NAME ("\x01\x1f\x7f"),
   NAME ("a\0b"),
   NAME ("\xc3\xa4\xe2\x82\xac"),
+  { .bytes = { .data = long_name, .length = LONG_NAME_BYTES } },
 };
 #define ODD_NAMES (int)(sizeof odd_names / sizeof odd_names[0])
 
@@ -78,6 +82,7 @@
 static void
 set_up (void)
 {
+  memset (long_name, 'n', sizeof long_name);
   entry_start_standins (PREPAID);
 }
 
--- a/tests/test_routing_config.c
+++ b/tests/test_routing_config.c
@@ -223,6 +223,7 @@
   };
   struct ds_replica_record record;
   struct ds_error error;
+  char long_id[2000];
   json_t *spec = json_loads ("{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
                              "\"zone\":\"z\",\"state\":\"ready\"}",
                              0, NULL);
@@ -230,6 +231,13 @@
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     ck_assert_int_eq (ds_replica_decode (&record, cases[i].id, spec, &error),
                       cases[i].valid ? 0 : DS_EPROTOCOL);
+  memset (long_id, 'n', sizeof long_id);
+  ck_assert_int_eq (
+      ds_replica_decode (
+          &record,
+          (struct ds_str){ .data = long_id, .length = sizeof long_id }, spec,
+          &error),
+      DS_EPROTOCOL);
   json_decref (spec);
 }
 END_TEST
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -95,13 +95,16 @@
 }
 END_TEST
 
-/* Guards against a name in the store that adds headers to a request.  */
+/* Guards against a name in the store that adds headers to a request, or that
+   is too long for it.  */
 START_TEST (names_of_the_store_stay_within_their_header_lines)
 {
   struct ds_caller_request request;
   struct ds_byte_buffer out = { .data = NULL };
   struct ds_attempt_head attempt = { .request = &request, .head = &head };
+  char long_name[2000];
 
+  memset (long_name, 'n', sizeof long_name);
   ck_assert_int_eq (ds_wire_read_request (&request, &head), 0);
   for (int i = 0; i < 2; i++)
     {
@@ -115,6 +118,8 @@
       *name = DS_STR ("a\0b");
       ck_assert_int_eq (ds_wire_write_attempt (owner, &out, &attempt),
                         DS_EINVAL);
+      *name = (struct ds_str){ .data = long_name, .length = sizeof long_name };
+      ck_assert_int_eq (ds_wire_write_attempt (owner, &out, &attempt), 0);
     }
 }
 END_TEST
