Read names of the store's objects whatever bytes they hold

What callers saw: while an entry of another writer whose name is no UTF-8, or has an unpaired surrogate, was alone on a page of the list of replicas, the replicas on later pages were missing, and requests were refused. The removal of such an entry was not seen either.

Cause: the JSON decoder refuses such strings, so the entry counted as nameless. A list continues after the last name of a page; without one, it ended there as if it were complete.

Change: ds_json_string_decode decodes a JSON string to its bytes: zero bytes, unpaired surrogates and bytes that are no UTF-8 included.

--- a/src/base/json_items.c
+++ b/src/base/json_items.c
@@ -1,6 +1,14 @@
 #include "base/json_items.h"
 #include "daisystep/error.h"
 
+#include <glib.h>
+#include <string.h>
+
+/* Digits of an escaped code unit.  */
+#define ESCAPE_DIGITS 4
+/* Largest number of bytes of a code point.  */
+#define UTF8_BYTES_MAX 4
+
 static bool
 is_space (char c)
 {
@@ -150,3 +158,123 @@
       found = value;
   return status == 0 ? found : DS_STR_EMPTY;
 }
+
+/* Reads the code unit of the escape "\\uXXXX" at AT; -1 if it is malformed. */
+static long
+read_code_unit (const char *at, const char *end)
+{
+  long unit = 0;
+
+  if (end - at < ESCAPE_DIGITS + 2 || at[0] != '\\' || at[1] != 'u')
+    return -1;
+  for (int i = 0; i < ESCAPE_DIGITS; i++)
+    {
+      int digit = g_ascii_xdigit_value (at[2 + i]);
+
+      if (digit < 0)
+        return -1;
+      unit = 16 * unit + digit;
+    }
+  return unit;
+}
+
+/* Writes CODE to OUT in the encoding of UTF-8, a surrogate like any other code
+   point.  Returns the number of bytes.  */
+static size_t
+write_code_point (char *out, unsigned long code)
+{
+  if (code < 0x80)
+    {
+      out[0] = (char)code;
+      return 1;
+    }
+  if (code < 0x800)
+    {
+      out[0] = (char)(0xc0 | code >> 6);
+      out[1] = (char)(0x80 | (code & 0x3f));
+      return 2;
+    }
+  if (code < 0x10000)
+    {
+      out[0] = (char)(0xe0 | code >> 12);
+      out[1] = (char)(0x80 | (code >> 6 & 0x3f));
+      out[2] = (char)(0x80 | (code & 0x3f));
+      return 3;
+    }
+  out[0] = (char)(0xf0 | code >> 18);
+  out[1] = (char)(0x80 | (code >> 12 & 0x3f));
+  out[2] = (char)(0x80 | (code >> 6 & 0x3f));
+  out[3] = (char)(0x80 | (code & 0x3f));
+  return 4;
+}
+
+/* Decodes the escape at *AT to OUT and moves *AT behind it.  Returns the
+   number of bytes, 0 if the escape is malformed.  */
+static size_t
+decode_escape (char *out, const char **at, const char *end)
+{
+  static const char letters[] = "\"\\/bfnrt";
+  static const char values[] = "\"\\/\b\f\n\r\t";
+  const char *letter;
+  long unit = read_code_unit (*at, end);
+  long low;
+
+  if (unit < 0)
+    {
+      letter = end - *at >= 2 && (*at)[1] != '\0' ? strchr (letters, (*at)[1])
+                                                  : NULL;
+      if (letter == NULL)
+        return 0;
+      out[0] = values[letter - letters];
+      *at += 2;
+      return 1;
+    }
+  *at += ESCAPE_DIGITS + 2;
+  low = unit >= 0xd800 && unit < 0xdc00 ? read_code_unit (*at, end) : -1;
+  if (low < 0xdc00 || low >= 0xe000)
+    return write_code_point (out, (unsigned long)unit);
+  *at += ESCAPE_DIGITS + 2;
+  return write_code_point (out, 0x10000
+                                    + ((unsigned long)(unit - 0xd800) << 10)
+                                    + (unsigned long)(low - 0xdc00));
+}
+
+/* Decodes TEXT, the JSON text of a string, to its bytes, which belong to OWNER
+   and are followed by a zero byte.  Unlike a JSON decoder it takes what other
+   writers may leave in a name: zero bytes, unpaired surrogates and bytes that
+   are no UTF-8.  Returns DS_EPROTOCOL if TEXT is no string, or DS_ENOMEM.  */
+int
+ds_json_string_decode (struct ds_str *out, TALLOC_CTX *owner,
+                       struct ds_str text)
+{
+  const char *end = text.data + text.length;
+  const char *at = text.data + 1;
+  size_t length = 0;
+  char *bytes;
+
+  if (text.length < 2 || text.data[0] != '"'
+      || string_end (text.data, end) != end)
+    return DS_EPROTOCOL;
+  /* An escape is at least as long as its bytes.  */
+  bytes = talloc_size (owner, text.length + UTF8_BYTES_MAX);
+  if (bytes == NULL)
+    return DS_ENOMEM;
+  for (end--; at < end;)
+    {
+      size_t count = 1;
+
+      if (*at == '\\')
+        count = decode_escape (bytes + length, &at, end);
+      else
+        bytes[length] = *at++;
+      if (count == 0)
+        {
+          talloc_free (bytes);
+          return DS_EPROTOCOL;
+        }
+      length += count;
+    }
+  bytes[length] = '\0';
+  *out = (struct ds_str){ .data = bytes, .length = length };
+  return 0;
+}
--- a/tests/test_json_items.c
+++ b/tests/test_json_items.c
@@ -110,6 +110,64 @@
 }
 END_TEST
 
+/* Guards against a name of another writer that cannot be read, so that no list
+   can continue after it.  */
+START_TEST (strings_of_any_bytes_are_decoded)
+{
+  static const struct
+  {
+    struct ds_str text;
+    struct ds_str bytes; /* without data if TEXT is no string */
+  } table[] = {
+    { DS_STR ("\"\""), DS_STR ("") },
+    { DS_STR ("\"a&+#% b\""), DS_STR ("a&+#% b") },
+    { DS_STR ("\"\\\"\\\\\\/\\b\\f\\n\\r\\t\""), DS_STR ("\"\\/\b\f\n\r\t") },
+    { DS_STR ("\"a\\u0000b\\u001F\""), DS_STR ("a\0b\x1f") },
+    { DS_STR ("\"\\u00e4\\u20AC\\ud83d\\ude00\""),
+      DS_STR ("\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80") },
+    { DS_STR ("\"\xc3\xa4\xff\xfe\""), DS_STR ("\xc3\xa4\xff\xfe") },
+    { DS_STR ("\"\\ud800\""), DS_STR ("\xed\xa0\x80") },
+    { DS_STR ("\"\\ud800\\n\""), DS_STR ("\xed\xa0\x80\n") },
+    { DS_STR ("\"\\ud800\\u0041\""), DS_STR ("\xed\xa0\x80"
+                                             "A") },
+    { DS_STR ("\"\\udc00\""), DS_STR ("\xed\xb0\x80") },
+    { DS_STR (""), { .data = NULL } },
+    { DS_STR ("7"), { .data = NULL } },
+    { DS_STR ("null"), { .data = NULL } },
+    { DS_STR ("\""), { .data = NULL } },
+    { DS_STR ("\"a"), { .data = NULL } },
+    { DS_STR ("\"a\" "), { .data = NULL } },
+    { DS_STR ("\"a\"b\""), { .data = NULL } },
+    { DS_STR ("\"\\\""), { .data = NULL } },
+    { DS_STR ("\"\\x41\""), { .data = NULL } },
+    { DS_STR ("\"\\\0\""), { .data = NULL } },
+    { DS_STR ("\"\\u004\""), { .data = NULL } },
+    { DS_STR ("\"\\u00g0\""), { .data = NULL } },
+  };
+
+  for (size_t i = 0; i < sizeof table / sizeof table[0]; i++)
+    {
+      struct ds_str bytes;
+      /* Its own block, so that a sanitizer sees what is read beyond it.  */
+      char *text = talloc_memdup (NULL, table[i].text.data,
+                                  (unsigned)table[i].text.length + 1);
+      int status = ds_json_string_decode (
+          &bytes, NULL,
+          (struct ds_str){ .data = text, .length = table[i].text.length });
+
+      ck_assert_int_eq (status,
+                        table[i].bytes.data != NULL ? 0 : DS_EPROTOCOL);
+      if (status == 0)
+        {
+          ck_assert (ds_str_equal (bytes, table[i].bytes));
+          ck_assert_int_eq (bytes.data[bytes.length], '\0');
+          talloc_free ((char *)bytes.data);
+        }
+      talloc_free (text);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -121,6 +179,7 @@
   tcase_add_test (test_case, items_are_split_without_decoding_them);
   tcase_add_test (test_case, deep_nesting_takes_no_stack);
   tcase_add_test (test_case, a_member_is_found_beside_unreadable_ones);
+  tcase_add_test (test_case, strings_of_any_bytes_are_decoded);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
