Read the list of hosts to its end

What callers saw: with more registered hosts than one page of the list holds, hosts that started did not know those on later pages. They sent them no state and left them out of the addresses for callers; two hosts that each missed the other never met. Entries of hosts are never removed, so the list grows.

Cause: the registration read the first page and ignored that there are more.

Change: it continues with ds_list_cursor, like the watches.

Evidence: hosts_on_later_pages_are_known, three hosts and entries of another writer with one object a page, failed for each of 25 names before the change (two of three addresses).

--- a/src/entry/registration.c
+++ b/src/entry/registration.c
@@ -1,4 +1,5 @@
 #include "entry/registration.h"
+#include "core/list_cursor.h"
 #include "daisystep/log.h"
 #include "entry/unreadable_entry.h"
 #include "io/clock.h"
@@ -38,7 +39,8 @@
   struct ds_fleet_self self;
   struct ds_store_pending_call *pending;
   enum step step;
-  bool settled; /* the entry says that all hosts know it */
+  struct ds_list_cursor list; /* of the other hosts */
+  bool settled;               /* the entry says that all hosts know it */
   bool retry_scheduled;
   bool check_scheduled;
   bool outdated; /* the call in progress was sent in an earlier era */
@@ -84,6 +86,8 @@
   return capacity > 0 && capacity <= CAPACITY_MAX ? (uint32_t)capacity : 0;
 }
 
+/* Adds the host of OBJECT.  Other writers may leave entries that name none.
+ */
 static void
 add_host (struct ds_registration *registration,
           const struct ds_store_object *object)
@@ -112,10 +116,12 @@
   ds_fleet_view_add (registration->fleet, &host);
 }
 
-/* Adds the hosts that are listed in BODY; false if it is not a list.  */
+/* Adds the hosts of a page of the list and moves to the next one; the last one
+   ends the registration.  Returns false if BODY is not a page.  */
 static bool
 add_hosts (struct ds_registration *registration, struct ds_str body)
 {
+  struct ds_str last_name = DS_STR_EMPTY;
   struct ds_error error = DS_ERROR_NONE;
   struct ds_store_page *page;
 
@@ -129,11 +135,39 @@
                                 "no readable name");
   for (size_t i = 0; i < page->count; i++)
     add_host (registration, &page->objects[i]);
+  if (page->count > 0)
+    last_name = page->objects[page->count - 1].name;
+  if (!ds_list_cursor_advance (&registration->list, registration, last_name,
+                               page->has_more))
+    registration->step = REGISTERED;
   talloc_free (page);
   ds_fleet_view_tick (registration->fleet, ds_clock_ms ());
   return true;
 }
 
+static void
+begin_list (struct ds_registration *registration)
+{
+  registration->step = REGISTER_LIST;
+  ds_list_cursor_begin (&registration->list);
+}
+
+/* Handles the result of REGISTER_LIST.  A store that does not take the name
+   after which the list continues has no more of it: the hosts there may still
+   make themselves known.  */
+static void
+on_listed (struct ds_registration *registration,
+           const struct ds_store_result *result)
+{
+  if (result->outcome == DS_STORE_OK && add_hosts (registration, result->body))
+    return;
+  if (result->status == DS_STORE_STATUS_BAD_REQUEST
+      && !ds_list_cursor_is_first (&registration->list))
+    registration->step = REGISTERED;
+  else
+    schedule_retry (registration);
+}
+
 /* Whether the entry in BODY, of an earlier incarnation, is settled in the
    present era of the store: in an earlier one, lists may lack it.  */
 static bool
@@ -214,13 +248,13 @@
           registration->step = REGISTER_REPLACE;
         }
       else if (result->outcome == DS_STORE_OK)
-        registration->step = REGISTER_LIST;
+        begin_list (registration);
       else
         schedule_retry (registration);
       break;
     case REGISTER_REPLACE:
       if (result->outcome == DS_STORE_OK)
-        registration->step = REGISTER_LIST;
+        begin_list (registration);
       else if (result->outcome == DS_STORE_NOT_FOUND)
         {
           registration->settled = false;
@@ -237,11 +271,7 @@
       on_checked (registration, result);
       break;
     default:
-      if (result->outcome == DS_STORE_OK
-          && add_hosts (registration, result->body))
-        registration->step = REGISTERED;
-      else
-        schedule_retry (registration);
+      on_listed (registration, result);
       break;
     }
   if (!registration->retry_scheduled)
@@ -269,7 +299,7 @@
       break;
     case REGISTER_LIST:
       store_call.verb = DS_STORE_LIST;
-      store_call.after = DS_STR_EMPTY;
+      store_call.after = registration->list.after;
       break;
     default:
       store_call.verb = registration->step == REGISTER_CREATE
@@ -323,6 +353,7 @@
   registration->fleet = fleet;
   registration->cold_starts = cold_starts;
   registration->self = *self;
+  ds_list_cursor_begin (&registration->list);
   run_step (registration);
   *out = registration;
   return 0;
