Tell other hosts only of evacuations that name a zone

What callers saw: with evacuations in use, an entry of another writer among them with a name of 20,000 bytes made its readers silent to each other: each left the others out of the addresses for callers. Sixteen entries with shorter odd names kept a real evacuation from the hosts without the store.

Cause: hosts report the names that they have read to each other, up to 16. Receivers ignore what no zone is called; the sender did not. A datagram of more than 16 KB is not sent at all.

Change: ds_evacuations_list_reports leaves out names that no zone can have.

Evidence: hosts_stay_in_touch_beside_odd_evacuations and names_that_no_zone_has_are_not_passed_on fail before the change (one address in place of two; 16 reports in place of one) and pass after it.

--- a/src/core/evacuation.c
+++ b/src/core/evacuation.c
@@ -1,5 +1,6 @@
 #include "core/evacuation.h"
 #include "daisystep/error.h"
+#include "daisystep/fields.h"
 
 #include <string.h>
 
@@ -270,7 +271,8 @@
 /* Writes up to DS_EVACUATION_REPORTS_MAX evacuations for other hosts to OUT
    and returns their number.  Reports of others are passed on with the age that
    they have here, so that hosts cannot keep one alive by telling each other of
-   it.  */
+   it.  Entries of other writers whose names no zone has are left out: they
+   would take the place of others, or make the datagram too long.  */
 size_t
 ds_evacuations_list_reports (const struct ds_evacuations *set,
                              struct ds_evacuation_report *out, uint64_t now_ms)
@@ -285,7 +287,8 @@
 
       if (zone->watched && set->responded_ms > confirmed_ms)
         confirmed_ms = set->responded_ms;
-      if ((!zone->watched && !reported) || now_ms - confirmed_ms >= REPORT_MS)
+      if ((!zone->watched && !reported) || now_ms - confirmed_ms >= REPORT_MS
+          || !ds_name_is_valid (zone->name))
         continue;
       out[used++] = (struct ds_evacuation_report){
         .zone = zone->name,
--- a/tests/test_entry_lists.c
+++ b/tests/test_entry_lists.c
@@ -11,6 +11,10 @@
 #define PREPAID 1000000
 #define REQUESTS 6
 #define LONG_NAME_BYTES 1500
+/* More than a datagram between hosts holds.  */
+#define EVACUATION_NAME_BYTES 20000
+/* Time in which a host that is silent is taken for lost.  */
+#define SILENCE_MS 3000
 /* Lists of one start, at most: configuration, replicas and hosts, with a page
    for each of up to four objects and a repetition of each page.  */
 #define LISTS_MAX 24
@@ -538,6 +542,39 @@
 }
 END_TEST
 
+/* Guards against an entry among the evacuations whose name makes the messages
+   to other hosts too long, so that they take this host for lost.  */
+START_TEST (hosts_stay_in_touch_beside_odd_evacuations)
+{
+  static char bytes[EVACUATION_NAME_BYTES];
+  struct odd_name name
+      = { .bytes = { .data = bytes, .length = sizeof bytes } };
+
+  memset (bytes, 'n', sizeof bytes);
+  entry_further_settings = "\"evacuation_ms\":5000,\"zones\":{\"z\":\"r\"},";
+  for (int host = 0; host < 2; host++)
+    {
+      entry_start_host (host, "z");
+      wait_ready (host);
+    }
+  for (int host = 0; host < 2; host++)
+    TEST_WAIT_UNTIL (count_addresses (host) == 2);
+  put_entry ("evacuations", &name, "a", json_object ());
+  for (int i = 0; i < ODD_NAMES; i++)
+    put_entry ("evacuations", &odd_names[i], "a", json_object ());
+  wait_for_line (0, "\"event\":\"evacuation\"", 1);
+  wait_for_line (1, "\"event\":\"evacuation\"", 1);
+  test_sleep_ms (SILENCE_MS);
+  for (int host = 0; host < 2; host++)
+    {
+      expect_service (host);
+      ck_assert_uint_eq (count_addresses (host), 2);
+    }
+  for (int host = 0; host < 2; host++)
+    stop_cleanly (host);
+}
+END_TEST
+
 static void
 add_case (Suite *suite, const char *name, const TTest *test, int count)
 {
@@ -565,6 +602,8 @@
   add_case (suite, "refused",
             a_name_that_the_store_does_not_take_ends_the_list, 1);
   add_case (suite, "hosts", hosts_on_later_pages_are_known, 4);
+  add_case (suite, "evacuations", hosts_stay_in_touch_beside_odd_evacuations,
+            1);
   add_case (suite, "fleet", all_hosts_start_again_beside_an_odd_entry, 1);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -3,6 +3,7 @@
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define ZONE DS_STR ("east")
 
@@ -259,6 +260,35 @@
 }
 END_TEST
 
+/* Guards against entries of another writer that keep an evacuation from other
+   hosts, or make the datagrams to them too long.  */
+START_TEST (names_that_no_zone_has_are_not_passed_on)
+{
+  static char long_name[20000];
+  struct ds_evacuations *set;
+  struct ds_evacuation_report reports[DS_EVACUATION_REPORTS_MAX];
+
+  ck_assert_int_eq (ds_evacuations_new (&set, NULL), 0);
+  memset (long_name, 'n', sizeof long_name);
+  (void)ds_evacuations_put (
+      set, (struct ds_str){ .data = long_name, .length = sizeof long_name },
+      6);
+  for (int i = 0; i < DS_EVACUATION_REPORTS_MAX; i++)
+    {
+      char name[] = "a&+#% ?";
+
+      name[6] = (char)(i + 1);
+      (void)ds_evacuations_put (set, ds_str_from_c (name), 6);
+    }
+  (void)ds_evacuations_put (set, ZONE, 6);
+  ds_evacuations_end_list (set, 50000);
+  ds_evacuations_apply (set, 6, 49990, 50000);
+  ck_assert_uint_eq (ds_evacuations_list_reports (set, reports, 60000), 1);
+  ck_assert (ds_str_equal (reports[0].zone, ZONE));
+  talloc_free (set);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -273,6 +303,7 @@
   tcase_add_test (test_case,
                   hosts_do_not_keep_a_report_alive_among_themselves);
   tcase_add_test (test_case, what_is_passed_on_is_recent_and_bounded);
+  tcase_add_test (test_case, names_that_no_zone_has_are_not_passed_on);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
