Skip objects of the object API that cannot be read

What operators saw with `serve`: one object of another writer without a name, a version or a kind made the list of its kind invalid as a whole. The host asked again and again, and no budget, upstream or offering of that kind took effect. Among the events of a watch it did the same.

Cause: is_list and is_event_list refuse a response with any item that is not a whole object of the kind, so as not to take that to another request.

Change: a response is refused if an item names another kind. Items that cannot be read are counted and skipped; an object that is known by the name of one still exists.

Evidence: watch_skips_objects_that_cannot_be_read fails before the change (the list is asked for again) and passes after it.

--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -186,6 +186,15 @@
          && has_text (json, "name", name);
 }
 
+/* Whether ITEM belongs to the response to another request.  */
+static bool
+has_other_kind (const json_t *item, const char *kind)
+{
+  return has_text (item, "kind", NULL) && !has_text (item, "kind", kind);
+}
+
+/* Whether JSON is a list of KIND.  Items of another writer that cannot be read
+   are skipped later, so that they hide no other.  */
 static bool
 is_list (const json_t *json, const char *kind)
 {
@@ -198,7 +207,7 @@
     return false;
   json_array_foreach (items, i, item)
   {
-    if (!is_object (item, kind, NULL))
+    if (has_other_kind (item, kind))
       return false;
   }
   return true;
@@ -223,7 +232,6 @@
 is_event_list (const json_t *json, const char *kind)
 {
   const json_t *events = json_object_get (json, "events");
-  struct watch_event event;
   size_t i;
   const json_t *item;
 
@@ -232,7 +240,7 @@
     return false;
   json_array_foreach (events, i, item)
   {
-    if (!parse_event (&event, item, kind))
+    if (has_other_kind (json_object_get (item, "object"), kind))
       return false;
   }
   return true;
@@ -617,6 +625,20 @@
     }
 }
 
+/* Skips an item of a list that cannot be read.  An object that had its name
+   before still exists.  */
+static void
+skip_item (struct ds_platform_watch *watch, const json_t *item)
+{
+  const char *name = json_string_value (json_object_get (item, "name"));
+  struct known_object *known
+      = name != NULL ? g_hash_table_lookup (watch->known, name) : NULL;
+
+  ds_metric_add (DS_METRIC_UNREADABLE_ENTRIES, 1);
+  if (known != NULL)
+    known->list = watch->list_count;
+}
+
 static void
 apply_list (struct ds_platform_watch *watch, const json_t *list)
 {
@@ -634,7 +656,10 @@
       .object = item,
     };
 
-    apply_put (watch, &event);
+    if (is_object (item, watch->options.kind, NULL))
+      apply_put (watch, &event);
+    else
+      skip_item (watch, item);
   }
   delete_unlisted (watch, version);
   watch->since = version;
@@ -654,7 +679,10 @@
   json_array_foreach (json_object_get (response, "events"), i, item)
   {
     if (!parse_event (&event, item, watch->options.kind))
-      continue;
+      {
+        ds_metric_add (DS_METRIC_UNREADABLE_ENTRIES, 1);
+        continue;
+      }
     if (event.change == DS_PLATFORM_CHANGE_PUT)
       apply_put (watch, &event);
     else
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -410,6 +410,34 @@
 }
 END_TEST
 
+/* Guards against an object of another writer that cannot be read and hides all
+   others of its kind, or removes one that exists.  */
+START_TEST (watch_skips_objects_that_cannot_be_read)
+{
+  static const struct response_step steps[] = {
+    { "GET " PATH, 200,
+      "{\"version\":5,\"items\":[{},7,null,{\"name\":\"x\"},"
+      "{\"kind\":\"Budget\",\"name\":7,\"version\":3},"
+      "{\"kind\":\"Budget\",\"name\":\"&+#% \",\"version\":\"4\"}," ITEM (
+          "a", 2) "," ITEM ("b", 5) "]}" },
+    { "GET " PATH " since 5", 200,
+      "{\"version\":8,\"events\":[{},null,{\"type\":\"put\"},"
+      "{\"type\":\"odd\",\"object\":" ITEM ("a", 6) "}," EVENT ("put", "c",
+                                                                7) "]}" },
+    { "GET " PATH " since 8", 410, "{}" },
+    { "GET " PATH, 200,
+      "{\"version\":9,\"items\":[{\"kind\":\"Budget\",\"name\":\"b\","
+      "\"version\":null}," ITEM ("c", 7) "]}" },
+    { "GET " PATH " since 9", 200,
+      "{\"version\":10,\"events\":[{\"type\":\"put\",\"object\":"
+      "{\"kind\":\"Upstream\",\"name\":\"a\",\"version\":10}}]}" },
+    { "GET " PATH " since 9", STEP_NO_RESPONSE, NULL },
+  };
+
+  check_watch (steps, 6, "+a@2 +b@5 =5 +c@7 -a@9 =9 ");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -425,6 +453,7 @@
   tcase_add_test (test_case, watch_lists_again_when_the_history_is_too_short);
   tcase_add_test (test_case, watch_never_reports_an_older_version);
   tcase_add_test (test_case, watch_continues_after_errors);
+  tcase_add_test (test_case, watch_skips_objects_that_cannot_be_read);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
