Show that a head that is cut is no answer

Other operators saw a replica stop in the middle of its answer's head and close, and clients get a 200 with an empty or short body.

--- a/tests/test_entry_early_answers.c
+++ b/tests/test_entry_early_answers.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Answers of faulty replicas that end while the request is still being sent,
-   and answers with a status that does not exist.  */
+/* Answers of faulty replicas that end while the request is still being sent or
+   within their heads, and answers with a status that does not exist.  */
 
 #define BODY_LIMIT_BYTES 4194304
 #define HEAD "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"
@@ -164,6 +164,64 @@
 }
 END_TEST
 
+static const char *const whole_answers[] = {
+  HEAD "Content-Length: 4\r\n\r\nbody",
+  HEAD "Content-Length: 0\r\n\r\n",
+  HEAD "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+  HEAD "Content-Type: text/event-stream\r\n\r\n" EVENT (1),
+  "HTTP/1.1 100 Continue\r\n\r\n" HEAD "\r\nbody",
+};
+
+#define WHOLE_ANSWERS (sizeof whole_answers / sizeof whole_answers[0])
+
+static const char *const cut_paths[]
+    = { "/book/1", "/look/1", "/stream/1", "/once/stream/1" };
+
+#define CUT_PATHS (sizeof cut_paths / sizeof cut_paths[0])
+
+/* Guards against a head that a replica has not finished, and that the caller
+   gets as that of a whole answer with an empty or short body.  It is cut after
+   each of its bytes.  */
+START_TEST (a_head_that_is_cut_is_no_answer)
+{
+  const char *answer = whole_answers[(size_t)_i / CUT_PATHS];
+  const char *path = cut_paths[(size_t)_i % CUT_PATHS];
+  const char *head = strstr (answer, HEAD);
+  size_t length = (size_t)(strstr (head, "\r\n\r\n") - answer) + 4;
+  char id_line[64];
+  const char *headers[] = { "Host: d.example", "Authorization: Bearer key-1",
+                            "Deadline-Ms: 6000", id_line, NULL };
+
+  for (size_t cut = 0; cut < length; cut++)
+    {
+      char part[256];
+      struct test_http_response *reply;
+
+      (void)snprintf (part, sizeof part, "%.*s", (int)cut, answer);
+      (void)snprintf (id_line, sizeof id_line, "Request-Id: id-%zu", cut);
+      for (int i = 0; i < ENTRY_REPLICAS; i++)
+        {
+          ck_assert_int_eq (
+              test_post (entry_replicas[i]->address, "/standin/clear", ""),
+              200);
+          entry_add_response (entry_replicas[i], "send", part,
+                              cut % 2 == 0 ? "close" : "reset", "",
+                              (char *)NULL);
+        }
+      reply = test_http (&(struct test_http_call){
+          .method = "POST",
+          .address = entry_caller_addresses[0],
+          .path = path,
+          .headers = headers,
+          .body = "hello",
+      });
+      ck_assert_int_eq (reply->code, 0);
+      ck_assert_msg (reply->status == 502, "cut after %zu bytes: status %ld",
+                     cut, reply->status);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -178,6 +236,8 @@
                        an_answer_that_ends_within_the_upload_is_not_whole, 0,
                        (int)(PART_ANSWERS * 2 * ENDS));
   tcase_add_loop_test (test_case, a_rejection_within_the_upload_counts, 0, 2);
+  tcase_add_loop_test (test_case, a_head_that_is_cut_is_no_answer, 0,
+                       (int)(WHOLE_ANSWERS * CUT_PATHS));
   tcase_add_loop_test (
       test_case, an_answer_without_a_valid_status_is_not_passed_on, 0,
       (int)(PATHS * sizeof invalid_statuses / sizeof invalid_statuses[0]));
