Count events that are not complete as held memory

What other operators saw: a faulty replica sent bytes without end, the machine that had called it kept them all and ran out of memory. Here a replica that begins an event of 1 MB in each of 128 streams, and goes on with none, took the host to 147,828 KB; the machine has 90,112.

Cause: the part of an event that has arrived is kept until the event is complete, up to 1 MB for each stream, outside the shares of the memory.

Change: it counts as held, like responses that wait for their end. Once the share is used up, an event may be as long as such a response. One event alone may still have 1 MB.

--- a/src/core/host_memory.c
+++ b/src/core/host_memory.c
@@ -111,6 +111,23 @@
                                                            : HELD_BYTES_MIN;
 }
 
+/* Returns the size up to which an event of a stream may be held until it is
+   complete: MOST, or as little as of a response if the share is used up.  OWN
+   bytes of what is held now are of this event.
+
+   Load: a faulty replica begins long events in all its streams and ends
+   none.  */
+size_t
+ds_host_memory_event_limit (const struct ds_host_memory *memory, uint64_t own,
+                            size_t most)
+{
+  size_t usual = ds_host_memory_held_limit (memory);
+
+  if (memory->held - own + most <= memory->held_max)
+    return most;
+  return usual < most ? usual : most;
+}
+
 /* Whether a head that takes BYTES, which are counted already, may be read
    on.  */
 bool
--- a/src/core/host_memory.h
+++ b/src/core/host_memory.h
@@ -21,7 +21,7 @@
   uint64_t unsent;            /* response bytes that callers have not taken */
   uint64_t unread;            /* and that wait for them at replicas' sockets */
   uint64_t unsent_max;
-  uint64_t held; /* responses held until they are complete */
+  uint64_t held; /* responses and events held until they are complete */
   uint64_t held_max;
   uint64_t heads; /* request heads */
   uint64_t heads_max;
@@ -32,6 +32,8 @@
 void ds_host_memory_init (struct ds_host_memory *memory, double mb);
 size_t ds_host_memory_unsent_limit (const struct ds_host_memory *memory);
 size_t ds_host_memory_held_limit (const struct ds_host_memory *memory);
+size_t ds_host_memory_event_limit (const struct ds_host_memory *memory,
+                                   uint64_t own, size_t most);
 uint32_t ds_host_memory_socket_buffer (const struct ds_host_memory *memory);
 enum ds_host_memory_excess
 ds_host_memory_excess (const struct ds_host_memory *memory);
--- a/src/entry/event_stream.c
+++ b/src/entry/event_stream.c
@@ -201,6 +201,8 @@
                       struct ds_str bytes, ds_event_stream_fn *on_event,
                       void *user_data)
 {
+  size_t most
+      = stream->partial_max > 0 ? stream->partial_max : DS_EVENT_BYTES_MAX;
   struct ds_str remaining;
   size_t scanned = ds_byte_buffer_content (&stream->partial).length;
   size_t length;
@@ -239,7 +241,7 @@
         }
       on_event (event, user_data);
     }
-  if (remaining.length > DS_EVENT_BYTES_MAX)
+  if (remaining.length > most)
     return fail (stream, "an event is too long", remaining);
   if (stream->partial.end == stream->partial.start)
     ds_byte_buffer_release (&stream->partial);
--- a/src/entry/event_stream.h
+++ b/src/entry/event_stream.h
@@ -14,7 +14,8 @@
   uint64_t last_id;              /* of the forwarded events */
   uint64_t events;               /* forwarded, with an id */
   bool has_id;
-  const char *fault; /* why the last call failed */
+  size_t partial_max; /* limit of PARTIAL; 0 for DS_EVENT_BYTES_MAX */
+  const char *fault;  /* why the last call failed */
   struct ds_str fault_text;
 };
 
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -96,6 +96,7 @@
   bool stream_begun; /* that of a stream, which takes events only */
   bool resumed;
   struct ds_event_stream events;
+  size_t events_held; /* of its unfinished event, counted as held */
   uint64_t first_event_ms;
   bool paused;
 };
@@ -125,6 +126,14 @@
   return status == 0;
 }
 
+/* Counts the memory of an event that is held until it is complete.  */
+static void
+count_held_event (struct ds_exchange *x)
+{
+  x->context->memory.held += x->events.partial.capacity - x->events_held;
+  x->events_held = x->events.partial.capacity;
+}
+
 /* Adds the version of the configuration that decides the request, and the age
    of the store's last response about the configuration.  */
 static void
@@ -179,6 +188,7 @@
   x->pooled = NULL;
   x->paused = false;
   ds_event_stream_discard_partial (&x->events);
+  count_held_event (x);
   release_held (x);
   release_load (x);
 }
@@ -608,7 +618,13 @@
 static bool
 forward_events (struct ds_exchange *x, struct ds_str bytes)
 {
-  switch (ds_event_stream_feed (x, &x->events, bytes, forward_event, x))
+  int status;
+
+  x->events.partial_max = ds_host_memory_event_limit (
+      &x->context->memory, x->events_held, DS_EVENT_BYTES_MAX);
+  status = ds_event_stream_feed (x, &x->events, bytes, forward_event, x);
+  count_held_event (x);
+  switch (status)
     {
     case 0:
       return true;
--- a/tests/standins/scripted_replica.c
+++ b/tests/standins/scripted_replica.c
@@ -22,6 +22,7 @@
      "send"       sends the text
      "chunk"      sends it as one chunk
      "fill"       sends as many bytes as the text says
+     "repeat"     sends the text again and again, until the connection ends
      "wait_ms"    waits
      "await_request"  waits until bytes of the next request arrive; the
                   placeholders still stand for the present one
@@ -233,6 +234,24 @@
   return sent;
 }
 
+static bool
+send_repeatedly (const struct connection *c, const char *text)
+{
+  static const size_t block_bytes = 65536;
+  char *expanded = expand (c, text);
+  size_t length = strlen (expanded);
+  size_t count = block_bytes / length + 1;
+  char *block = malloc (count * length);
+
+  for (size_t i = 0; i < count; i++)
+    memcpy (block + i * length, expanded, length);
+  while (send_bytes (c, block, count * length))
+    ;
+  free (block);
+  free (expanded);
+  return false;
+}
+
 static void
 sleep_ms (long ms)
 {
@@ -264,6 +283,8 @@
     c->open = send_text (c, text, true);
   else if (strcmp (step, "fill") == 0)
     c->open = send_fill (c, strtoul (text, NULL, 10));
+  else if (strcmp (step, "repeat") == 0)
+    c->open = send_repeatedly (c, text);
   else if (strcmp (step, "wait_ms") == 0)
     sleep_ms (atol (text));
   else if (strcmp (step, "read_body") == 0)
--- a/tests/test_host_memory.c
+++ b/tests/test_host_memory.c
@@ -87,6 +87,23 @@
 }
 END_TEST
 
+/* Guards against long events that add up, and against one that is refused for
+   what it holds itself.  */
+START_TEST (held_events_stay_within_their_share)
+{
+  const size_t most = memory.held_max / 4;
+
+  for (int i = 0; i < 4; i++)
+    {
+      ck_assert_uint_eq (ds_host_memory_event_limit (&memory, 0, most), most);
+      memory.held += most;
+    }
+  ck_assert_uint_le (ds_host_memory_event_limit (&memory, 0, most), 65536);
+  ck_assert_uint_eq (ds_host_memory_event_limit (&memory, most, most), most);
+  ck_assert_uint_eq (ds_host_memory_event_limit (&memory, 0, 100), 100);
+}
+END_TEST
+
 /* Guards against long heads that add up, and against ordinary ones that are
    refused for them.  */
 START_TEST (long_heads_stay_within_their_share)
@@ -116,6 +133,7 @@
                   socket_buffers_depend_on_the_requests_in_progress);
   tcase_add_test (test_case, slow_callers_go_once_the_share_is_used_up);
   tcase_add_test (test_case, held_responses_stay_within_their_share);
+  tcase_add_test (test_case, held_events_stay_within_their_share);
   tcase_add_test (test_case, long_heads_stay_within_their_share);
   suite_add_tcase (suite, test_case);
   runner = srunner_create (suite);
