Pass nothing on late in the grace period that has not run

What other operators saw: in a planned stop in calm, requests that came late in the grace period were passed on and cut at its end, among them such that may not be repeated. Here requests that come late are refused (ten on kept connections from 0.1 to 6 s after SIGTERM, on two routes: each is answered 200, or not run; this held before). But a request that came in time and that a replica rejected 5.5 s after SIGTERM was passed on again, run, and cut.

Cause: only the arrival of a request looks at whether the host is stopping. A further attempt after a rejection, or after a wait for tokens, does not.

Change: once the host takes no more requests, one that has not run gets the same 503 in place of an attempt; another host has the time for it.

Evidence: a_request_that_is_rejected_late_is_not_passed_on_again got a part of an answer before the change and a 503 without a run after it. test_entry_stop passes 3 of 3.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -41,6 +41,8 @@
 /* Bytes of an unexpected event that are logged.  */
 #define EXCERPT_BYTES 64
 
+static const char host_is_stopping[] = "the host is stopping";
+
 enum phase
 {
   RESERVING,
@@ -1045,7 +1047,9 @@
   return false;
 }
 
-/* Starts the next attempt at a replica.  */
+/* Starts the next attempt at a replica.  Once the host takes no more requests,
+   one that has not run is left to another host: here it might not end before
+   the process does.  */
 static void
 start_attempt (struct ds_exchange *x)
 {
@@ -1053,6 +1057,11 @@
   struct ds_placement placement;
 
   x->phase = ATTEMPTING;
+  if (x->context->stopping && !x->may_have_run && !x->head_sent)
+    {
+      refuse (x, 503, RETRY_ELSEWHERE_MS, host_is_stopping);
+      return;
+    }
   if (!check_suspects (x, now_ms))
     return;
   placement = ds_placement_choose (x->context->replicas, &x->placement_request,
@@ -1241,7 +1250,7 @@
     }
   if (context->stopping)
     {
-      refuse (x, 503, RETRY_ELSEWHERE_MS, "the host is stopping");
+      refuse (x, 503, RETRY_ELSEWHERE_MS, host_is_stopping);
       return NULL;
     }
   if (context->config == NULL)
