--- a/tests/standins/scripted_replica.c
+++ b/tests/standins/scripted_replica.c
@@ -234,18 +234,20 @@
   return sent;
 }
 
+/* Sends TEXT, some thousand times in one call, until the connection ends.  */
 static bool
 send_repeatedly (const struct connection *c, const char *text)
 {
-  static const size_t block_bytes = 65536;
+  static const size_t copies = 2048;
   char *expanded = expand (c, text);
-  size_t length = strlen (expanded);
-  size_t count = block_bytes / length + 1;
-  char *block = malloc (count * length);
+  char *block = NULL;
+  size_t size = 0;
+  FILE *stream = open_memstream (&block, &size);
 
-  for (size_t i = 0; i < count; i++)
-    memcpy (block + i * length, expanded, length);
-  while (send_bytes (c, block, count * length))
+  for (size_t i = 0; i < copies; i++)
+    (void)fputs (expanded, stream);
+  (void)fclose (stream);
+  while (send_bytes (c, block, size))
     ;
   free (block);
   free (expanded);
--- a/tests/test_entry_stop.c
+++ b/tests/test_entry_stop.c
@@ -19,12 +19,16 @@
 #define RECEIVE_LIMIT_S 15
 /* Pause in the stream that keeps the host from stopping early.  */
 #define LONG_PAUSE_MS "6500"
-#define STREAM                                                                \
-  "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"            \
-  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-#define ANSWER                                                                \
-  "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"            \
-  "Content-Length: 4\r\n\r\ndone"
+
+static const char answer_of_work[]
+    = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"
+      "Content-Length: 4\r\n\r\ndone";
+static const char stream_head[]
+    = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal.1\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+static const char rejection[]
+    = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: {id}\r\n"
+      "Content-Length: 0\r\n\r\n";
 
 /* When a request is sent after SIGTERM, and how long it works: less than the
    timeout of its route.  */
@@ -124,7 +128,7 @@
       ck_assert_int_eq (
           test_post (entry_replicas[i]->address, "/standin/clear", ""), 200);
       entry_add_response (entry_replicas[i], "wait_ms", work_ms, "send",
-                          ANSWER, (char *)NULL);
+                          answer_of_work, (char *)NULL);
     }
 }
 
@@ -184,7 +188,7 @@
       ck_assert_int_eq (read_status (fds[i]), 200);
     }
   for (int i = 0; i < ENTRY_REPLICAS; i++)
-    entry_add_response (entry_replicas[i], "send", STREAM, "chunk",
+    entry_add_response (entry_replicas[i], "send", stream_head, "chunk",
                         "id: 1\ndata: a\n\n", "wait_ms", LONG_PAUSE_MS,
                         "chunk", "id: 2\ndata: b\n\n", "send", "0\r\n\r\n",
                         (char *)NULL);
@@ -227,7 +231,7 @@
   long begin;
 
   for (int i = 0; i < ENTRY_REPLICAS; i++)
-    entry_add_response (entry_replicas[i], "send", STREAM, "chunk",
+    entry_add_response (entry_replicas[i], "send", stream_head, "chunk",
                         "id: 1\ndata: a\n\n", "wait_ms", LONG_PAUSE_MS, "send",
                         "0\r\n\r\n", (char *)NULL);
   ck_assert (send_request (long_fd, "/once/1", "long"));
@@ -239,9 +243,7 @@
       ck_assert_int_eq (
           test_post (entry_replicas[i]->address, "/standin/clear", ""), 200);
       entry_add_refusal (entry_replicas[i], "wait_ms", "3500", "send",
-                         "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: "
-                         "{id}\r\nContent-Length: 0\r\n\r\n",
-                         (char *)NULL);
+                         rejection, (char *)NULL);
     }
   sleep_until (begin + 2000);
   ck_assert (send_request (fd, "/once/1", "late"));
@@ -250,7 +252,7 @@
     {
       ck_assert_int_eq (
           test_post (entry_replicas[i]->address, "/standin/clear", ""), 200);
-      entry_add_response (entry_replicas[i], "send", STREAM, "chunk",
+      entry_add_response (entry_replicas[i], "send", stream_head, "chunk",
                           "id: 1\ndata: a\n\n", "wait_ms", "4000", "send",
                           "0\r\n\r\n", (char *)NULL);
     }
