Keep zero bytes of a name where a list passes over a page

A list that passes over a page without names guesses where to go on from the name before. That name may have a zero byte, at which the guess ended, so that it led back to pages that were read already.

--- a/src/core/list_cursor.c
+++ b/src/core/list_cursor.c
@@ -1,8 +1,10 @@
 #include "core/list_cursor.h"
 
+#include <string.h>
+
 /* Follows the other printable characters of ASCII, so that a name with it
    appended comes after most names that begin alike.  */
-#define LAST_CHARACTER "~"
+#define LAST_CHARACTER '~'
 
 static void
 release (struct ds_str *text)
@@ -68,15 +70,18 @@
 static bool
 guess_after (struct ds_list_cursor *cursor, TALLOC_CTX *owner)
 {
+  size_t length = cursor->after.length;
   char *guess;
 
-  if (cursor->guessed || cursor->after.length == 0)
+  if (cursor->guessed || length == 0)
     return false;
-  guess = talloc_asprintf (owner, "%.*s" LAST_CHARACTER,
-                           DS_STR_ARG (cursor->after));
+  guess = talloc_size (owner, length + 1);
   if (guess == NULL)
     return false;
-  set_after (cursor, owner, ds_str_from_c (guess));
+  memcpy (guess, cursor->after.data, length);
+  guess[length] = LAST_CHARACTER;
+  set_after (cursor, owner,
+             (struct ds_str){ .data = guess, .length = length + 1 });
   talloc_free (guess);
   cursor->guessed = true;
   return true;
--- a/tests/test_list_cursor.c
+++ b/tests/test_list_cursor.c
@@ -67,6 +67,15 @@
 }
 END_TEST
 
+/* Guards against a guess that leads back, since the name before has a zero
+   byte.  */
+START_TEST (a_guess_has_all_bytes_of_the_name)
+{
+  ck_assert (ds_list_cursor_advance (&cursor, owner, DS_STR ("\0a\0b"), true));
+  expect_next ("", DS_STR ("\0a\0b~"));
+}
+END_TEST
+
 START_TEST (a_list_without_any_name_is_incomplete)
 {
   ck_assert (!ds_list_cursor_advance (&cursor, owner, DS_STR_EMPTY, true));
@@ -110,6 +119,7 @@
   tcase_add_checked_fixture (test_case, set_up, tear_down);
   tcase_add_test (test_case, a_list_continues_after_the_last_name);
   tcase_add_test (test_case, a_page_without_names_is_passed_over_once);
+  tcase_add_test (test_case, a_guess_has_all_bytes_of_the_name);
   tcase_add_test (test_case, a_list_without_any_name_is_incomplete);
   tcase_add_loop_test (test_case, a_list_that_repeats_itself_ends, 1, 20);
   suite_add_tcase (suite, test_case);
