Wait until a replica is used again in the test of lists

The test registers that replica as draining and as ready again just before, and did not wait until the host knew of it; the checks of service are as before.

--- a/tests/test_entry_lists.c
+++ b/tests/test_entry_lists.c
@@ -10,6 +10,8 @@
 
 #define PREPAID 1000000
 #define REQUESTS 6
+/* A host has 50 retries in 10 s.  */
+#define RETRY_INTERVAL_MS 300
 #define LONG_NAME_BYTES 1500
 /* More than a datagram between hosts holds.  */
 #define EVACUATION_NAME_BYTES 20000
@@ -325,6 +327,25 @@
   (void)fclose (file);
 }
 
+/* Waits until HOST sends requests to REPLICA, which has just been registered
+   again, while the other one has no room.  Each try may use up a retry.  */
+static void
+wait_until_used (int host, int replica)
+{
+  for (int waited = 0; waited < ENTRY_WAIT_MS; waited += RETRY_INTERVAL_MS)
+    {
+      long status;
+
+      entry_set_faults (entry_replicas[1 - replica], "{\"shed\":100}");
+      status = send_request (host, "GET", "/look/1");
+      entry_set_faults (entry_replicas[1 - replica], "{\"shed\":0}");
+      if (status == 200)
+        return;
+      test_sleep_ms (RETRY_INTERVAL_MS);
+    }
+  ck_abort_msg ("host %d does not use replica %d", host, replica);
+}
+
 /* Waits until the log of HOST has COUNT lines with TEXT or more.  */
 static void
 wait_for_line (int host, const char *text, int count)
@@ -390,6 +411,7 @@
       entry_set_faults (entry_store, "{\"compact\":true}");
       entry_put_replica (1, "draining");
       entry_restart_replica (1);
+      wait_until_used (0, 1);
       expect_service (0);
     }
   remove_entry ("servers", name, "i-0");
@@ -439,6 +461,7 @@
   entry_put_replica (1, "draining");
   entry_restart_replica (1);
   wait_for_line (0, "\"list_incomplete\"", 1);
+  wait_until_used (0, 1);
   expect_service (0);
   entry_start_host (1, "z");
   wait_ready (1);
@@ -447,7 +470,7 @@
   wait_for_line (1, "\"replica\":\"i-1\"", 1);
   ck_assert_int_eq (send_request (1, "POST", "/book/1"), 200);
   remove_entry ("servers", number, "a");
-  wait_for_line (1, "\"replica\":\"i-0\"", 1);
+  wait_until_used (1, 0);
   expect_service (1);
   stop_cleanly (0);
   stop_cleanly (1);
