Derive the addresses of tests from the whole process id

The addresses repeated after 6,000 process ids, while a test may run for a minute or more; with the second octet taken from the id as well, they are unique up to 32,768, the largest id of the machine.

--- a/tests/support/entry_site.c
+++ b/tests/support/entry_site.c
@@ -31,14 +31,14 @@
 static double entry_cold_per_s;
 static long entry_cold_remaining_ms;
 
-/* Addresses derived from the process id, since several test programs may run
-   at the same time.  Ten numbers share a port.  */
+/* Addresses derived from the whole process id, since several test programs may
+   run at the same time, some for minutes.  Ten numbers share a port.  */
 void
 entry_format_address (char *out, int number, int port)
 {
   int pid = (int)getpid ();
 
-  (void)sprintf (out, "127.3.%d.%d:%d", pid % 250 + 1,
+  (void)sprintf (out, "127.%d.%d.%d:%d", 100 + pid / 6000 % 100, pid % 250 + 1,
                  pid / 250 % 24 * 10 + number % 10, port + number / 10 * 10);
 }
 
