Count hosts after a nameless entry for cold replicas

What callers saw: hosts share a limit of requests to cold replicas by the number of registered hosts. While an entry without a name was alone on a page of the list of hosts, each host counted those before it alone, and together they sent cold replicas more than the limit.

Cause: this third reader of lists ended at a page without names as the watches did, and would ask without end for pages that repeat themselves.

Change: it continues with ds_list_cursor.

--- a/src/entry/cold_starts.c
+++ b/src/entry/cold_starts.c
@@ -1,4 +1,5 @@
 #include "entry/cold_starts.h"
+#include "core/list_cursor.h"
 #include "daisystep/log.h"
 #include "daisystep/metrics.h"
 #include "io/clock.h"
@@ -28,7 +29,7 @@
   struct ds_store_pending_call *pending;
   bool outdated; /* the list in progress began in an earlier era */
   GArray *names; /* hashes of the names on the pages read so far */
-  struct ds_str after;
+  struct ds_list_cursor list;
   uint64_t asked_ms;  /* for the first page */
   uint64_t retry_ms;  /* no list before */
   uint64_t due_ms;    /* when a list that is needed is due; 0 for none */
@@ -65,7 +66,7 @@
   };
   starts->limit.self = ds_str_hash (settings->host, HOST_SEED);
   starts->names = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  starts->after = DS_STR_EMPTY;
+  ds_list_cursor_begin (&starts->list);
   talloc_set_destructor (starts, destroy);
   *out = starts;
   return 0;
@@ -83,14 +84,6 @@
   starts->limit.settled = settled;
 }
 
-static void
-set_after (struct ds_cold_starts *starts, struct ds_str name)
-{
-  if (starts->after.length > 0)
-    talloc_free ((char *)starts->after.data);
-  starts->after = name.length > 0 ? ds_str_copy (starts, name) : DS_STR_EMPTY;
-}
-
 /* Replaces the set of hosts by what the pages have listed.  */
 static void
 apply_list (struct ds_cold_starts *starts)
@@ -117,7 +110,7 @@
 static void
 end_list (struct ds_cold_starts *starts)
 {
-  set_after (starts, DS_STR_EMPTY);
+  ds_list_cursor_begin (&starts->list);
   g_array_set_size (starts->names, 0);
 }
 
@@ -126,7 +119,9 @@
 read_page (struct ds_cold_starts *starts, struct ds_str body)
 {
   struct ds_error error = DS_ERROR_NONE;
+  struct ds_str last_name = DS_STR_EMPTY;
   struct ds_store_page *page;
+  bool continues;
 
   if (ds_store_page_decode (&page, starts, body, false, &error) != 0)
     {
@@ -141,13 +136,13 @@
 
         g_array_append_val (starts->names, hash);
       }
-  if (page->has_more && page->count > 0)
-    {
-      set_after (starts, page->objects[page->count - 1].name);
-      talloc_free (page);
-      return ask_for_page (starts);
-    }
+  if (page->count > 0)
+    last_name = page->objects[page->count - 1].name;
+  continues = ds_list_cursor_advance (&starts->list, starts, last_name,
+                                      page->has_more);
   talloc_free (page);
+  if (continues)
+    return ask_for_page (starts);
   apply_list (starts);
   end_list (starts);
   return true;
@@ -186,7 +181,7 @@
   struct ds_store_call call = {
     .verb = DS_STORE_LIST,
     .kind = DS_KIND_HOSTS,
-    .after = starts->after,
+    .after = starts->list.after,
   };
 
   ds_metric_add (DS_METRIC_COLD_HOST_LISTS, 1);
--- a/tests/test_entry_lists.c
+++ b/tests/test_entry_lists.c
@@ -565,6 +565,29 @@
 }
 END_TEST
 
+/* Guards against a host that sends too many requests to cold replicas, since
+   it does not know how many others do: an entry without a name ends the list.
+ */
+START_TEST (hosts_after_a_nameless_entry_count_for_cold_replicas)
+{
+  set_page_items ("1");
+  put_entry ("daisystep-hosts", &odd_names[NAME_OF_A_NUMBER], "host-0",
+             json_object ());
+  entry_set_cold_phase (20, 7, 60000);
+  entry_put_config (PREPAID);
+  for (int i = 0; i < ENTRY_REPLICAS; i++)
+    entry_restart_replica (i);
+  for (int host = 0; host < 3; host++)
+    {
+      entry_start_host (host, "z");
+      wait_ready (host);
+    }
+  wait_for_line (0, "\"event\":\"cold_hosts\",\"hosts\":3", 1);
+  for (int host = 0; host < 3; host++)
+    expect_running (host);
+}
+END_TEST
+
 /* Guards against an entry among the evacuations whose name makes the messages
    to other hosts too long, so that they take this host for lost.  */
 START_TEST (hosts_stay_in_touch_beside_odd_evacuations)
@@ -625,6 +648,8 @@
   add_case (suite, "refused",
             a_name_that_the_store_does_not_take_ends_the_list, 1);
   add_case (suite, "hosts", hosts_on_later_pages_are_known, 4);
+  add_case (suite, "cold",
+            hosts_after_a_nameless_entry_count_for_cold_replicas, 1);
   add_case (suite, "evacuations", hosts_stay_in_touch_beside_odd_evacuations,
             1);
   add_case (suite, "fleet", all_hosts_start_again_beside_an_odd_entry, 1);
