--- a/review/harness-3/play.h
+++ b/review/harness-3/play.h
@@ -71,6 +71,10 @@
 /* store.c */
 struct play_store;
 struct play_store *play_store_new (const char *address, long era);
+struct play_path;
+struct play_path *play_store_path (struct play_store *store,
+                                   const char *address);
+void play_path_cut (struct play_path *path, bool cut);
 void play_store_put (struct play_store *store, const char *kind,
                      const char *name, json_t *spec);
 void play_store_lose (struct play_store *store, double share, bool late);
--- a/review/harness-3/store.c
+++ b/review/harness-3/store.c
@@ -29,6 +29,13 @@
   json_int_t copied_revision;
 };
 
+/* One address of a store, for the machines that use it.  */
+struct play_path
+{
+  struct play_store *store;
+  volatile bool cut; /* calls get no response */
+};
+
 struct write
 {
   struct play_store *store;
@@ -213,9 +220,10 @@
 }
 
 static bool
-handle_watch (struct play_store *store, struct play_request *request,
+handle_watch (struct play_path *path, struct play_request *request,
               const char *kind)
 {
+  struct play_store *store = path->store;
   json_int_t since = (json_int_t)query_number (request->target, "watch=");
   uint64_t until_ms
       = play_now_ms () + query_number (request->target, "wait_ms=");
@@ -254,6 +262,8 @@
       json_decref (found);
       if (store->away)
         return false;
+      if (path->cut)
+        return stay_silent (request);
       play_sleep_ms (POLL_MS);
     }
 }
@@ -304,13 +314,16 @@
 static bool
 handle (struct play_request *request, void *state)
 {
-  struct play_store *store = state;
+  struct play_path *path = state;
+  struct play_store *store = path->store;
   char kind[256];
   char *name;
   char *query;
 
   if (store->away)
     return false;
+  if (path->cut)
+    return stay_silent (request);
   if (strncmp (request->target, PREFIX, strlen (PREFIX)) != 0)
     return play_answer (request, 404, "", "{}", 2);
   (void)snprintf (kind, sizeof kind, "%s", request->target + strlen (PREFIX));
@@ -325,7 +338,7 @@
   if (name != NULL)
     return handle_get (store, request, kind, name);
   if (strstr (request->target, "watch=") != NULL)
-    return handle_watch (store, request, kind);
+    return handle_watch (path, request, kind);
   return handle_list (store, request, kind);
 }
 
@@ -341,10 +354,29 @@
   store->revision = 100;
   store->history_start = 100;
   store->era = era;
-  play_serve (address, handle, store);
+  (void)play_store_path (store, address);
   return store;
 }
 
+/* Serves the store at a further ADDRESS, whose users can be cut off.  */
+struct play_path *
+play_store_path (struct play_store *store, const char *address)
+{
+  struct play_path *path = calloc (1, sizeof *path);
+
+  path->store = store;
+  play_serve (address, handle, path);
+  return path;
+}
+
+/* While PATH is cut, calls that come by it are lost: none is executed, and
+   none gets a response.  */
+void
+play_path_cut (struct play_path *path, bool cut)
+{
+  path->cut = cut;
+}
+
 /* Writes an object as the operator or a replica does.  Takes SPEC over.  */
 void
 play_store_put (struct play_store *store, const char *kind, const char *name,
